--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Builds the environment on a machine that has python3 only, then tests or shows the system.
+
+PYTHON ?= python3
+VENV := .venv
+STAMP := $(VENV)/.installed
+PACKAGES := policy platform node ctl standins
+
+.PHONY: env test check demo clean
+
+env: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet -r requirements-dev.txt
+	$(VENV)/bin/python -m pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+	touch $(STAMP)
+
+test: env
+	$(VENV)/bin/python -m pytest
+
+check: env
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/lint-imports
+	$(VENV)/bin/mypy
+
+demo: env
+	$(VENV)/bin/python -m ibisspoke_standins.demo
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/ctl/ibisspoke_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/packages/node/ibisspoke_node/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs on each upstream VM."""
--- /dev/null
+++ b/packages/platform/ibisspoke_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols and HTTP adapter of the table service and object store."""
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, quota, routing and membership decisions without I/O."""
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/admission.py
@@ -0,0 +1,111 @@
+"""Admission of attempts at the node of an upstream.
+
+Every method of a controller returns events; the caller applies them in order.
+"""
+
+from typing import NamedTuple, Protocol
+
+from .catalogue import Importance
+from .refusal import Refusal
+
+
+class Ticket(NamedTuple):
+    """An attempt that asks to be handed to the upstream.
+
+    :param deadline_ms: in the monotonic time of this process.
+    """
+
+    attempt_id: int
+    organisation: str
+    importance: Importance
+    deadline_ms: float
+
+
+class Started(NamedTuple):
+    """Hand the attempt to the upstream now."""
+
+    attempt_id: int
+
+
+class Refused(NamedTuple):
+    """Refuse the attempt; it was never handed to the upstream."""
+
+    attempt_id: int
+    refusal: Refusal
+
+
+class Abort(NamedTuple):
+    """Cancel an attempt that the upstream holds without progress."""
+
+    attempt_id: int
+
+
+AdmissionEvent = Started | Refused | Abort
+
+
+class Ending(NamedTuple):
+    """How a started attempt ended.
+
+    :param succeeded: whether the upstream answered below status 500.
+    :param shed: whether the upstream refused it as overload without running it.
+    :param timed_out: whether it was cut off with no answer.
+    """
+
+    succeeded: bool
+    shed: bool = False
+    timed_out: bool = False
+
+
+class Capacity(NamedTuple):
+    """What the upstream announced of itself.
+
+    :param n_slots: requests it executes at once.
+    :param n_connections: connections it accepts.
+    :param draining: whether it takes no new work.
+    :param cold: whether it has just started.
+    """
+
+    n_slots: int
+    n_connections: int
+    draining: bool = False
+    cold: bool = False
+
+
+class AdmissionLevel(NamedTuple):
+    """Present state of a controller, carried on every answer.
+
+    :param load: attempts in flight and queued, as a share of the limit.
+    :param shed_below: attempts below this importance are refused now.
+    :param limit: attempts handed to the upstream at once.
+    :param retry_after_ms: when a refused attempt may succeed.
+    """
+
+    load: float
+    shed_below: int
+    limit: int
+    retry_after_ms: int
+
+
+class AdmissionController(Protocol):
+    """Decide which attempts the upstream gets, and when."""
+
+    @property
+    def level(self) -> AdmissionLevel:
+        """The present admission level."""
+
+    def offer(self, ticket: Ticket, now_ms: float) -> list[AdmissionEvent]:
+        """Take in one attempt."""
+
+    def finish(
+        self, attempt_id: int, ending: Ending, now_ms: float
+    ) -> list[AdmissionEvent]:
+        """Note the end of a started attempt."""
+
+    def cancel(self, attempt_id: int, now_ms: float) -> list[AdmissionEvent]:
+        """Forget an attempt that the caller no longer waits for."""
+
+    def announce(self, capacity: Capacity, now_ms: float) -> list[AdmissionEvent]:
+        """Take in what the upstream says of itself."""
+
+    def tick(self, now_ms: float) -> list[AdmissionEvent]:
+        """Expire queued attempts and adapt the limit."""
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/refusal.py
@@ -0,0 +1,101 @@
+"""Refusals: why a request got no answer, and whether it ran."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Ran(StrEnum):
+    """What is known of the execution of a refused request.
+
+    ``NOT_RUN`` is used only where no upstream was handed the request.
+    """
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class RefusalKind(StrEnum):
+    """Why a request was refused."""
+
+    BAD_REQUEST = "bad_request"
+    MISSING_KEY = "missing_key"
+    UNKNOWN_KEY = "unknown_key"
+    UNKNOWN_ROUTE = "unknown_route"
+    BODY_TOO_LARGE = "body_too_large"
+    RATE_EXCEEDED = "rate_exceeded"
+    OVERLOADED = "overloaded"
+    OUT_OF_MEMORY = "out_of_memory"
+    DRAINING = "draining"
+    NO_UPSTREAM = "no_upstream"
+    NO_CATALOGUE = "no_catalogue"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    CANCELLED = "cancelled"
+    UPSTREAM_FAILED = "upstream_failed"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ISOLATED = "isolated"
+
+
+class Refusal(NamedTuple):
+    """Tell a caller why its request got no answer and what to do.
+
+    :param kind: the typed reason.
+    :param ran: whether an upstream may have executed the request.
+    :param detail: what happened, in one sentence.
+    :param remedy: what the caller or its operator can do.
+    :param retry_after_ms: when a retry can help; None where it cannot.
+    """
+
+    kind: RefusalKind
+    ran: Ran
+    detail: str
+    remedy: str
+    retry_after_ms: int | None = None
+
+    @property
+    def may_retry(self) -> bool:
+        """Whether the same request can succeed later without a change."""
+        return self.retry_after_ms is not None
+
+
+def overloaded(detail: str, retry_after_ms: int) -> Refusal:
+    """Return the refusal of a request that no upstream was handed."""
+    return Refusal(
+        RefusalKind.OVERLOADED,
+        Ran.NOT_RUN,
+        detail,
+        "retry after the time given, or lower the request rate",
+        retry_after_ms,
+    )
+
+
+def deadline_exceeded(ran: Ran, detail: str) -> Refusal:
+    """Return the refusal of a request whose deadline passed."""
+    return Refusal(
+        RefusalKind.DEADLINE_EXCEEDED,
+        ran,
+        detail,
+        "allow more time, or retry if the call is idempotent",
+        0 if ran is Ran.NOT_RUN else None,
+    )
+
+
+def outcome_unknown(detail: str) -> Refusal:
+    """Return the refusal of a request that may have executed."""
+    return Refusal(
+        RefusalKind.OUTCOME_UNKNOWN,
+        Ran.UNKNOWN,
+        detail,
+        "look the result up before sending the request again",
+    )
+
+
+def no_upstream(service: str) -> Refusal:
+    """Return the refusal of a request for which no upstream is known."""
+    return Refusal(
+        RefusalKind.NO_UPSTREAM,
+        Ran.NOT_RUN,
+        f"no upstream of {service} is available",
+        "retry after the time given; check that an upstream has announced itself",
+        1000,
+    )
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/routing.py
@@ -0,0 +1,37 @@
+"""Choice of the node that gets an attempt."""
+
+from collections.abc import Collection
+from typing import NamedTuple, Protocol
+
+from .admission import AdmissionLevel
+from .catalogue import Importance
+from .member import Member
+
+
+class RouteQuery(NamedTuple):
+    """What is to be sent.
+
+    :param n_bytes: size of the request body.
+    :param excluded: ids of nodes already tried.
+    """
+
+    service: str
+    importance: Importance
+    n_bytes: int
+    excluded: Collection[str] = ()
+
+
+class Router(Protocol):
+    """Choose nodes by distance and by last known load."""
+
+    def choose(self, query: RouteQuery, now_ms: float) -> Member | None:
+        """Return the node for the attempt, or None when none takes calls."""
+
+    def shed_early(self, query: RouteQuery, now_ms: float) -> AdmissionLevel | None:
+        """Return the level by which every node in reach would refuse, or None."""
+
+    def sent(self, member_id: str, now_ms: float) -> None:
+        """Count an attempt as outstanding."""
+
+    def done(self, member_id: str, level: AdmissionLevel | None, now_ms: float) -> None:
+        """Count an attempt as ended and keep the level on its answer."""
