--- /dev/null
+++ b/packages/platform/ibisspoke_platform/config_reader.py
@@ -0,0 +1,142 @@
+"""Versions of the catalogue on the platform: the reading side."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from ibisspoke_policy.catalogue import EMPTY_CATALOGUE, Catalogue, decode_catalogue
+
+from .config_records import (
+    AUDIT_PAGE_ROWS,
+    CURRENT_KEY,
+    NO_VERSION,
+    AuditRecord,
+    CurrentVersion,
+    audit_key,
+    audit_page_prefix,
+    decode_record,
+    digest_snapshot,
+    snapshot_name,
+    unreadable,
+)
+from .store import ObjectStore, StoreError, StoreErrorKind, TableRow, TableService
+
+
+class ConfigReader:
+    """Read versions of the catalogue.
+
+    :param table: holds the current version and the audit rows.
+    :param objects: holds the snapshots.
+    """
+
+    def __init__(self, table: TableService, objects: ObjectStore) -> None:
+        self._table = table
+        self._objects = objects
+
+    async def read_version(self) -> Result[CurrentVersion, StoreError]:
+        """Return the current version; one read of one small row."""
+        row = await self._table.read(CURRENT_KEY)
+        return row.and_then(decode_current)
+
+    async def read_snapshot(
+        self, current: CurrentVersion
+    ) -> Result[Catalogue, StoreError]:
+        """Return the catalogue of a version after checking its digest."""
+        if current.version == 0:
+            return Ok(EMPTY_CATALOGUE)
+        name = snapshot_name(current.version, current.digest)
+        data = await self._objects.get(name)
+        return data.and_then(lambda found: decode_snapshot(found, current))
+
+    async def read_current(self) -> Result[Catalogue, StoreError]:
+        """Return the catalogue in force."""
+        current = await self.read_version()
+        if isinstance(current, Err):
+            return current
+        return await self.read_snapshot(current.ok_value)
+
+    async def read_audit(self, version: int) -> Result[AuditRecord, StoreError]:
+        """Return the audit record of one version."""
+        row = await self._table.read(audit_key(version))
+        if isinstance(row, Err):
+            return row
+        if row.ok_value.version == 0:
+            return Err(
+                StoreError(
+                    StoreErrorKind.NOT_FOUND,
+                    f"there is no version {version}",
+                    "list the versions with `ibisspoke history`",
+                )
+            )
+        return decode_record(row.ok_value.value, AuditRecord, row.ok_value.key)
+
+    async def read_version_at(self, version: int) -> Result[Catalogue, StoreError]:
+        """Return the catalogue of any version, 0 being the empty one."""
+        if version == 0:
+            return Ok(EMPTY_CATALOGUE)
+        audit = await self.read_audit(version)
+        if isinstance(audit, Err):
+            return audit
+        record = audit.ok_value
+        return await self.read_snapshot(
+            CurrentVersion(version, record.digest, record.operation_id)
+        )
+
+    async def history(
+        self, n_records: int, before_version: int | None = None
+    ) -> Result[list[AuditRecord], StoreError]:
+        """Return audit records, newest first.
+
+        Reads pages of at most ``AUDIT_PAGE_ROWS`` rows, and no page more than needed.
+
+        :param n_records: how many at most.
+        :param before_version: only versions below it.
+        """
+        current = await self.read_version()
+        if isinstance(current, Err):
+            return current
+        last = current.ok_value.version
+        if before_version is not None:
+            last = min(last, before_version - 1)
+        records: list[AuditRecord] = []
+        while last > 0 and len(records) < n_records:
+            page = await self._audit_page(last)
+            if isinstance(page, Err):
+                return page
+            records.extend(record for record in page.ok_value if record.version <= last)
+            last = last // AUDIT_PAGE_ROWS * AUDIT_PAGE_ROWS - 1
+        return Ok(records[:n_records])
+
+    async def _audit_page(self, version: int) -> Result[list[AuditRecord], StoreError]:
+        rows = await self._table.scan(audit_page_prefix(version))
+        if isinstance(rows, Err):
+            return rows
+        records = []
+        for row in reversed(rows.ok_value):
+            record = decode_record(row.value, AuditRecord, row.key)
+            if isinstance(record, Err):
+                return record
+            records.append(record.ok_value)
+        return Ok(records)
+
+
+def decode_snapshot(
+    data: bytes, current: CurrentVersion
+) -> Result[Catalogue, StoreError]:
+    """Return the catalogue in ``data`` if it is the snapshot of ``current``."""
+    name = snapshot_name(current.version, current.digest)
+    if digest_snapshot(data) != current.digest:
+        return Err(unreadable(name, "its digest differs from that of its version"))
+    try:
+        catalogue = decode_catalogue(data)
+    except msgspec.DecodeError as error:
+        return Err(unreadable(name, str(error)))
+    if catalogue.version != current.version:
+        return Err(unreadable(name, f"it holds version {catalogue.version}"))
+    return Ok(catalogue)
+
+
+def decode_current(row: TableRow) -> Result[CurrentVersion, StoreError]:
+    """Return the current version in its row; an absent row is version 0."""
+    if row.version == 0:
+        return Ok(NO_VERSION)
+    return decode_record(row.value, CurrentVersion, row.key)
--- /dev/null
+++ b/packages/platform/ibisspoke_platform/config_records.py
@@ -0,0 +1,109 @@
+"""Rows and objects in which the configuration is kept on the platform.
+
+The current version is one row. Each version has one immutable snapshot in the
+object store, one audit row, and one row by the id of the operation that made it.
+"""
+
+import hashlib
+from typing import NamedTuple, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from ibisspoke_policy.difference import Change
+
+from .store import StoreError, StoreErrorKind
+
+CURRENT_KEY = "config/current"
+AUDIT_PREFIX = "config/audit/"
+OPERATION_PREFIX = "config/operation/"
+SNAPSHOT_PREFIX = "config/snapshot/"
+N_VERSION_DIGITS = 12
+N_PAGE_DIGITS = 2
+AUDIT_PAGE_ROWS = 10**N_PAGE_DIGITS
+MAX_RECORDED_CHANGES = 100
+DIGEST_BYTES = 32
+
+T = TypeVar("T")
+
+
+class CurrentVersion(NamedTuple):
+    """The version in force.
+
+    :param version: 0 when nothing was ever applied.
+    :param digest: hexadecimal BLAKE2b digest of its snapshot.
+    :param operation_id: the operation that made it.
+    """
+
+    version: int
+    digest: str
+    operation_id: str
+
+
+NO_VERSION = CurrentVersion(0, "", "")
+
+
+class AuditRecord(NamedTuple):
+    """Who made a version, when, why, and what differed.
+
+    :param digest: digest of the snapshot of this version.
+    :param changes: the first of the changes; the snapshots hold all of them.
+    :param n_changes: how many changes there were.
+    """
+
+    version: int
+    digest: str
+    operation_id: str
+    who: str
+    wall_ms: int
+    why: str
+    changes: list[Change]
+    n_changes: int
+
+
+class OperationRecord(NamedTuple):
+    """The version that an operation made."""
+
+    version: int
+
+
+def audit_key(version: int) -> str:
+    """Return the key of the audit row of ``version``."""
+    return f"{AUDIT_PREFIX}{version:0{N_VERSION_DIGITS}d}"
+
+
+def audit_page_prefix(version: int) -> str:
+    """Return the prefix that selects the page of audit rows around ``version``."""
+    return audit_key(version)[:-N_PAGE_DIGITS]
+
+
+def operation_key(operation_id: str) -> str:
+    """Return the key of the row of an operation."""
+    return f"{OPERATION_PREFIX}{operation_id}"
+
+
+def snapshot_name(version: int, digest: str) -> str:
+    """Return the name of a snapshot; two proposals never share one."""
+    return f"{SNAPSHOT_PREFIX}{version:0{N_VERSION_DIGITS}d}-{digest}"
+
+
+def digest_snapshot(data: bytes) -> str:
+    """Return the digest by which a snapshot is checked."""
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def decode_record(data: bytes, kind: type[T], key: str) -> Result[T, StoreError]:
+    """Return the record in a row or object."""
+    try:
+        return Ok(msgspec.json.decode(data, type=kind))
+    except msgspec.DecodeError as error:
+        return Err(unreadable(key, str(error)))
+
+
+def unreadable(key: str, reason: str) -> StoreError:
+    """Return the error for a row or object that this release cannot use."""
+    return StoreError(
+        StoreErrorKind.INVALID,
+        f"{key} cannot be read: {reason}",
+        "check that no other program writes below config/, or use the newest release",
+    )
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/difference.py
@@ -0,0 +1,109 @@
+"""What differs between two versions of the catalogue."""
+
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+from .catalogue import Call, Catalogue, Importance, Key, Organisation
+
+
+class ChangeKind(StrEnum):
+    """How an entry differs."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+class EntryKind(StrEnum):
+    """Part of the catalogue that an entry belongs to."""
+
+    CALL = "call"
+    ORGANISATION = "organisation"
+    KEY = "key"
+
+
+class Change(NamedTuple):
+    """One difference.
+
+    :param entry: part of the catalogue.
+    :param id: the entry; a key is shown by the start of its digest.
+    :param kind: how it differs.
+    :param field: the field that changed; empty for a whole entry.
+    :param before: the earlier value as text; empty for an added entry.
+    :param after: the later value as text; empty for a removed entry.
+    """
+
+    entry: EntryKind
+    id: str
+    kind: ChangeKind
+    field: str = ""
+    before: str = ""
+    after: str = ""
+
+    def __str__(self) -> str:
+        if self.kind is ChangeKind.CHANGED:
+            values = f"{self.field}: {self.before} -> {self.after}"
+            return f"~ {self.entry} {self.id} {values}"
+        sign = "+" if self.kind is ChangeKind.ADDED else "-"
+        text = self.after or self.before
+        return f"{sign} {self.entry} {self.id} {text}".rstrip()
+
+
+N_SHOWN_DIGEST_CHARACTERS = 12
+
+_Entry = Call | Organisation | Key
+
+
+def difference(before: Catalogue, after: Catalogue) -> list[Change]:
+    """Return the changes that lead from ``before`` to ``after``, by entry."""
+    return [
+        *_compare(EntryKind.CALL, before.calls_by_id, after.calls_by_id),
+        *_compare(
+            EntryKind.ORGANISATION,
+            before.organisations_by_id,
+            after.organisations_by_id,
+        ),
+        *_compare(EntryKind.KEY, before.keys_by_digest, after.keys_by_digest),
+    ]
+
+
+def _compare(
+    entry: EntryKind, before: Mapping[str, _Entry], after: Mapping[str, _Entry]
+) -> list[Change]:
+    changes: list[Change] = []
+    for id in sorted(before.keys() | after.keys()):
+        changes.extend(_compare_entry(entry, id, before.get(id), after.get(id)))
+    return changes
+
+
+def _compare_entry(
+    entry: EntryKind, id: str, before: _Entry | None, after: _Entry | None
+) -> list[Change]:
+    shown = id[:N_SHOWN_DIGEST_CHARACTERS] if entry is EntryKind.KEY else id
+    if before is None and after is not None:
+        return [Change(entry, shown, ChangeKind.ADDED, after=_summary(after))]
+    if after is None and before is not None:
+        return [Change(entry, shown, ChangeKind.REMOVED, before=_summary(before))]
+    assert before is not None and after is not None
+    return [
+        Change(entry, shown, ChangeKind.CHANGED, name, _text(old), _text(new))
+        for name, old, new in zip(before._fields, before, after, strict=True)
+        if old != new
+    ]
+
+
+def _summary(entry: _Entry) -> str:
+    if isinstance(entry, Call):
+        return f"({entry.method} {entry.service}{entry.path}, {entry.owner})"
+    if isinstance(entry, Organisation):
+        return f"({entry.rate_per_s:g}/s, burst {entry.burst:g})"
+    return f"({entry.organisation}, {entry.label})"
+
+
+def _text(value: object) -> str:
+    if isinstance(value, Importance):
+        return value.name.lower()
+    if isinstance(value, float):
+        return f"{value:g}"
+    return str(value)
