--- /dev/null
+++ b/packages/node/tests/test_control.py
@@ -0,0 +1,55 @@
+from typing import NamedTuple
+
+from ibisspoke_node.control import (
+    ControlErrorKind,
+    ControlService,
+    Method,
+    control_client,
+    control_server,
+)
+
+
+class Ask(NamedTuple):
+    n: int
+
+
+class Tell(NamedTuple):
+    doubled: int
+
+
+DOUBLE = Method("Double", Ask, Tell)
+
+
+def _service() -> ControlService:
+    async def double(ask: Ask) -> Tell:
+        return Tell(ask.n * 2)
+
+    service = ControlService()
+    service.register(DOUBLE, double)
+    return service
+
+
+async def test_call_is_answered():
+    async with (
+        control_server(_service(), (b"s",), "127.0.0.1", 0) as port,
+        control_client((b"s",)) as client,
+    ):
+        reply = await client.call("127.0.0.1", port, DOUBLE, Ask(21), 5_000)
+        assert reply.unwrap() == Tell(42)
+
+
+async def test_other_secret_is_rejected():
+    async with (
+        control_server(_service(), (b"s",), "127.0.0.1", 0) as port,
+        control_client((b"other",)) as client,
+    ):
+        reply = await client.call("127.0.0.1", port, DOUBLE, Ask(21), 5_000)
+        assert reply.unwrap_err().kind is ControlErrorKind.REJECTED
+
+
+async def test_closed_port_is_unreachable():
+    async with control_server(_service(), (b"s",), "127.0.0.1", 0) as port:
+        pass
+    async with control_client((b"s",)) as client:
+        reply = await client.call("127.0.0.1", port, DOUBLE, Ask(1), 5_000)
+        assert reply.unwrap_err().kind is ControlErrorKind.UNREACHABLE
