Serve a call from caller to upstream through two nodes

Cause: every part builds on the call path, so a thin one comes first. Change: HTTP entry, acceptance by key or context, dispatch with retries, multiplexed frames between nodes, executor under an admission controller, pooled HTTP client of the upstream, status page, assembly, ibisspoke-node. Baselines stand in for policy: fixed limit, static split, nearest router.

--- /dev/null
+++ b/packages/node/ibisspoke_node/acceptance.py
@@ -0,0 +1,207 @@
+"""Decides whether a request may enter: route, key or context, rate."""
+
+import itertools
+import os
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+from tornado.httputil import HTTPHeaders
+
+from ibisspoke_policy.catalogue import Call
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.context import MAX_HOPS, ContextSigner, RequestContext
+from ibisspoke_policy.quota import QuotaDecision, Wallet
+from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind, deadline_exceeded
+
+from .headers import CONTEXT_HEADER, TIMEOUT_HEADER
+from .in_force import InForce
+
+KEY_SCHEME = "bearer "
+NO_CATALOGUE_RETRY_MS = 1_000
+
+
+class Accepted(NamedTuple):
+    """A request that may run.
+
+    :param target: path and query below the service.
+    """
+
+    call: Call
+    context: RequestContext
+    target: str
+    deadline_ms: float
+
+
+class Acceptance:
+    """Check requests against the catalogue in force.
+
+    :param node_id: makes request ids unique in the fleet.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        in_force: InForce,
+        wallet: Wallet,
+        signer: ContextSigner,
+        clock: Clock,
+    ) -> None:
+        self._id_prefix = f"{node_id}-{os.urandom(4).hex()}-"
+        self._ids = itertools.count(1)
+        self._in_force = in_force
+        self._wallet = wallet
+        self._signer = signer
+        self._clock = clock
+
+    def check(
+        self, method: str, uri: str, headers: HTTPHeaders
+    ) -> Result[Accepted, Refusal]:
+        """Return the request as it may run, or why it may not."""
+        service, _, rest = uri.lstrip("/").partition("/")
+        target = "/" + rest
+        path = target.partition("?")[0]
+        call = self._in_force.routes.find(service, method, path)
+        if call is None:
+            return Err(self._no_route(method, service, path))
+        token = headers.get(CONTEXT_HEADER)
+        if token is not None:
+            return self._nested(call, target, token)
+        return self._root(call, target, headers)
+
+    def next_id(self) -> str:
+        """Return a request id that no other request has."""
+        return self._id_prefix + str(next(self._ids))
+
+    def _root(
+        self, call: Call, target: str, headers: HTTPHeaders
+    ) -> Result[Accepted, Refusal]:
+        organisation = ""
+        if not call.is_open:
+            found = self._organisation(headers)
+            if isinstance(found, Err):
+                return found
+            organisation = found.ok_value
+        now_ms = self._clock.now_ms()
+        if organisation:
+            decision = self._wallet.take(organisation, now_ms)
+            if not decision.granted:
+                return Err(_rate_exceeded(organisation, decision))
+        timeout_ms = _timeout_ms(call, headers)
+        if isinstance(timeout_ms, Err):
+            return timeout_ms
+        wall_ms = self._clock.wall_ms()
+        context = RequestContext(
+            self.next_id(),
+            organisation,
+            call.importance,
+            wall_ms + timeout_ms.ok_value,
+            wall_ms,
+            call.max_retries,
+            0,
+            "",
+        )
+        deadline_ms = now_ms + timeout_ms.ok_value
+        return Ok(Accepted(call, context, target, deadline_ms))
+
+    def _nested(self, call: Call, target: str, token: str) -> Result[Accepted, Refusal]:
+        context = self._signer.decode(token)
+        if context is None:
+            return Err(_bad_context())
+        remaining_ms = context.deadline_wall_ms - self._clock.wall_ms()
+        if remaining_ms <= 0:
+            detail = "the deadline of the root request has passed"
+            return Err(deadline_exceeded(Ran.NOT_RUN, detail))
+        if context.n_hops + 1 >= MAX_HOPS:
+            return Err(_too_deep())
+        timeout_ms = min(remaining_ms, call.timeout_ms)
+        deeper = context._replace(n_hops=context.n_hops + 1)
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        return Ok(Accepted(call, deeper, target, deadline_ms))
+
+    def _organisation(self, headers: HTTPHeaders) -> Result[str, Refusal]:
+        value = headers.get("Authorization", "")
+        if not value.lower().startswith(KEY_SCHEME):
+            return Err(_missing_key())
+        key = value[len(KEY_SCHEME) :].strip()
+        organisation = self._in_force.catalogue.organisation_of_key(key)
+        if organisation is None:
+            return Err(_unknown_key())
+        return Ok(organisation.id)
+
+    def _no_route(self, method: str, service: str, path: str) -> Refusal:
+        if self._in_force.version == 0:
+            return Refusal(
+                RefusalKind.NO_CATALOGUE,
+                Ran.NOT_RUN,
+                "this node has not received a catalogue yet",
+                "retry after the time given; apply a catalogue if there is none",
+                NO_CATALOGUE_RETRY_MS,
+            )
+        return Refusal(
+            RefusalKind.UNKNOWN_ROUTE,
+            Ran.NOT_RUN,
+            f"the catalogue has no call {method} {path} of {service!r}",
+            "correct the URL, or add the call to the catalogue",
+        )
+
+
+def _timeout_ms(call: Call, headers: HTTPHeaders) -> Result[float, Refusal]:
+    value = headers.get(TIMEOUT_HEADER)
+    if value is None:
+        return Ok(float(call.timeout_ms))
+    if not (value.isascii() and value.isdigit() and int(value) > 0):
+        return Err(
+            Refusal(
+                RefusalKind.BAD_REQUEST,
+                Ran.NOT_RUN,
+                f"{TIMEOUT_HEADER} is not a positive number of milliseconds",
+                "send whole milliseconds, or leave the header out",
+            )
+        )
+    return Ok(float(min(int(value), call.timeout_ms)))
+
+
+def _rate_exceeded(organisation: str, decision: QuotaDecision) -> Refusal:
+    return Refusal(
+        RefusalKind.RATE_EXCEEDED,
+        Ran.NOT_RUN,
+        f"{organisation} is above its rate",
+        "retry after the time given, or ask for a higher rate",
+        decision.retry_after_ms,
+    )
+
+
+def _missing_key() -> Refusal:
+    return Refusal(
+        RefusalKind.MISSING_KEY,
+        Ran.NOT_RUN,
+        "the call needs a key",
+        "send 'Authorization: Bearer KEY'",
+    )
+
+
+def _unknown_key() -> Refusal:
+    return Refusal(
+        RefusalKind.UNKNOWN_KEY,
+        Ran.NOT_RUN,
+        "the key is unknown or was withdrawn",
+        "ask the operators for a key",
+    )
+
+
+def _bad_context() -> Refusal:
+    return Refusal(
+        RefusalKind.UNKNOWN_KEY,
+        Ran.NOT_RUN,
+        f"{CONTEXT_HEADER} was not made by this fleet",
+        f"hand on {CONTEXT_HEADER} as it came, or leave it out and send a key",
+    )
+
+
+def _too_deep() -> Refusal:
+    return Refusal(
+        RefusalKind.BAD_REQUEST,
+        Ran.NOT_RUN,
+        f"the call chain is deeper than {MAX_HOPS} hops",
+        "look for a call that calls itself",
+    )
--- /dev/null
+++ b/packages/node/ibisspoke_node/client_link.py
@@ -0,0 +1,182 @@
+"""Sending end of the call connections between nodes."""
+
+import asyncio
+import hmac
+import itertools
+import os
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from ibisspoke_policy.refusal import Ran, outcome_unknown
+
+from ._link_protocol import (
+    HANDSHAKE_TIMEOUT_MS,
+    NONCE_BYTES,
+    Assembly,
+    FrameProtocol,
+    mac,
+    out_of_memory,
+)
+from .frames import (
+    ANSWER_HEAD,
+    CALL_HEAD,
+    CHUNK_BYTES,
+    PROOF_HEAD,
+    REFUSAL_HEAD,
+    AnswerHead,
+    CallHead,
+    Frame,
+    FrameError,
+    FrameKind,
+    Proof,
+)
+from .messages import Answer, Attempt, BufferBudget, Done, Outcome, Refused
+
+
+class _Arriving(NamedTuple):
+    """An answer whose body is still arriving."""
+
+    head: AnswerHead
+    assembly: Assembly
+
+
+class ClientLink(FrameProtocol):
+    """Send calls to one peer.
+
+    :param node_id: identity of this node.
+    """
+
+    def __init__(
+        self, secrets: tuple[bytes, ...], budget: BufferBudget, node_id: str
+    ) -> None:
+        super().__init__(secrets, budget)
+        self._node_id = node_id
+        self._nonce = os.urandom(NONCE_BYTES)
+        self._ready: asyncio.Future[None] = asyncio.Future()
+        self._stream_ids = itertools.count(1)
+        self._done_by_stream: dict[int, Done] = {}
+        self._arriving_by_stream: dict[int, _Arriving] = {}
+        self._pong_by_stream: dict[int, asyncio.Future[None]] = {}
+
+    def __repr__(self) -> str:
+        return f"ClientLink({len(self._done_by_stream)} calls, closed={self.closed})"
+
+    async def ready(self) -> None:
+        """Wait for the handshake.
+
+        :raises FrameError: when the peer does not know the fleet secret.
+        :raises TimeoutError: when it does not answer in time.
+        """
+        await asyncio.wait_for(self._ready, HANDSHAKE_TIMEOUT_MS / 1000.0)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End open calls; what was sent may have run."""
+        super().connection_lost(exc)
+        if not self._ready.done():
+            self._ready.set_exception(FrameError("peer closed during the handshake"))
+        for pong in self._pong_by_stream.values():
+            pong.cancel()
+        for arriving in self._arriving_by_stream.values():
+            self._budget.release(arriving.assembly.n_bytes)
+        self._arriving_by_stream.clear()
+        done_by_stream, self._done_by_stream = self._done_by_stream, {}
+        for done in done_by_stream.values():
+            refusal = outcome_unknown("the connection between nodes broke")
+            done(Err(Refused(refusal)))
+
+    def call(self, attempt: Attempt, body: bytes, done: Done) -> int:
+        """Send an attempt; return its stream id for :meth:`cancel`."""
+        stream_id = next(self._stream_ids)
+        self._done_by_stream[stream_id] = done
+        payload = CALL_HEAD.encode(CallHead(attempt, len(body)), body[:CHUNK_BYTES])
+        self.send(FrameKind.CALL, stream_id, payload)
+        if len(body) > CHUNK_BYTES:
+            self.send_body(stream_id, body)
+        return stream_id
+
+    def cancel(self, stream_id: int) -> None:
+        """Tell the peer that nobody waits for an attempt."""
+        if self._done_by_stream.pop(stream_id, None) is not None:
+            self.send(FrameKind.CANCEL, stream_id)
+        arriving = self._arriving_by_stream.pop(stream_id, None)
+        if arriving is not None:
+            self._budget.release(arriving.assembly.n_bytes)
+
+    async def ping(self, timeout_ms: float) -> bool:
+        """Return whether the peer answers within ``timeout_ms``."""
+        stream_id = next(self._stream_ids)
+        pong: asyncio.Future[None] = asyncio.Future()
+        self._pong_by_stream[stream_id] = pong
+        self.send(FrameKind.PING, stream_id)
+        try:
+            await asyncio.wait_for(pong, timeout_ms / 1000.0)
+        except (TimeoutError, asyncio.CancelledError):
+            return False
+        finally:
+            self._pong_by_stream.pop(stream_id, None)
+        return True
+
+    def _handle(self, frame: Frame) -> None:
+        if frame.kind is FrameKind.ANSWER:
+            self._start_answer(frame)
+        elif frame.kind is FrameKind.BODY:
+            self._add_part(frame)
+        elif frame.kind is FrameKind.REFUSAL:
+            head, _ = REFUSAL_HEAD.decode(frame.payload)
+            self._end(frame.stream_id, Err(Refused(head.refusal, head.level)))
+        elif frame.kind is FrameKind.PONG:
+            pong = self._pong_by_stream.get(frame.stream_id)
+            if pong is not None and not pong.done():
+                pong.set_result(None)
+        elif frame.kind is FrameKind.CHALLENGE:
+            self._prove(frame)
+        elif frame.kind is FrameKind.WELCOME:
+            self._check_welcome(frame)
+        else:
+            raise FrameError(f"unexpected {frame.kind.name}")
+
+    def _prove(self, frame: Frame) -> None:
+        digest = mac(self._secrets[0], b"client", frame.payload, self._nonce)
+        proof = Proof(self._node_id, self._nonce, digest)
+        self.send(FrameKind.PROOF, 0, PROOF_HEAD.encode(proof))
+
+    def _check_welcome(self, frame: Frame) -> None:
+        expected = (mac(secret, b"server", self._nonce) for secret in self._secrets)
+        if not any(hmac.compare_digest(frame.payload, digest) for digest in expected):
+            raise FrameError("peer does not know a secret of this fleet")
+        if not self._ready.done():
+            self._ready.set_result(None)
+
+    def _start_answer(self, frame: Frame) -> None:
+        if frame.stream_id not in self._done_by_stream:
+            return
+        head, first = ANSWER_HEAD.decode(frame.payload)
+        if head.n_body_bytes == len(first):
+            self._answer(frame.stream_id, head, first)
+            return
+        if not self._budget.reserve(head.n_body_bytes):
+            refused = Refused(out_of_memory(Ran.UNKNOWN), head.level)
+            self._end(frame.stream_id, Err(refused))
+            return
+        assembly = Assembly(head.n_body_bytes, first)
+        self._arriving_by_stream[frame.stream_id] = _Arriving(head, assembly)
+
+    def _add_part(self, frame: Frame) -> None:
+        arriving = self._arriving_by_stream.get(frame.stream_id)
+        if arriving is None:
+            return
+        arriving.assembly.add(frame.payload)
+        if arriving.assembly.complete:
+            del self._arriving_by_stream[frame.stream_id]
+            self._budget.release(arriving.assembly.n_bytes)
+            self._answer(frame.stream_id, arriving.head, arriving.assembly.body)
+
+    def _answer(self, stream_id: int, head: AnswerHead, body: bytes) -> None:
+        answer = Answer(head.status, head.reason, head.headers, body, head.level)
+        self._end(stream_id, Ok(answer))
+
+    def _end(self, stream_id: int, outcome: Outcome) -> None:
+        done = self._done_by_stream.pop(stream_id, None)
+        if done is not None:
+            done(outcome)
--- /dev/null
+++ b/packages/node/ibisspoke_node/executor.py
@@ -0,0 +1,293 @@
+"""Executes attempts on the upstream of this VM under its admission controller."""
+
+import asyncio
+import contextlib
+import itertools
+import logging
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from ibisspoke_policy.admission import (
+    AdmissionController,
+    AdmissionEvent,
+    Capacity,
+    Ending,
+    Refused,
+    Started,
+    Ticket,
+)
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.context import ContextSigner
+from ibisspoke_policy.refusal import (
+    Ran,
+    Refusal,
+    RefusalKind,
+    deadline_exceeded,
+    no_upstream,
+    outcome_unknown,
+    overloaded,
+)
+from ibisspoke_policy.table import Table
+
+from . import messages
+from .headers import CONTEXT_HEADER, NOT_RUN_HEADER, TIMEOUT_HEADER, to_caller
+from .messages import Answer, Attempt, Done, Outcome
+from .upstream_client import (
+    UpstreamAnswer,
+    UpstreamClient,
+    UpstreamFailure,
+    UpstreamRequest,
+)
+
+UPSTREAM_RETRY_AFTER_MS = 1_000
+
+logger = logging.getLogger(__name__)
+
+
+class Announcement(NamedTuple):
+    """What the upstream says of itself."""
+
+    service: str
+    host: str
+    port: int
+    capacity: Capacity
+
+
+class OpenAttempt(NamedTuple):
+    """An attempt that has not ended."""
+
+    id: int
+    attempt: Attempt
+    body: bytes
+    done: Done
+    deadline_ms: float
+
+
+class Executor:
+    """Hand attempts to the upstream as its admission controller allows.
+
+    :param controller: decides what starts and what is refused.
+    """
+
+    def __init__(
+        self, controller: AdmissionController, signer: ContextSigner, clock: Clock
+    ) -> None:
+        self._controller = controller
+        self._signer = signer
+        self._clock = clock
+        self._ids = itertools.count(1)
+        self._open_by_id: Table[int, OpenAttempt] = Table("open attempts")
+        self._task_by_id: dict[int, asyncio.Task[None]] = {}
+        self._announcement: Announcement | None = None
+        self._client: UpstreamClient | None = None
+        self._idle = asyncio.Event()
+        self.stopping = False
+
+    def __repr__(self) -> str:
+        return f"Executor({len(self._open_by_id)} open)"
+
+    @property
+    def announcement(self) -> Announcement | None:
+        """What the upstream last announced."""
+        return self._announcement
+
+    @property
+    def n_open(self) -> int:
+        """Attempts that have not ended."""
+        return len(self._open_by_id)
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take in what the upstream says of itself."""
+        client = self._client
+        if client is None or (client.host, client.port) != announcement[1:3]:
+            if client is not None:
+                client.close()
+            self._client = UpstreamClient(announcement.host, announcement.port)
+        self._announcement = announcement
+        now_ms = self._clock.now_ms()
+        self._apply(self._controller.announce(announcement.capacity, now_ms))
+
+    def submit(self, attempt: Attempt, body: bytes, done: Done) -> int:
+        """Take an attempt in; ``done`` is called once with its outcome."""
+        attempt_id = next(self._ids)
+        now_ms = self._clock.now_ms()
+        refusal = self._refusal(attempt)
+        if refusal is not None:
+            done(Err(messages.Refused(refusal, self._controller.level)))
+            return attempt_id
+        deadline_ms = now_ms + attempt.remaining_ms
+        opened = OpenAttempt(attempt_id, attempt, body, done, deadline_ms)
+        self._open_by_id.put(attempt_id, opened)
+        context = attempt.context
+        ticket = Ticket(
+            attempt_id, context.organisation, context.importance, deadline_ms
+        )
+        self._apply(self._controller.offer(ticket, now_ms))
+        return attempt_id
+
+    def cancel(self, attempt_id: int) -> None:
+        """Stop an attempt that nobody waits for."""
+        if self._open_by_id.pop(attempt_id) is None:
+            return
+        task = self._task_by_id.pop(attempt_id, None)
+        now_ms = self._clock.now_ms()
+        if task is None:
+            self._apply(self._controller.cancel(attempt_id, now_ms))
+            return
+        task.cancel()
+        ending = Ending(succeeded=False, timed_out=False)
+        self._apply(self._controller.finish(attempt_id, ending, now_ms))
+
+    def tick(self) -> None:
+        """Expire and adapt."""
+        self._apply(self._controller.tick(self._clock.now_ms()))
+
+    async def drain(self, timeout_ms: float) -> None:
+        """Refuse new attempts and wait until the open ones have ended."""
+        self.stopping = True
+        self._note_idle()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._idle.wait(), timeout_ms / 1000.0)
+
+    def close(self) -> None:
+        """Close the connections to the upstream."""
+        for task in self._task_by_id.values():
+            task.cancel()
+        if self._client is not None:
+            self._client.close()
+
+    def _refusal(self, attempt: Attempt) -> Refusal | None:
+        announced = self._announcement
+        if announced is None or announced.service != attempt.service:
+            return no_upstream(attempt.service)
+        if self.stopping or announced.capacity.draining:
+            return Refusal(
+                RefusalKind.DRAINING,
+                Ran.NOT_RUN,
+                "the upstream takes no new work",
+                "try another node",
+                0,
+            )
+        if attempt.remaining_ms <= 0:
+            detail = "the deadline passed before the upstream was asked"
+            return deadline_exceeded(Ran.NOT_RUN, detail)
+        return None
+
+    def _apply(self, events: list[AdmissionEvent]) -> None:
+        self._note_idle()
+        for event in events:
+            if isinstance(event, Started):
+                self._start(event.attempt_id)
+            elif isinstance(event, Refused):
+                self._end(event.attempt_id, event.refusal)
+            else:
+                self._abort(event.attempt_id)
+
+    def _note_idle(self) -> None:
+        if self.stopping and not len(self._open_by_id):
+            self._idle.set()
+
+    def _start(self, attempt_id: int) -> None:
+        opened = self._open_by_id.get(attempt_id)
+        if opened is not None:
+            task = asyncio.ensure_future(self._execute(opened))
+            self._task_by_id[attempt_id] = task
+
+    def _end(self, attempt_id: int, refusal: Refusal) -> None:
+        opened = self._open_by_id.pop(attempt_id)
+        if opened is not None:
+            opened.done(Err(messages.Refused(refusal, self._controller.level)))
+
+    def _abort(self, attempt_id: int) -> None:
+        task = self._task_by_id.pop(attempt_id, None)
+        if task is not None:
+            task.cancel()
+        detail = "the upstream made no progress and the attempt was cancelled"
+        self._end(attempt_id, outcome_unknown(detail))
+
+    async def _execute(self, opened: OpenAttempt) -> None:
+        client = self._client
+        assert client is not None
+        remaining_ms = opened.deadline_ms - self._clock.now_ms()
+        request = self._request(opened, remaining_ms)
+        try:
+            result = await asyncio.wait_for(
+                client.fetch(request), max(0.0, remaining_ms) / 1000.0
+            )
+        except TimeoutError:
+            ending = Ending(succeeded=False, timed_out=True)
+            refusal = deadline_exceeded(Ran.UNKNOWN, "the upstream did not answer")
+            self._finish(opened, ending, Err(messages.Refused(refusal)))
+            return
+        if isinstance(result, Err):
+            refusal = _failure(result.err_value)
+            self._finish(opened, Ending(False), Err(messages.Refused(refusal)))
+            return
+        self._answered(opened, result.ok_value)
+
+    def _answered(self, opened: OpenAttempt, answer: UpstreamAnswer) -> None:
+        if _was_shed(answer):
+            refusal = overloaded(
+                "the upstream shed the request", UPSTREAM_RETRY_AFTER_MS
+            )
+            ending = Ending(succeeded=False, shed=True)
+            self._finish(opened, ending, Err(messages.Refused(refusal)))
+            return
+        ending = Ending(succeeded=answer.status < 500)
+        headers = to_caller(answer.headers)
+        whole = Answer(answer.status, answer.reason, headers, answer.body)
+        self._finish(opened, ending, Ok(whole))
+
+    def _finish(self, opened: OpenAttempt, ending: Ending, outcome: Outcome) -> None:
+        self._task_by_id.pop(opened.id, None)
+        if self._open_by_id.pop(opened.id) is None:
+            return
+        events = self._controller.finish(opened.id, ending, self._clock.now_ms())
+        level = self._controller.level
+        if isinstance(outcome, Ok):
+            opened.done(Ok(outcome.ok_value._replace(level=level)))
+        else:
+            opened.done(Err(outcome.err_value._replace(level=level)))
+        self._apply(events)
+
+    def _request(self, opened: OpenAttempt, remaining_ms: float) -> UpstreamRequest:
+        attempt = opened.attempt
+        token = self._signer.encode(attempt.context)
+        headers = [
+            *attempt.headers,
+            (CONTEXT_HEADER, token),
+            (TIMEOUT_HEADER, str(max(0, int(remaining_ms)))),
+        ]
+        return UpstreamRequest(
+            attempt.method,
+            attempt.target,
+            headers,
+            opened.body,
+            attempt.max_answer_bytes,
+        )
+
+
+def _was_shed(answer: UpstreamAnswer) -> bool:
+    if answer.status != 503:
+        return False
+    return any(name.lower() == NOT_RUN_HEADER.lower() for name, _ in answer.headers)
+
+
+def _failure(failure: UpstreamFailure) -> Refusal:
+    if failure.too_large:
+        return Refusal(
+            RefusalKind.ANSWER_TOO_LARGE,
+            Ran.UNKNOWN,
+            "the answer is larger than the call allows",
+            "raise max_answer_bytes of the call in the catalogue",
+        )
+    if failure.sent:
+        return outcome_unknown(f"the upstream gave no whole answer: {failure.detail}")
+    return Refusal(
+        RefusalKind.UPSTREAM_FAILED,
+        Ran.NOT_RUN,
+        f"the upstream was not reached: {failure.detail}",
+        "retry after the time given; check that the upstream runs",
+        UPSTREAM_RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/packages/node/ibisspoke_node/headers.py
@@ -0,0 +1,47 @@
+"""Which HTTP headers pass from callers to upstreams and back."""
+
+from collections.abc import Iterable
+
+from .messages import Header
+
+CONTEXT_HEADER = "Ibisspoke-Context"
+TIMEOUT_HEADER = "Ibisspoke-Timeout-Ms"
+NOT_RUN_HEADER = "Ibisspoke-Not-Run"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+INTERNAL_PREFIX = "ibisspoke-"
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+SECRET = frozenset({"authorization", "cookie", "x-api-key"})
+
+
+def to_upstream(headers: Iterable[Header]) -> list[Header]:
+    """Return the headers of a request without keys and internal headers."""
+    return [
+        (name, value)
+        for name, value in headers
+        if _passes(name.lower()) and name.lower() not in SECRET
+    ]
+
+
+def to_caller(headers: Iterable[Header]) -> list[Header]:
+    """Return the headers of an answer without internal headers."""
+    return [(name, value) for name, value in headers if _passes(name.lower())]
+
+
+def _passes(lower_name: str) -> bool:
+    return lower_name not in HOP_BY_HOP and not lower_name.startswith(INTERNAL_PREFIX)
--- /dev/null
+++ b/packages/node/ibisspoke_node/in_force.py
@@ -0,0 +1,27 @@
+"""The catalogue in force at this node."""
+
+from ibisspoke_policy.catalogue import EMPTY_CATALOGUE, Catalogue, RouteTable
+
+
+class InForce:
+    """Hold the highest catalogue version that this node has seen."""
+
+    def __init__(self) -> None:
+        self.catalogue = EMPTY_CATALOGUE
+        self.routes = RouteTable({})
+
+    def __repr__(self) -> str:
+        return f"InForce(version={self.catalogue.version})"
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 before the first."""
+        return self.catalogue.version
+
+    def adopt(self, catalogue: Catalogue) -> bool:
+        """Put ``catalogue`` in force unless it is not newer."""
+        if catalogue.version <= self.catalogue.version:
+            return False
+        self.routes = RouteTable(catalogue.calls_by_id)
+        self.catalogue = catalogue
+        return True
--- /dev/null
+++ b/packages/node/ibisspoke_node/messages.py
@@ -0,0 +1,82 @@
+"""What entry, dispatch and executor hand to each other, also between nodes."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from result import Result
+
+from ibisspoke_policy.admission import AdmissionLevel
+from ibisspoke_policy.context import RequestContext
+from ibisspoke_policy.refusal import Refusal
+
+Header = tuple[str, str]
+
+
+class Attempt(NamedTuple):
+    """One try of a request at one node.
+
+    :param call_id: the call in the catalogue.
+    :param target: path and query below the service.
+    :param remaining_ms: time left when it was sent.
+    :param idempotency_key: what the caller gave to recognise a repeat; or empty.
+    """
+
+    call_id: str
+    service: str
+    method: str
+    target: str
+    headers: list[Header]
+    context: RequestContext
+    remaining_ms: float
+    idempotent: bool
+    max_answer_bytes: int
+    idempotency_key: str
+
+
+class Answer(NamedTuple):
+    """A whole answer of an upstream.
+
+    :param level: admission level of its node, None where not known.
+    """
+
+    status: int
+    reason: str
+    headers: list[Header]
+    body: bytes
+    level: AdmissionLevel | None = None
+
+
+class Refused(NamedTuple):
+    """A refusal and the admission level of the node that gave it."""
+
+    refusal: Refusal
+    level: AdmissionLevel | None = None
+
+
+Outcome = Result[Answer, Refused]
+Done = Callable[[Outcome], None]
+
+
+class BufferBudget:
+    """Bound the bytes of bodies that this process holds.
+
+    :param max_bytes: the bound.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.n_bytes = 0
+
+    def __repr__(self) -> str:
+        return f"BufferBudget({self.n_bytes} of {self.max_bytes} bytes)"
+
+    def reserve(self, n_bytes: int) -> bool:
+        """Take ``n_bytes`` if they fit."""
+        if self.n_bytes + n_bytes > self.max_bytes:
+            return False
+        self.n_bytes += n_bytes
+        return True
+
+    def release(self, n_bytes: int) -> None:
+        """Give ``n_bytes`` back."""
+        self.n_bytes -= n_bytes
--- /dev/null
+++ b/packages/node/ibisspoke_node/node.py
@@ -0,0 +1,202 @@
+"""Assembly of one node from its parts."""
+
+import asyncio
+import logging
+import os
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import NamedTuple
+
+from ibisspoke_policy.admission import AdmissionController
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.context import ContextSigner
+from ibisspoke_policy.fixed_limit import FixedLimit
+from ibisspoke_policy.member import Member, MemberState, MemberTable
+from ibisspoke_policy.nearest_router import NearestRouter
+from ibisspoke_policy.static_split import StaticSplit
+from ibisspoke_policy.table import Table
+
+from .acceptance import Acceptance
+from .control import ControlClient, ControlService, control_client, control_server
+from .dispatch import Dispatcher
+from .entry import Entry, EntryLimits, entry_server
+from .executor import Announcement, Executor
+from .in_force import InForce
+from .link_pool import LinkPool
+from .messages import BufferBudget
+from .metrics import Metrics, StatsdSender
+from .server_link import link_server
+from .settings import NodeSettings
+from .status import StatusPage, status_server
+
+TICK_MS = 50
+METRICS_MS = 1_000
+
+logger = logging.getLogger(__name__)
+
+
+class Ports(NamedTuple):
+    """Ports in use."""
+
+    entry: int
+    call: int
+    control: int
+    status: int
+
+
+class Node:
+    """All parts of one node.
+
+    :param settings: checked settings.
+    :param controller: admission at this node; a fixed limit by default.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        control: ControlClient,
+        controller: AdmissionController | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.control = control
+        self.service = ControlService()
+        self.metrics = Metrics(_statsd(settings))
+        self.in_force = InForce()
+        self.budget = BufferBudget(settings.max_buffer_bytes)
+        self.members_by_id: MemberTable = Table("members")
+        self.ports = Ports(0, 0, 0, 0)
+        signer = ContextSigner(settings.secrets)
+        self.executor = Executor(controller or FixedLimit(), signer, clock)
+        self.links = LinkPool(settings.secrets, self.budget, settings.id)
+        self.router = NearestRouter(self.own_member(), self.members_by_id)
+        dispatcher = Dispatcher(
+            settings.id, self.router, self.links, self.executor, clock
+        )
+        wallet = StaticSplit(
+            lambda: self.in_force.catalogue.organisations_by_id,
+            lambda: len(self.members_by_id),
+        )
+        acceptance = Acceptance(settings.id, self.in_force, wallet, signer, clock)
+        self.entry = Entry(acceptance, dispatcher, self.budget, self.metrics)
+
+    def __repr__(self) -> str:
+        return f"Node({self.settings.id!r}, {self.ports})"
+
+    def own_member(self) -> Member:
+        """Return this node as others see it."""
+        settings = self.settings
+        announced = self.executor.announcement
+        return Member(
+            settings.id,
+            0,
+            settings.region,
+            settings.data_centre,
+            settings.host,
+            self.ports.call,
+            self.ports.control,
+            self.ports.entry,
+            announced.service if announced else "",
+            announced.capacity.n_slots if announced else 0,
+            announced.capacity.draining if announced else False,
+            MemberState.ALIVE,
+            self.in_force.version,
+        )
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take in what the upstream of this VM says of itself."""
+        self.executor.announce(announcement)
+        self.members_by_id.put(self.settings.id, self.own_member())
+
+    def status(self) -> StatusPage:
+        """Return the status page."""
+        announced = self.executor.announcement
+        return StatusPage(
+            id=self.settings.id,
+            region=self.settings.region,
+            data_centre=self.settings.data_centre,
+            entry_port=self.ports.entry,
+            call_port=self.ports.call,
+            control_port=self.ports.control,
+            service=announced.service if announced else "",
+            catalogue_version=self.in_force.version,
+            n_open_requests=self.entry.n_open,
+            n_open_attempts=self.executor.n_open,
+            n_members=len(self.members_by_id),
+            counters=dict(self.metrics.totals_by_name),
+            gauges=dict(self.metrics.gauges_by_name),
+        )
+
+    async def run_ticks(self) -> None:
+        """Run the systems each tick, until cancelled."""
+        flushed_ms = self.clock.now_ms()
+        while True:
+            await asyncio.sleep(TICK_MS / 1000.0)
+            self.executor.tick()
+            now_ms = self.clock.now_ms()
+            if now_ms - flushed_ms >= METRICS_MS:
+                flushed_ms = now_ms
+                self.metrics.flush()
+
+    async def drain(self) -> None:
+        """Stop taking work and wait for what is running."""
+        self.entry.stopping = True
+        await self.executor.drain(self.settings.drain_timeout_ms)
+
+
+@asynccontextmanager
+async def running_node(
+    settings: NodeSettings,
+    clock: Clock,
+    controller: AdmissionController | None = None,
+) -> AsyncIterator[Node]:
+    """Run a node while the context is open."""
+    async with AsyncExitStack() as stack:
+        control = await stack.enter_async_context(control_client(settings.secrets))
+        node = Node(settings, clock, control, controller)
+        await _listen(stack, node)
+        node.members_by_id.put(settings.id, node.own_member())
+        ticks = asyncio.ensure_future(node.run_ticks())
+        stack.callback(ticks.cancel)
+        stack.callback(node.executor.close)
+        stack.callback(node.links.close)
+        logger.info("node started", extra={"node": settings.id, "pid": os.getpid()})
+        yield node
+
+
+async def _listen(stack: AsyncExitStack, node: Node) -> None:
+    settings = node.settings
+    call_port = await stack.enter_async_context(
+        link_server(
+            node.executor,
+            settings.secrets,
+            node.budget,
+            settings.host,
+            settings.call_port,
+        )
+    )
+    control_port = await stack.enter_async_context(
+        control_server(
+            node.service, settings.secrets, settings.host, settings.control_port
+        )
+    )
+    limits = EntryLimits(settings.max_body_bytes, settings.max_header_bytes)
+    entry_port = await stack.enter_async_context(
+        entry_server(node.entry, limits, settings.host, settings.entry_port)
+    )
+    status_port = await stack.enter_async_context(
+        status_server(node.announce, node.status, settings.status_port)
+    )
+    node.ports = Ports(entry_port, call_port, control_port, status_port)
+
+
+def _statsd(settings: NodeSettings) -> StatsdSender | None:
+    if not settings.statsd_host:
+        return None
+    from statsd import StatsClient
+
+    client: StatsdSender = StatsClient(
+        settings.statsd_host, settings.statsd_port, prefix=settings.statsd_prefix
+    )
+    return client
--- /dev/null
+++ b/packages/node/ibisspoke_node/server_link.py
@@ -0,0 +1,212 @@
+"""Receiving end of the call connections between nodes."""
+
+import asyncio
+import os
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple, Protocol
+
+from result import Err
+
+from ibisspoke_policy.refusal import Ran
+
+from ._link_protocol import (
+    HANDSHAKE_TIMEOUT_MS,
+    NONCE_BYTES,
+    Assembly,
+    FrameProtocol,
+    mac,
+    out_of_memory,
+    proven_secret,
+)
+from .frames import (
+    ANSWER_HEAD,
+    CALL_HEAD,
+    CHUNK_BYTES,
+    PROOF_HEAD,
+    REFUSAL_HEAD,
+    AnswerHead,
+    Frame,
+    FrameError,
+    FrameKind,
+    RefusalHead,
+)
+from .messages import Attempt, BufferBudget, Done, Outcome, Refused
+
+
+class AttemptHandler(Protocol):
+    """Take attempts in and end each by one call of ``done``."""
+
+    def submit(self, attempt: Attempt, body: bytes, done: Done) -> int:
+        """Start an attempt; return its id for :meth:`cancel`."""
+
+    def cancel(self, attempt_id: int) -> None:
+        """Stop an attempt that nobody waits for; ``done`` is not called."""
+
+
+class _Inbound(NamedTuple):
+    """A call whose body is still arriving."""
+
+    attempt: Attempt
+    assembly: Assembly
+
+
+class ServerLink(FrameProtocol):
+    """Serve the calls of one peer.
+
+    :param handler: takes the attempts.
+    """
+
+    def __init__(
+        self,
+        secrets: tuple[bytes, ...],
+        budget: BufferBudget,
+        handler: AttemptHandler,
+        on_close: Callable[["ServerLink"], None],
+    ) -> None:
+        super().__init__(secrets, budget)
+        self._handler = handler
+        self._on_close = on_close
+        self._nonce = os.urandom(NONCE_BYTES)
+        self._authenticated = False
+        self._inbound_by_stream: dict[int, _Inbound] = {}
+        self._attempt_by_stream: dict[int, int] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Challenge the peer."""
+        super().connection_made(transport)
+        self.send(FrameKind.CHALLENGE, 0, self._nonce)
+        loop = asyncio.get_running_loop()
+        loop.call_later(HANDSHAKE_TIMEOUT_MS / 1000.0, self._close_stranger)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what the peer waited for."""
+        super().connection_lost(exc)
+        for inbound in self._inbound_by_stream.values():
+            self._budget.release(inbound.assembly.n_bytes)
+        self._inbound_by_stream.clear()
+        for attempt_id in list(self._attempt_by_stream.values()):
+            self._handler.cancel(attempt_id)
+        self._attempt_by_stream.clear()
+        self._on_close(self)
+
+    def _close_stranger(self) -> None:
+        if not self._authenticated:
+            self.abort()
+
+    def _handle(self, frame: Frame) -> None:
+        if not self._authenticated:
+            self._check_proof(frame)
+        elif frame.kind is FrameKind.CALL:
+            self._start_call(frame)
+        elif frame.kind is FrameKind.BODY:
+            self._add_part(frame)
+        elif frame.kind is FrameKind.CANCEL:
+            self._cancel(frame.stream_id)
+        elif frame.kind is FrameKind.PING:
+            self.send(FrameKind.PONG, frame.stream_id)
+        else:
+            raise FrameError(f"unexpected {frame.kind.name}")
+
+    def _check_proof(self, frame: Frame) -> None:
+        if frame.kind is not FrameKind.PROOF:
+            raise FrameError("no proof of the fleet secret")
+        proof, _ = PROOF_HEAD.decode(frame.payload)
+        secret = proven_secret(self._secrets, b"client", self._nonce, proof)
+        if secret is None:
+            raise FrameError("proof does not match a secret of this fleet")
+        self._authenticated = True
+        self.send(FrameKind.WELCOME, 0, mac(secret, b"server", proof.nonce))
+
+    def _start_call(self, frame: Frame) -> None:
+        head, first = CALL_HEAD.decode(frame.payload)
+        stream_id = frame.stream_id
+        if not self._budget.reserve(head.n_body_bytes):
+            self._reply(stream_id, Err(Refused(out_of_memory(Ran.NOT_RUN))))
+            return
+        assembly = Assembly(head.n_body_bytes, first)
+        inbound = _Inbound(head.attempt, assembly)
+        if assembly.complete:
+            self._submit(stream_id, inbound)
+        else:
+            self._inbound_by_stream[stream_id] = inbound
+
+    def _add_part(self, frame: Frame) -> None:
+        inbound = self._inbound_by_stream.get(frame.stream_id)
+        if inbound is None:
+            return
+        inbound.assembly.add(frame.payload)
+        if inbound.assembly.complete:
+            del self._inbound_by_stream[frame.stream_id]
+            self._submit(frame.stream_id, inbound)
+
+    def _submit(self, stream_id: int, inbound: _Inbound) -> None:
+        body = inbound.assembly.body
+        ended = False
+
+        def done(outcome: Outcome) -> None:
+            nonlocal ended
+            ended = True
+            self._budget.release(len(body))
+            self._attempt_by_stream.pop(stream_id, None)
+            self._reply(stream_id, outcome)
+
+        attempt_id = self._handler.submit(inbound.attempt, body, done)
+        if not ended:
+            self._attempt_by_stream[stream_id] = attempt_id
+
+    def _cancel(self, stream_id: int) -> None:
+        inbound = self._inbound_by_stream.pop(stream_id, None)
+        if inbound is not None:
+            self._budget.release(inbound.assembly.n_bytes)
+        attempt_id = self._attempt_by_stream.pop(stream_id, None)
+        if attempt_id is not None:
+            self._handler.cancel(attempt_id)
+
+    def _reply(self, stream_id: int, outcome: Outcome) -> None:
+        if isinstance(outcome, Err):
+            refused = outcome.err_value
+            head = RefusalHead(refused.refusal, refused.level)
+            self.send(FrameKind.REFUSAL, stream_id, REFUSAL_HEAD.encode(head))
+            return
+        answer = outcome.ok_value
+        answer_head = AnswerHead(
+            answer.status,
+            answer.reason,
+            answer.headers,
+            answer.level,
+            len(answer.body),
+        )
+        payload = ANSWER_HEAD.encode(answer_head, answer.body[:CHUNK_BYTES])
+        self.send(FrameKind.ANSWER, stream_id, payload)
+        if len(answer.body) > CHUNK_BYTES:
+            self.send_body(stream_id, answer.body)
+
+
+@asynccontextmanager
+async def link_server(
+    handler: AttemptHandler,
+    secrets: tuple[bytes, ...],
+    budget: BufferBudget,
+    host: str,
+    port: int,
+) -> AsyncIterator[int]:
+    """Serve the calls of other nodes while the context is open.
+
+    :returns: the port in use, also where ``port`` is 0.
+    """
+    links: set[ServerLink] = set()
+
+    def make() -> ServerLink:
+        link = ServerLink(secrets, budget, handler, links.discard)
+        links.add(link)
+        return link
+
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(make, host, port)
+    try:
+        yield int(server.sockets[0].getsockname()[1])
+    finally:
+        server.close()
+        for link in list(links):
+            link.abort()
--- /dev/null
+++ b/packages/node/ibisspoke_node/upstream_client.py
@@ -0,0 +1,194 @@
+"""HTTP/1.1 client of the upstream on this VM, with kept connections."""
+
+import asyncio
+from collections import deque
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from .messages import Header
+
+CONNECT_TIMEOUT_MS = 1_000
+MAX_HEADER_BYTES = 65_536
+
+
+class UpstreamRequest(NamedTuple):
+    """What the upstream is handed."""
+
+    method: str
+    target: str
+    headers: list[Header]
+    body: bytes
+    max_answer_bytes: int
+
+
+class UpstreamAnswer(NamedTuple):
+    """A whole answer of the upstream."""
+
+    status: int
+    reason: str
+    headers: list[Header]
+    body: bytes
+
+
+class UpstreamFailure(NamedTuple):
+    """A request without a whole answer.
+
+    :param sent: whether the upstream may have got the request.
+    :param too_large: whether the answer was cut off at the limit.
+    """
+
+    sent: bool
+    too_large: bool
+    detail: str
+
+
+class _AnswerReader(HTTPMessageDelegate):
+    """Collect one answer."""
+
+    def __init__(self, stream: IOStream, max_bytes: int) -> None:
+        self._stream = stream
+        self.closes = False
+        self.delimited = False
+        self.start_line: ResponseStartLine | None = None
+        self.headers: list[Header] = []
+        self.finished = False
+        self.too_large = False
+        self._max_bytes = max_bytes
+        self._parts: list[bytes] = []
+        self._n_bytes = 0
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, ResponseStartLine)
+        self.start_line = start_line
+        self.headers = list(headers.get_all())
+        self.closes = headers.get("Connection", "").lower() == "close"
+        self.delimited = _is_delimited(start_line.code, headers)
+
+    def data_received(self, chunk: bytes) -> None:
+        self._n_bytes += len(chunk)
+        if self._n_bytes > self._max_bytes:
+            self.too_large = True
+            self._stream.close()
+            return
+        self._parts.append(chunk)
+
+    def finish(self) -> None:
+        self.finished = True
+
+    @property
+    def whole(self) -> bool:
+        return self.finished and self.delimited and not self.too_large
+
+    @property
+    def body(self) -> bytes:
+        return self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+
+
+class UpstreamClient:
+    """Send requests to one upstream over kept connections.
+
+    :param host: IP number of the upstream.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+        self._idle: deque[IOStream] = deque()
+        self._tcp = TCPClient()
+        self._host_header = f"{host}:{port}"
+
+    def __repr__(self) -> str:
+        return f"UpstreamClient({self._host_header}, {len(self._idle)} idle)"
+
+    async def fetch(
+        self, request: UpstreamRequest
+    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+        """Send ``request`` and read the whole answer.
+
+        Cancellation closes the connection, which the upstream sees.
+        """
+        stream = self._take_idle()
+        if stream is None:
+            try:
+                stream = await self._connect()
+            except (OSError, StreamClosedError, TimeoutError) as error:
+                return Err(UpstreamFailure(False, False, f"cannot connect: {error}"))
+        return await self._exchange(stream, request)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.popleft().close()
+
+    async def _exchange(
+        self, stream: IOStream, request: UpstreamRequest
+    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+        connection = HTTP1Connection(stream, True, _parameters(request))
+        reader = _AnswerReader(stream, request.max_answer_bytes)
+        reusable = False
+        try:
+            headers = self._headers(request)
+            start_line = RequestStartLine(request.method, request.target, "HTTP/1.1")
+            await connection.write_headers(start_line, headers, request.body)
+            connection.finish()
+            reusable = await connection.read_response(reader) and not reader.closes
+        except (StreamClosedError, OSError) as error:
+            return Err(UpstreamFailure(True, reader.too_large, str(error)))
+        finally:
+            if not (reusable and reader.whole):
+                stream.close()
+        if not reader.whole or reader.start_line is None:
+            detail = "the connection ended before a whole answer of stated length"
+            return Err(UpstreamFailure(True, reader.too_large, detail))
+        if not stream.closed():
+            self._idle.append(stream)
+        start = reader.start_line
+        return Ok(UpstreamAnswer(start.code, start.reason, reader.headers, reader.body))
+
+    def _take_idle(self) -> IOStream | None:
+        while self._idle:
+            stream = self._idle.pop()
+            if not stream.closed():
+                return stream
+        return None
+
+    async def _connect(self) -> IOStream:
+        connecting = self._tcp.connect(self.host, self.port)
+        stream = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_MS / 1000.0)
+        stream.set_nodelay(True)
+        return stream
+
+    def _headers(self, request: UpstreamRequest) -> HTTPHeaders:
+        headers = HTTPHeaders()
+        for name, value in request.headers:
+            headers.add(name, value)
+        headers["Host"] = self._host_header
+        headers["Content-Length"] = str(len(request.body))
+        return headers
+
+
+def _parameters(request: UpstreamRequest) -> HTTP1ConnectionParameters:
+    return HTTP1ConnectionParameters(
+        no_keep_alive=False,
+        max_header_size=MAX_HEADER_BYTES,
+        max_body_size=request.max_answer_bytes,
+        decompress=False,
+    )
+
+
+def _is_delimited(status: int, headers: HTTPHeaders) -> bool:
+    if status in (204, 304):
+        return True
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/static_split.py
@@ -0,0 +1,49 @@
+"""Quota as an equal share of each organisation's rate per node, a baseline."""
+
+from collections.abc import Callable, Mapping
+
+from .catalogue import Organisation
+from .quota import QuotaDecision, TokenBucket
+
+MAX_RETRY_AFTER_MS = 60_000
+
+
+class StaticSplit:
+    """Give every node the same share of each rate and burst.
+
+    :param organisations_by_id: returns the organisations in force.
+    :param n_nodes: returns the number of nodes that share.
+    """
+
+    def __init__(
+        self,
+        organisations_by_id: Callable[[], Mapping[str, Organisation]],
+        n_nodes: Callable[[], int],
+    ) -> None:
+        self._organisations_by_id = organisations_by_id
+        self._n_nodes = n_nodes
+        self._bucket_by_organisation: dict[str, TokenBucket] = {}
+
+    def __repr__(self) -> str:
+        return f"StaticSplit({len(self._bucket_by_organisation)} buckets)"
+
+    def take(self, organisation: str, now_ms: float) -> QuotaDecision:
+        """Spend one token of ``organisation``."""
+        entry = self._organisations_by_id().get(organisation)
+        if entry is None:
+            return QuotaDecision(False, False, MAX_RETRY_AFTER_MS)
+        bucket = self._bucket(entry, now_ms)
+        if bucket.take(1.0, now_ms):
+            return QuotaDecision(True, False, 0)
+        wait_ms = min(MAX_RETRY_AFTER_MS, bucket.wait_ms(1.0, now_ms))
+        return QuotaDecision(False, False, int(wait_ms) + 1)
+
+    def _bucket(self, entry: Organisation, now_ms: float) -> TokenBucket:
+        share = 1.0 / max(1, self._n_nodes())
+        rate, burst = entry.rate_per_s * share, max(1.0, entry.burst * share)
+        bucket = self._bucket_by_organisation.get(entry.id)
+        if bucket is None or (bucket.rate_per_s, bucket.burst) != (rate, burst):
+            tokens = burst if bucket is None else bucket.tokens
+            bucket = TokenBucket(rate, burst, now_ms, tokens)
+            self._bucket_by_organisation[entry.id] = bucket
+        return bucket
