Name the slots of each data centre in the catalogue

Cause: the split of a rate must be agreed before any node may mint tokens. Change: the catalogue counts quota slots by data centre; equal catalogues encode alike, so that a digest can be checked after a difference is applied; the protocol of the token source has the term of the field. Conclusion: callers of the older fields are unaffected.

--- a/packages/policy/ibisspoke_policy/catalogue.py
+++ b/packages/policy/ibisspoke_policy/catalogue.py
@@ -95,12 +95,15 @@
     """One version of the configuration of the fleet.
 
     :param version: grows by one with each accepted change; 0 means none.
+    :param n_slots_by_data_centre: quota slots of each data centre; the rate of an
+        organisation is split over all of them.
     """
 
     version: int
     calls_by_id: dict[str, Call]
     organisations_by_id: dict[str, Organisation]
     keys_by_digest: dict[str, Key]
+    n_slots_by_data_centre: dict[str, int] = {}
 
     def organisation_of_key(self, key: str) -> Organisation | None:
         """Return the organisation that ``key`` belongs to, or None."""
@@ -154,8 +157,8 @@
 
 
 def encode_catalogue(catalogue: Catalogue) -> bytes:
-    """Return the snapshot of ``catalogue`` as JSON."""
-    return msgspec.json.encode(catalogue)
+    """Return the snapshot of ``catalogue`` as JSON; equal catalogues encode alike."""
+    return msgspec.json.encode(catalogue, order="deterministic")
 
 
 def decode_catalogue(data: bytes) -> Catalogue:
--- a/packages/policy/ibisspoke_policy/quota.py
+++ b/packages/policy/ibisspoke_policy/quota.py
@@ -16,7 +16,7 @@
     retry_after_ms: int
 
 
-class Wallet(Protocol):
+class TokenSource(Protocol):
     """Tokens that this node may spend."""
 
     def take(self, organisation: str, now_ms: float) -> QuotaDecision:
