--- a/packages/node/ibisspoke_node/main.py
+++ b/packages/node/ibisspoke_node/main.py
@@ -30,11 +30,8 @@
     arguments = parser.parse_args()
     loaded = load_settings(arguments.settings)
     if isinstance(loaded, Err):
-        for problem in loaded.err_value:
-            print(
-                f"{problem.file}: {problem.place} {problem.detail}; {problem.remedy}",
-                file=sys.stderr,
-            )
+        for fault in loaded.err_value:
+            print(fault, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     settings = loaded.ok_value
     _configure_logging(settings)
--- a/packages/policy/ibisspoke_policy/difference.py
+++ b/packages/policy/ibisspoke_policy/difference.py
@@ -21,6 +21,7 @@
     CALL = "call"
     ORGANISATION = "organisation"
     KEY = "key"
+    DATA_CENTRE = "data_centre"
 
 
 class Change(NamedTuple):
@@ -52,7 +53,14 @@
 
 N_SHOWN_DIGEST_CHARACTERS = 12
 
-_Entry = Call | Organisation | Key
+
+class DataCentre(NamedTuple):
+    """A data centre as the catalogue names it."""
+
+    quota_slots: int
+
+
+_Entry = Call | Organisation | Key | DataCentre
 
 
 def difference(before: Catalogue, after: Catalogue) -> list[Change]:
@@ -65,9 +73,15 @@
             after.organisations_by_id,
         ),
         *_compare(EntryKind.KEY, before.keys_by_digest, after.keys_by_digest),
+        *_compare(EntryKind.DATA_CENTRE, _data_centres(before), _data_centres(after)),
     ]
 
 
+def _data_centres(catalogue: Catalogue) -> dict[str, DataCentre]:
+    n_slots = catalogue.n_slots_by_data_centre
+    return {name: DataCentre(n) for name, n in n_slots.items()}
+
+
 def _compare(
     entry: EntryKind, before: Mapping[str, _Entry], after: Mapping[str, _Entry]
 ) -> list[Change]:
@@ -98,6 +112,8 @@
         return f"({entry.method} {entry.service}{entry.path}, {entry.owner})"
     if isinstance(entry, Organisation):
         return f"({entry.rate_per_s:g}/s, burst {entry.burst:g})"
+    if isinstance(entry, DataCentre):
+        return f"({entry.quota_slots} quota slots)"
     return f"({entry.organisation}, {entry.label})"
 
 
