--- /dev/null
+++ b/packages/ctl/ibisspoke_ctl/history.py
@@ -0,0 +1,85 @@
+"""The ``history`` and ``audit`` commands."""
+
+from typing import Annotated
+
+import typer
+from result import Err
+
+from ibisspoke_platform.config_records import AuditRecord
+
+from .exit_code import ExitCode
+from .output import fail, format_wall, print_json, print_table
+from .session import JsonOption, PlatformOption, Session, run
+
+DEFAULT_N_RECORDS = 20
+MAX_N_RECORDS = 1_000
+
+
+def history(
+    platform: PlatformOption,
+    number: Annotated[
+        int,
+        typer.Option("--number", "-n", min=1, max=MAX_N_RECORDS, help="How many."),
+    ] = DEFAULT_N_RECORDS,
+    before: Annotated[
+        int | None, typer.Option(help="Only versions below this one.")
+    ] = None,
+    as_json: JsonOption = False,
+) -> None:
+    """List versions, newest first: when, who, why."""
+
+    async def command(session: Session) -> ExitCode:
+        records = await session.store.history(number, before)
+        if isinstance(records, Err):
+            return fail(records.err_value)
+        if as_json:
+            print_json({"versions": records.ok_value})
+            return ExitCode.OK
+        print_table(
+            ("version", "when", "who", "changes", "why"),
+            [
+                (r.version, format_wall(r.wall_ms), r.who, r.n_changes, r.why)
+                for r in records.ok_value
+            ],
+        )
+        return ExitCode.OK
+
+    run(platform, command)
+
+
+def audit(
+    version: Annotated[int, typer.Argument(help="A version.")],
+    platform: PlatformOption,
+    as_json: JsonOption = False,
+) -> None:
+    """Show one version in full: who, when, why and what differed."""
+
+    async def command(session: Session) -> ExitCode:
+        record = await session.store.read_audit(version)
+        if isinstance(record, Err):
+            return fail(record.err_value)
+        if as_json:
+            print_json(record.ok_value)
+        else:
+            _print_record(record.ok_value)
+        return ExitCode.OK
+
+    run(platform, command)
+
+
+def _print_record(record: AuditRecord) -> None:
+    typer.echo(f"version    {record.version}")
+    typer.echo(f"when       {format_wall(record.wall_ms)}")
+    typer.echo(f"who        {record.who}")
+    typer.echo(f"why        {record.why}")
+    typer.echo(f"operation  {record.operation_id}")
+    typer.echo(f"digest     {record.digest}")
+    for change in record.changes:
+        typer.echo(f"  {change}")
+    n_left_out = record.n_changes - len(record.changes)
+    if n_left_out:
+        earlier = record.version - 1
+        typer.echo(
+            f"  and {n_left_out} more: "
+            f"ibisspoke diff --from {earlier} --to {record.version}"
+        )
--- /dev/null
+++ b/packages/ctl/ibisspoke_ctl/in_force_wait.py
@@ -0,0 +1,75 @@
+"""Wait until a version is in force in every data centre."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+
+import typer
+from result import Err
+
+from ibisspoke_platform.config_reader import ConfigReader
+from ibisspoke_policy.clock import Clock
+
+from .exit_code import ExitCode
+from .output import print_error
+
+DEFAULT_WAIT_S = 30.0
+POLL_MS = 250.0
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+class InForceWait:
+    """Follow the reports of the data centres until they show a version.
+
+    :param clock: bounds the wait.
+    :param sleep: waits a number of seconds between reads.
+    """
+
+    def __init__(
+        self, reader: ConfigReader, clock: Clock, sleep: Sleep = asyncio.sleep
+    ) -> None:
+        self._reader = reader
+        self._clock = clock
+        self._sleep = sleep
+
+    async def run(
+        self, version: int, data_centres: Iterable[str], timeout_s: float
+    ) -> ExitCode:
+        """Print each data centre as it reports ``version`` or a later one."""
+        started_ms = self._clock.now_ms()
+        missing = sorted(data_centres)
+        last_error = ""
+        while missing:
+            elapsed_ms = self._clock.now_ms() - started_ms
+            records = await self._reader.read_in_force()
+            if isinstance(records, Err):
+                last_error = f" ({records.err_value.detail})"
+            else:
+                last_error = ""
+                for name in list(missing):
+                    record = records.ok_value.get(name)
+                    if record is not None and record.version >= version:
+                        missing.remove(name)
+                        _print_arrival(name, version, record.n_nodes, elapsed_ms)
+            if missing and elapsed_ms >= timeout_s * 1000.0:
+                return _not_in_force(version, missing, last_error)
+            if missing:
+                await self._sleep(POLL_MS / 1000.0)
+        return ExitCode.OK
+
+
+def _print_arrival(name: str, version: int, n_nodes: int, elapsed_ms: float) -> None:
+    seconds = elapsed_ms / 1000.0
+    typer.echo(
+        f"{name}: version {version} in force at {n_nodes} nodes ({seconds:.1f} s)"
+    )
+
+
+def _not_in_force(version: int, missing: list[str], last_error: str) -> ExitCode:
+    print_error(
+        f"version {version} is accepted but not yet in force in "
+        f"{', '.join(missing)}{last_error}",
+        "look again with `ibisspoke status`; a cut-off data centre follows when it "
+        "is reached again",
+    )
+    return ExitCode.NOT_IN_FORCE
--- a/packages/platform/ibisspoke_platform/config_reader.py
+++ b/packages/platform/ibisspoke_platform/config_reader.py
@@ -8,13 +8,17 @@
 from .config_records import (
     AUDIT_PAGE_ROWS,
     CURRENT_KEY,
+    IN_FORCE_PREFIX,
     NO_VERSION,
     AuditRecord,
     CurrentVersion,
+    InForceRecord,
+    OperationRecord,
     audit_key,
     audit_page_prefix,
     decode_record,
     digest_snapshot,
+    operation_key,
     snapshot_name,
     unreadable,
 )
@@ -81,6 +85,31 @@
             CurrentVersion(version, record.digest, record.operation_id)
         )
 
+    async def find_operation(
+        self, operation_id: str
+    ) -> Result[OperationRecord | None, StoreError]:
+        """Return the version that an operation made, or None if it made none."""
+        key = operation_key(operation_id)
+        row = await self._table.read(key)
+        if isinstance(row, Err):
+            return row
+        if row.ok_value.version == 0:
+            return Ok(None)
+        return decode_record(row.ok_value.value, OperationRecord, key)
+
+    async def read_in_force(self) -> Result[dict[str, InForceRecord], StoreError]:
+        """Return the version in force in each data centre that has reported one."""
+        rows = await self._table.scan(IN_FORCE_PREFIX)
+        if isinstance(rows, Err):
+            return rows
+        record_by_data_centre: dict[str, InForceRecord] = {}
+        for row in rows.ok_value:
+            record = decode_record(row.value, InForceRecord, row.key)
+            if isinstance(record, Err):
+                return record
+            record_by_data_centre[record.ok_value.data_centre] = record.ok_value
+        return Ok(record_by_data_centre)
+
     async def history(
         self, n_records: int, before_version: int | None = None
     ) -> Result[list[AuditRecord], StoreError]:
--- a/packages/platform/ibisspoke_platform/config_records.py
+++ b/packages/platform/ibisspoke_platform/config_records.py
@@ -18,6 +18,7 @@
 AUDIT_PREFIX = "config/audit/"
 OPERATION_PREFIX = "config/operation/"
 SNAPSHOT_PREFIX = "config/snapshot/"
+IN_FORCE_PREFIX = "config/in_force/"
 N_VERSION_DIGITS = 12
 N_PAGE_DIGITS = 2
 AUDIT_PAGE_ROWS = 10**N_PAGE_DIGITS
@@ -67,6 +68,25 @@
     version: int
 
 
+class InForceRecord(NamedTuple):
+    """The version in force in one data centre, written by one of its nodes.
+
+    :param version: the lowest version in force at its nodes.
+    :param n_nodes: nodes that were counted.
+    :param wall_ms: when it was written.
+    """
+
+    data_centre: str
+    version: int
+    n_nodes: int
+    wall_ms: int
+
+
+def in_force_key(data_centre: str) -> str:
+    """Return the key of the row of a data centre."""
+    return f"{IN_FORCE_PREFIX}{data_centre}"
+
+
 def audit_key(version: int) -> str:
     """Return the key of the audit row of ``version``."""
     return f"{AUDIT_PREFIX}{version:0{N_VERSION_DIGITS}d}"
--- a/packages/platform/ibisspoke_platform/config_store.py
+++ b/packages/platform/ibisspoke_platform/config_store.py
@@ -20,7 +20,6 @@
     CurrentVersion,
     OperationRecord,
     audit_key,
-    decode_record,
     digest_snapshot,
     operation_key,
     snapshot_name,
@@ -168,7 +167,7 @@
         seen = decode_current(row.ok_value)
         if isinstance(seen, Err):
             return seen
-        done = await self._find_operation(audit.operation_id)
+        done = await self.find_operation(audit.operation_id)
         if isinstance(done, Err):
             return done
         if done.ok_value is not None:
@@ -201,17 +200,6 @@
             ],
         )
 
-    async def _find_operation(
-        self, operation_id: str
-    ) -> Result[OperationRecord | None, StoreError]:
-        key = operation_key(operation_id)
-        row = await self._table.read(key)
-        if isinstance(row, Err):
-            return row
-        if row.ok_value.version == 0:
-            return Ok(None)
-        return decode_record(row.ok_value.value, OperationRecord, key)
-
     async def _conflict(
         self, base: Catalogue, seen: CurrentVersion
     ) -> Result[Published, PublishError]:
