Let the stand-in upstream drain, be cold, lie about its health and cancel

The demo and failure tests need upstreams that misbehave as real ones do.

The stand-in counts a request as run once it holds a slot, cancels what nobody waits for, keeps deadlines, sheds when full or drained, and can call deeper.

--- a/packages/standins/ibisspoke_standins/upstream.py
+++ b/packages/standins/ibisspoke_standins/upstream.py
@@ -2,90 +2,95 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
-from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import NamedTuple
 
+import msgspec
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-MAX_BODY_BYTES = 16_777_216
-
-
-class UpstreamSettings(NamedTuple):
-    """What the stand-in is.
-
-    :param service_ms: time to execute one request.
-    """
-
-    service: str
-    n_slots: int = 50
-    n_connections: int = 400
-    service_ms: float = 1.0
+from .upstream_state import FaultsMessage, UpstreamSettings, UpstreamState
 
+__all__ = ["UpstreamSettings", "UpstreamState", "announce", "running_upstream"]
 
-class UpstreamState:
-    """What happened at the stand-in, and the faults in force."""
-
-    def __init__(self, settings: UpstreamSettings) -> None:
-        self.settings = settings
-        self.slots = asyncio.Semaphore(settings.n_slots)
-        self.n_runs_by_request: Counter[str] = Counter()
-        self.seen_headers: list[dict[str, str]] = []
-        self.stuck = asyncio.Event()
-        self.stuck.set()
-        self.extra_ms = 0.0
-        self.draining = False
+MAX_BODY_BYTES = 16_777_216
+NUMBER_HEADER = "X-Request-Number"
+CONTEXT_HEADER = "Ibisspoke-Context"
+NOT_RUN_HEADER = "Ibisspoke-Not-Run"
+TIMEOUT_HEADER = "Ibisspoke-Timeout-Ms"
 
 
-class _CallHandler(RequestHandler):
+class _Handler(RequestHandler):
     def initialize(self, state: UpstreamState) -> None:
         self._state = state
 
+
+class _CallHandler(_Handler):
+    _task: asyncio.Task[None] | None = None
+
     async def prepare(self) -> None:
         self._state.seen_headers.append(dict(self.request.headers.get_all()))
 
     async def get(self) -> None:
-        await self._execute_call()
+        await self._serve()
 
     async def post(self) -> None:
-        await self._execute_call()
+        await self._serve()
 
     put = post
 
+    def on_connection_close(self) -> None:
+        """Stop executing what nobody waits for."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _serve(self) -> None:
+        if self._state.draining or self._state.is_full:
+            self._state.n_shed += 1
+            self.set_header(NOT_RUN_HEADER, "1")
+            self.set_status(503)
+            return
+        self._task = asyncio.ensure_future(self._execute_call())
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
     async def _execute_call(self) -> None:
         state = self._state
-        number = self.request.headers.get("X-Request-Number", "")
-        async with state.slots:
-            await state.stuck.wait()
-            state.n_runs_by_request[number] += 1
-            await asyncio.sleep((state.settings.service_ms + state.extra_ms) / 1000.0)
-        self.set_header("X-Request-Number", number)
+        number = self.request.headers.get(NUMBER_HEADER, "")
+        timeout_ms = int(self.request.headers.get(TIMEOUT_HEADER, "600000"))
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                async with state.execution(number):
+                    await asyncio.sleep(state.service_ms / 1000.0)
+                    if not await self._call_deeper(number):
+                        self.set_status(500)
+                        return
+        except TimeoutError:
+            self.set_status(504)
+            return
+        self.set_header(NUMBER_HEADER, number)
         self.finish(self.request.body or b"ok")
 
+    async def _call_deeper(self, number: str) -> bool:
+        if self._state.nested_call is None:
+            return True
+        context = self.request.headers.get(CONTEXT_HEADER, "")
+        return await self._state.nested_call(number, context)
 
-class _FaultHandler(RequestHandler):
-    def initialize(self, state: UpstreamState) -> None:
-        self._state = state
 
+class _FaultHandler(_Handler):
     def post(self) -> None:
-        faults = json.loads(self.request.body)
-        self._state.extra_ms = float(faults.get("extra_ms", 0.0))
-        if faults.get("stuck", False):
-            self._state.stuck.clear()
-        else:
-            self._state.stuck.set()
+        self._state.set_faults(
+            msgspec.json.decode(self.request.body, type=FaultsMessage)
+        )
         self.set_status(204)
 
 
-class _StatsHandler(RequestHandler):
-    def initialize(self, state: UpstreamState) -> None:
-        self._state = state
-
+class _StatsHandler(_Handler):
     def get(self) -> None:
         state = self._state
         doubled = [n for n, runs in state.n_runs_by_request.items() if runs > 1]
@@ -93,11 +98,20 @@
             {
                 "n_runs": sum(state.n_runs_by_request.values()),
                 "n_runs_by_request": dict(state.n_runs_by_request),
+                "n_cancelled": state.n_cancelled,
+                "n_shed": state.n_shed,
                 "doubled": doubled,
             }
         )
 
 
+class _HealthHandler(_Handler):
+    def get(self) -> None:
+        state = self._state
+        self.set_status(200 if state.is_healthy else 503)
+        self.finish({"healthy": state.is_healthy, "load": state.load})
+
+
 @asynccontextmanager
 async def running_upstream(
     settings: UpstreamSettings, host: str = "127.0.0.1", port: int = 0
@@ -109,6 +123,7 @@
         [
             ("/_faults", _FaultHandler, arguments),
             ("/_stats", _StatsHandler, arguments),
+            ("/_health", _HealthHandler, arguments),
             ("/.*", _CallHandler, arguments),
         ],
         log_function=lambda handler: None,
@@ -125,7 +140,11 @@
 
 
 async def announce(
-    status_port: int, settings: UpstreamSettings, port: int, draining: bool = False
+    status_port: int,
+    settings: UpstreamSettings,
+    port: int,
+    draining: bool = False,
+    cold: bool = False,
 ) -> None:
     """Announce the stand-in to the node on its VM."""
     body = {
@@ -135,6 +154,7 @@
         "n_slots": settings.n_slots,
         "n_connections": settings.n_connections,
         "draining": draining,
+        "cold": cold,
     }
     await AsyncHTTPClient().fetch(
         f"http://127.0.0.1:{status_port}/announce",
@@ -145,7 +165,7 @@
 
 async def _run(settings: UpstreamSettings, port: int, status_port: int) -> None:
     async with running_upstream(settings, port=port) as (_, bound):
-        await announce(status_port, settings, bound)
+        await announce(status_port, settings, bound, cold=settings.cold_ms > 0)
         print(json.dumps({"port": bound}), flush=True)
         await asyncio.Event().wait()
 
@@ -159,12 +179,14 @@
     parser.add_argument("--slots", type=int, default=50)
     parser.add_argument("--connections", type=int, default=400)
     parser.add_argument("--service-ms", type=float, default=1.0)
+    parser.add_argument("--cold-ms", type=float, default=0.0)
     arguments = parser.parse_args()
     settings = UpstreamSettings(
         arguments.service,
         arguments.slots,
         arguments.connections,
         arguments.service_ms,
+        arguments.cold_ms,
     )
     asyncio.run(_run(settings, arguments.port, arguments.status_port))
 
--- /dev/null
+++ b/packages/standins/ibisspoke_standins/upstream_state.py
@@ -0,0 +1,118 @@
+"""What happened at a stand-in upstream, and the faults in force there."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple, TypedDict
+
+from ibisspoke_policy.clock import Clock
+
+NestedCall = Callable[[str, str], Awaitable[bool]]
+
+
+class UpstreamSettings(NamedTuple):
+    """What the stand-in is.
+
+    :param service_ms: time to execute one request.
+    :param cold_ms: for how long requests take longer after a start.
+    :param cold_factor: how much longer they take.
+    """
+
+    service: str
+    n_slots: int = 50
+    n_connections: int = 400
+    service_ms: float = 1.0
+    cold_ms: float = 0.0
+    cold_factor: float = 5.0
+
+
+class FaultsMessage(TypedDict, total=False):
+    """Body of ``POST /_faults``; what is left out ends."""
+
+    stuck: bool
+    extra_ms: float
+    draining: bool
+    lying_health: bool
+    restart: bool
+
+
+class UpstreamState:
+    """Executions and faults of one stand-in.
+
+    :param settings: what the stand-in is.
+    """
+
+    def __init__(self, settings: UpstreamSettings, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.clock = clock or Clock()
+        self.slots = asyncio.Semaphore(settings.n_slots)
+        self.n_runs_by_request: Counter[str] = Counter()
+        self.run_times_ms: list[float] = []
+        self.seen_headers: list[dict[str, str]] = []
+        self.stuck = asyncio.Event()
+        self.stuck.set()
+        self.extra_ms = 0.0
+        self.draining = False
+        self.lying_health = False
+        self.n_waiting = 0
+        self.n_cancelled = 0
+        self.n_shed = 0
+        self.nested_call: NestedCall | None = None
+        self._started_ms = self.clock.now_ms()
+
+    def __repr__(self) -> str:
+        n_runs = len(self.run_times_ms)
+        return f"UpstreamState({self.settings.service!r}, {n_runs} runs)"
+
+    @property
+    def is_full(self) -> bool:
+        """Whether it holds as many requests as it accepts connections."""
+        return self.n_waiting >= self.settings.n_connections
+
+    @property
+    def is_healthy(self) -> bool:
+        """What the health page says, which is a lie under one fault."""
+        return self.lying_health or self.stuck.is_set()
+
+    @property
+    def load(self) -> float:
+        """Share of the slots in use, as the load page says."""
+        if self.lying_health:
+            return 0.0
+        return min(1.0, self.n_waiting / self.settings.n_slots)
+
+    @property
+    def service_ms(self) -> float:
+        """Present time to execute one request."""
+        is_cold = self.clock.now_ms() - self._started_ms < self.settings.cold_ms
+        factor = self.settings.cold_factor if is_cold else 1.0
+        return self.settings.service_ms * factor + self.extra_ms
+
+    def set_faults(self, faults: FaultsMessage) -> None:
+        """Put exactly these faults in force."""
+        self.extra_ms = faults.get("extra_ms", 0.0)
+        self.draining = faults.get("draining", False)
+        self.lying_health = faults.get("lying_health", False)
+        if faults.get("restart", False):
+            self._started_ms = self.clock.now_ms()
+        if faults.get("stuck", False):
+            self.stuck.clear()
+        else:
+            self.stuck.set()
+
+    @asynccontextmanager
+    async def execution(self, number: str) -> AsyncIterator[None]:
+        """Hold a slot; the request counts as run from the moment it has one."""
+        self.n_waiting += 1
+        try:
+            async with self.slots:
+                self.n_runs_by_request[number] += 1
+                self.run_times_ms.append(self.clock.now_ms())
+                await self.stuck.wait()
+                yield
+        except asyncio.CancelledError:
+            self.n_cancelled += 1
+            raise
+        finally:
+            self.n_waiting -= 1
