Add the demonstration: callers, faults while traffic runs, promises checked

A newcomer should see the whole system at work by one command, and a broken promise should be found by it.

--- /dev/null
+++ b/packages/standins/ibisspoke_standins/callers.py
@@ -0,0 +1,185 @@
+"""Callers of organisations that send requests at a rate and keep every outcome."""
+
+import asyncio
+import itertools
+import json
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from result import Err, Result
+
+from ibisspoke_policy.clock import Clock
+
+from .caller_client import CallerClient, NoReply, Reply
+
+NUMBER_HEADER = "X-Request-Number"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+MAX_ATTEMPTS = 3
+MAX_PAUSE_MS = 1_000.0
+REQUEST_TIMEOUT_S = 15.0
+
+
+class CallKind(NamedTuple):
+    """What a caller sends.
+
+    :param is_order: whether executing it twice does harm.
+    :param n_bytes: size of the body, which the upstream echoes.
+    """
+
+    name: str
+    method: str
+    target: str
+    rate_per_s: float
+    is_order: bool = False
+    n_bytes: int = 0
+
+
+class Outcome(NamedTuple):
+    """How one attempt of a caller ended.
+
+    :param request: identity of the request; its attempts share it.
+    :param number: identity of the attempt.
+    :param status: HTTP status; 0 when there was no whole answer.
+    :param refusal: kind of the refusal; empty when there was none.
+    :param ran: ``not_run`` or ``unknown`` on refusals.
+    :param whole: whether an answer was the whole answer to this attempt.
+    """
+
+    organisation: str
+    kind: str
+    request: str
+    number: str
+    entry_port: int
+    started_ms: float
+    ended_ms: float
+    status: int
+    refusal: str
+    ran: str
+    whole: bool
+
+    @property
+    def is_good(self) -> bool:
+        """Whether the caller got the whole answer to its own request."""
+        return self.status == 200 and self.whole
+
+
+class Caller:
+    """One client of an organisation, open loop at the rate of each kind.
+
+    :param ports: entries that it may use; it changes only when one refuses to connect.
+    :param outcomes: where every attempt is recorded.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        organisation: str,
+        key: str,
+        ports: Sequence[int],
+        outcomes: list[Outcome],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self._organisation = organisation
+        self._key = key
+        self._clients = [CallerClient("127.0.0.1", port) for port in ports]
+        self._outcomes = outcomes
+        self._clock = clock
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._open: set[asyncio.Task[None]] = set()
+
+    def __repr__(self) -> str:
+        return f"Caller({self.name!r}, {len(self._open)} open)"
+
+    async def run(self, kinds: Sequence[CallKind], for_ms: float) -> None:
+        """Send requests for ``for_ms``, then wait for the last answers."""
+        end_ms = self._clock.now_ms() + for_ms
+        await asyncio.gather(*(self._send_kind(kind, end_ms) for kind in kinds))
+        await asyncio.gather(*self._open)
+        for client in self._clients:
+            client.close()
+
+    async def _send_kind(self, kind: CallKind, end_ms: float) -> None:
+        due_ms = self._clock.now_ms()
+        while True:
+            due_ms += self._rng.expovariate(kind.rate_per_s) * 1000.0
+            if due_ms >= end_ms:
+                return
+            await asyncio.sleep(max(0.0, due_ms - self._clock.now_ms()) / 1000.0)
+            task = asyncio.ensure_future(self._request(kind))
+            self._open.add(task)
+            task.add_done_callback(self._open.discard)
+
+    async def _request(self, kind: CallKind) -> None:
+        """Send one request, again only where that is safe."""
+        request = f"{self.name}-{kind.name}-{next(self._numbers)}"
+        body = self._rng.randbytes(kind.n_bytes)
+        for n_attempt in range(1, MAX_ATTEMPTS + 1):
+            outcome, pause_ms = await self._attempt(kind, request, n_attempt, body)
+            self._outcomes.append(outcome)
+            if outcome.refusal == "" or pause_ms is None or not kind.is_order:
+                return
+            await asyncio.sleep(min(pause_ms, MAX_PAUSE_MS) / 1000.0)
+
+    async def _attempt(
+        self, kind: CallKind, request: str, n_attempt: int, body: bytes
+    ) -> tuple[Outcome, float | None]:
+        number = f"{request}.{n_attempt}"
+        headers = {
+            "Authorization": f"Bearer {self._key}",
+            NUMBER_HEADER: number,
+        }
+        if kind.is_order:
+            headers[IDEMPOTENCY_HEADER] = request
+        started_ms = self._clock.now_ms()
+        reply = await self._send(kind, headers, body)
+        outcome = Outcome(
+            self._organisation,
+            kind.name,
+            request,
+            number,
+            self._clients[0].port,
+            started_ms,
+            self._clock.now_ms(),
+            0,
+            "",
+            "",
+            False,
+        )
+        return _judge(outcome, reply, body)
+
+    async def _send(
+        self, kind: CallKind, headers: dict[str, str], body: bytes
+    ) -> Result[Reply, NoReply]:
+        reply: Result[Reply, NoReply] = Err(NoReply(False, "no entry"))
+        for _ in self._clients:
+            sending = self._clients[0].send(kind.method, kind.target, headers, body)
+            try:
+                reply = await asyncio.wait_for(sending, REQUEST_TIMEOUT_S)
+            except TimeoutError:
+                return Err(NoReply(True, "the node gave no answer"))
+            if not isinstance(reply, Err) or reply.err_value.sent:
+                return reply
+            self._clients.append(self._clients.pop(0))
+        return reply
+
+
+def _judge(
+    outcome: Outcome, reply: Result[Reply, NoReply], body: bytes
+) -> tuple[Outcome, float | None]:
+    """Return the outcome, and after how long a refused request may be repeated."""
+    if isinstance(reply, Err):
+        return outcome._replace(refusal="no_reply", ran="unknown"), None
+    answer = reply.ok_value
+    if answer.headers.get("Content-Type", "") == "application/problem+json":
+        problem = json.loads(answer.body)
+        refused = outcome._replace(
+            status=answer.status, refusal=problem["kind"], ran=problem["ran"]
+        )
+        return refused, problem["retry_after_ms"]
+    own_number = answer.headers.get(NUMBER_HEADER) == outcome.number
+    whole = own_number and answer.body == (body or b"ok")
+    return outcome._replace(status=answer.status, whole=whole), None
--- /dev/null
+++ b/packages/standins/ibisspoke_standins/demo_record.py
@@ -0,0 +1,82 @@
+"""What was seen during the demonstration, and when."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from .callers import Outcome
+from .demo_catalogue import DRAINED_NODE, STOPPED_NODE, STUCK_NODE
+from .demo_fleet import Fleet
+from .demo_report import recovery_ms
+
+WARM_UP_MS = 1_000.0
+
+
+class Record:
+    """Outcomes, times of events and versions in force.
+
+    :param fleet: the running processes.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.outcomes: list[Outcome] = []
+        self.keys: list[str] = []
+        self.time_ms_by_event: dict[str, float] = {}
+        self.version_by_event: dict[str, int] = {}
+        self.versions_by_node: dict[str, list[int]] = {
+            id: [] for id in fleet.nodes_by_id
+        }
+        self.first_ms_by_lowest_version: dict[int, float] = {}
+        self.exit_code_of_stopped: int | None = None
+
+    def __repr__(self) -> str:
+        return f"Record({len(self.outcomes)} outcomes)"
+
+    @property
+    def duration_ms(self) -> float:
+        """How long traffic ran."""
+        return self.time_ms_by_event["end"] - self.time_ms_by_event["start"]
+
+    @property
+    def n_runs_by_number(self) -> Counter[str]:
+        """Executions at all upstreams, by the number of the attempt."""
+        runs: Counter[str] = Counter()
+        for node in self.fleet.nodes:
+            runs.update(node.upstream.n_runs_by_request)
+        return runs
+
+    @property
+    def drained_run_times_ms(self) -> list[float]:
+        """Executions at the upstream that leaves."""
+        return self.fleet.nodes_by_id[DRAINED_NODE].upstream.run_times_ms
+
+    @property
+    def stopped_port(self) -> int:
+        """Entry of the node that is stopped."""
+        return self.fleet.nodes_by_id[STOPPED_NODE].entry_port
+
+    def note_versions(self, versions: Iterable[tuple[str, int]], now_ms: float) -> None:
+        """Note which version each node shows."""
+        for node_id, version in versions:
+            self.versions_by_node[node_id].append(version)
+        lowest = min(seen[-1] for seen in self.versions_by_node.values() if seen)
+        self.first_ms_by_lowest_version.setdefault(lowest, now_ms)
+
+    def propagation_ms(self, event: str) -> float | None:
+        """Return the time until no node was below the version of an event."""
+        version = self.version_by_event[event]
+        reached = [
+            first_ms
+            for lowest, first_ms in self.first_ms_by_lowest_version.items()
+            if lowest >= version
+        ]
+        if not reached:
+            return None
+        return max(0.0, min(reached) - self.time_ms_by_event[event])
+
+    def recovery_ms(self) -> float | None:
+        """Return how long the stuck upstream took to recover."""
+        times = self.time_ms_by_event
+        upstream = self.fleet.nodes_by_id[STUCK_NODE].upstream
+        before = (times["start"] + WARM_UP_MS, times["stuck"])
+        return recovery_ms(upstream.run_times_ms, before, times["unstuck"])
