--- a/packages/node/ibisspoke_node/acceptance.py
+++ b/packages/node/ibisspoke_node/acceptance.py
@@ -10,7 +10,7 @@
 from ibisspoke_policy.catalogue import Call
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.context import MAX_HOPS, ContextSigner, RequestContext
-from ibisspoke_policy.quota import QuotaDecision, Wallet
+from ibisspoke_policy.quota import QuotaDecision, TokenSource
 from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind, deadline_exceeded
 
 from .headers import CONTEXT_HEADER, TIMEOUT_HEADER
@@ -42,14 +42,14 @@
         self,
         node_id: str,
         in_force: InForce,
-        wallet: Wallet,
+        tokens: TokenSource,
         signer: ContextSigner,
         clock: Clock,
     ) -> None:
         self._id_prefix = f"{node_id}-{os.urandom(4).hex()}-"
         self._ids = itertools.count(1)
         self._in_force = in_force
-        self._wallet = wallet
+        self._tokens = tokens
         self._signer = signer
         self._clock = clock
 
@@ -83,7 +83,7 @@
             organisation = found.ok_value
         now_ms = self._clock.now_ms()
         if organisation:
-            decision = self._wallet.take(organisation, now_ms)
+            decision = self._tokens.take(organisation, now_ms)
             if not decision.granted:
                 return Err(_rate_exceeded(organisation, decision))
         timeout_ms = _timeout_ms(call, headers)
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -74,11 +74,11 @@
         dispatcher = Dispatcher(
             settings.id, self.router, self.links, self.executor, clock
         )
-        wallet = StaticSplit(
+        tokens = StaticSplit(
             lambda: self.in_force.catalogue.organisations_by_id,
             lambda: len(self.members_by_id),
         )
-        acceptance = Acceptance(settings.id, self.in_force, wallet, signer, clock)
+        acceptance = Acceptance(settings.id, self.in_force, tokens, signer, clock)
         self.entry = Entry(acceptance, dispatcher, self.budget, self.metrics)
 
     def __repr__(self) -> str:
--- a/packages/policy/ibisspoke_policy/quota.py
+++ b/packages/policy/ibisspoke_policy/quota.py
@@ -47,6 +47,10 @@
         earned = self.rate_per_s * elapsed_ms / 1000.0
         self.tokens = min(self.burst, self.tokens + earned)
 
+    def skip(self, until_ms: float) -> None:
+        """Earn nothing for the time before ``until_ms``."""
+        self._filled_ms = max(self._filled_ms, until_ms)
+
     def take(self, amount: float, now_ms: float) -> bool:
         """Spend ``amount`` tokens if the bucket holds them."""
         self.fill(now_ms)
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/quota_messages.py
@@ -0,0 +1,86 @@
+"""Messages by which nodes draw tokens from the holders of quota slots."""
+
+from typing import NamedTuple
+
+
+class SlotId(NamedTuple):
+    """One of the equal shares into which every rate is split."""
+
+    data_centre: str
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.data_centre}/{self.number}"
+
+
+class Limit(NamedTuple):
+    """Rate and burst of one organisation or open call over the whole fleet."""
+
+    rate_per_s: float
+    burst: float
+
+
+class TokenRequest(NamedTuple):
+    """What a node asks of one slot for one organisation.
+
+    :param held: tokens of the slot that the node keeps; it can spend no others.
+    :param returned: tokens that it gives back; it has stopped counting them.
+    :param needed: tokens that requests are waiting for.
+    :param ahead: further tokens for the demand expected soon.
+    """
+
+    organisation: str
+    held: float
+    returned: float
+    needed: float
+    ahead: float
+
+
+class DrawRequest(NamedTuple):
+    """A message from a node to the holder of a slot.
+
+    :param requester: identity of the asking process, unique for each start.
+    :param sequence: grows by one with each message to this slot; once a message is
+        sent, the requester ignores the replies to all earlier ones.
+    """
+
+    slot: SlotId
+    requester: str
+    sequence: int
+    items: list[TokenRequest]
+
+
+class TokenGrant(NamedTuple):
+    """Tokens of one organisation.
+
+    :param tokens: spendable for :attr:`DrawReply.lifetime_ms`.
+    :param retry_after_ms: when the slot expects to hold a token again.
+    """
+
+    organisation: str
+    tokens: float
+    retry_after_ms: float
+
+
+class DrawReply(NamedTuple):
+    """The reply of a slot holder.
+
+    :param sequence: of the request.
+    :param accepted: False when this node does not hold the slot, or when it has
+        seen a later request; nothing was granted then.
+    :param renewed: whether the slot still counts what the requester holds; if not,
+        the requester must drop it.
+    :param lifetime_ms: how long the requester may spend what it held and what it
+        got, counted from before it sent the request.
+    """
+
+    sequence: int
+    accepted: bool
+    renewed: bool
+    lifetime_ms: float
+    grants: list[TokenGrant]
+
+
+def refused_draw(request: DrawRequest) -> DrawReply:
+    """Return the reply that grants nothing."""
+    return DrawReply(request.sequence, False, False, 0.0, [])
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/rendezvous.py
@@ -0,0 +1,23 @@
+"""Rendezvous hashing: an order of names for a key on which all nodes agree."""
+
+import hashlib
+from collections.abc import Iterable
+
+SCORE_BYTES = 8
+
+
+def score(key: str, name: str) -> bytes:
+    """Return how strongly ``name`` is preferred for ``key``; the highest wins."""
+    text = f"{key}\x00{name}".encode()
+    return hashlib.blake2b(text, digest_size=SCORE_BYTES).digest()
+
+
+def ranked(key: str, names: Iterable[str]) -> list[str]:
+    """Return ``names`` from most to least preferred for ``key``."""
+    return sorted(names, key=lambda name: (score(key, name), name), reverse=True)
+
+
+def rank_of(key: str, name: str, names: Iterable[str]) -> int:
+    """Return how many of ``names`` are preferred to ``name`` for ``key``."""
+    own = (score(key, name), name)
+    return sum((score(key, other), other) > own for other in names)
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/slot_lease.py
@@ -0,0 +1,185 @@
+"""Leases of quota slots: when a holder may mint, and when another may take over.
+
+A holder measures its lease by the time that also counts suspension, from before it
+sent the renewal. A node that waits for a lease to end uses monotonic time, from
+after it read the row. Each errs to its own disadvantage.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import msgspec
+
+from .catalogue import Catalogue
+from .quota_messages import Limit, SlotId
+
+ROW_PREFIX = "quota/slot/"
+LEASE_MS = 4 * 3_600_000.0
+LEASE_MARGIN_MS = 60_000.0
+TAKE_DELAY_MS = 20_000.0
+MAX_RANK = 2
+OPEN_CALL_PREFIX = "open:"
+
+
+class SlotRow(NamedTuple):
+    """Who holds a slot, as the table keeps it; the rows are never deleted.
+
+    :param holder: control address ``host:port``; empty when free.
+    :param term: grows by one with each write.
+    :param nonce: unique for each write, to find a write whose answer was lost.
+    :param weight: share of every rate; all rows together never exceed 1.
+    :param levels: tokens left by the last holder, by organisation.
+    :param full: whether no holder has used the slot yet.
+    """
+
+    slot: SlotId
+    holder: str
+    term: int
+    nonce: str
+    lease_ms: float
+    weight: float
+    levels: dict[str, float]
+    full: bool
+
+    @property
+    def key(self) -> str:
+        """Key of the row in the table."""
+        return row_key(self.slot)
+
+
+class HeldSlot(NamedTuple):
+    """A lease that this process has written.
+
+    :param version: version of the row in the table.
+    :param sent_elapsed_ms: elapsed time before the write was sent.
+    """
+
+    row: SlotRow
+    version: int
+    sent_elapsed_ms: float
+
+    def covers(self, elapsed_ms: float, duration_ms: float) -> bool:
+        """Return whether the lease outlasts the next ``duration_ms``."""
+        ends_ms = self.sent_elapsed_ms + self.row.lease_ms - LEASE_MARGIN_MS
+        return elapsed_ms + duration_ms < ends_ms
+
+
+class SeenRow(NamedTuple):
+    """A row as read, and when this version was first seen."""
+
+    row: SlotRow
+    version: int
+    first_seen_ms: float
+
+
+class LeaseWatch:
+    """Remember since when each version of a row has been seen."""
+
+    def __init__(self) -> None:
+        self.rows_by_slot: dict[SlotId, SeenRow] = {}
+
+    def __repr__(self) -> str:
+        return f"LeaseWatch({len(self.rows_by_slot)} slots)"
+
+    def observe(self, row: SlotRow, version: int, now_ms: float) -> None:
+        """Take in a row that was read before ``now_ms``."""
+        seen = self.rows_by_slot.get(row.slot)
+        if seen is None or seen.row.term < row.term:
+            self.rows_by_slot[row.slot] = SeenRow(row, version, now_ms)
+
+    def may_take(self, slot: SlotId, address: str, rank: int, now_ms: float) -> bool:
+        """Return whether the node at ``address`` may take ``slot`` over.
+
+        :param rank: how many nodes are preferred for the slot.
+        """
+        seen = self.rows_by_slot.get(slot)
+        if seen is None or rank > MAX_RANK:
+            return False
+        if seen.row.holder == address:
+            return True
+        seen_for_ms = now_ms - seen.first_seen_ms
+        delay_ms = rank * TAKE_DELAY_MS
+        if not seen.row.holder:
+            return seen_for_ms >= delay_ms
+        return seen_for_ms >= seen.row.lease_ms + delay_ms
+
+    def weight_of_others(self, slot: SlotId) -> float:
+        """Return the weights of all rows but that of ``slot``."""
+        return sum(
+            seen.row.weight
+            for other, seen in self.rows_by_slot.items()
+            if other != slot
+        )
+
+
+def row_key(slot: SlotId) -> str:
+    """Return the key of the row of ``slot``."""
+    return f"{ROW_PREFIX}{slot.data_centre}/{slot.number}"
+
+
+def encode_row(row: SlotRow) -> bytes:
+    """Return ``row`` as the table keeps it."""
+    return msgspec.json.encode(row)
+
+
+def decode_row(data: bytes) -> SlotRow:
+    """Return the row in ``data``.
+
+    :raises msgspec.DecodeError: when ``data`` is not a row.
+    """
+    return msgspec.json.decode(data, type=SlotRow)
+
+
+def slots_of(catalogue: Catalogue) -> list[SlotId]:
+    """Return the slots that ``catalogue`` names, in order."""
+    return [
+        SlotId(data_centre, number)
+        for data_centre, n_slots in sorted(catalogue.n_slots_by_data_centre.items())
+        for number in range(n_slots)
+    ]
+
+
+def limits_of(catalogue: Catalogue) -> dict[str, Limit]:
+    """Return the limits of organisations and open calls by quota name."""
+    limits = {
+        organisation.id: Limit(organisation.rate_per_s, organisation.burst)
+        for organisation in catalogue.organisations_by_id.values()
+    }
+    for call in catalogue.calls_by_id.values():
+        if call.is_open:
+            name = open_call_name(call.id)
+            limits[name] = Limit(call.open_rate_per_s, call.open_burst)
+    return limits
+
+
+def open_call_name(call_id: str) -> str:
+    """Return the quota name of an open call."""
+    return OPEN_CALL_PREFIX + call_id
+
+
+def first_rows(slots: Iterable[SlotId], nonce: str) -> list[SlotRow]:
+    """Return free rows of equal weight for a fleet that has none yet."""
+    slots = list(slots)
+    return [
+        SlotRow(slot, "", 1, nonce, LEASE_MS, 1.0 / len(slots), {}, True)
+        for slot in slots
+    ]
+
+
+def next_weight(present: float, target: float, others: float) -> float:
+    """Return the weight that a holder may write.
+
+    :param present: weight in the row now.
+    :param target: share that the catalogue asks for.
+    :param others: weight of all other rows.
+    """
+    if target <= present:
+        return target
+    room = max(0.0, 1.0 - others)
+    return max(present, min(target, room))
+
+
+def target_weight(slot: SlotId, slots: Iterable[SlotId]) -> float:
+    """Return the share of ``slot`` when ``slots`` split every rate equally."""
+    slots = list(slots)
+    return 1.0 / len(slots) if slot in slots else 0.0
