--- a/packages/policy/ibisspoke_policy/admission.py
+++ b/packages/policy/ibisspoke_policy/admission.py
@@ -13,12 +13,14 @@
     """An attempt that asks to be handed to the upstream.
 
     :param deadline_ms: in the monotonic time of this process.
+    :param idempotent: whether it may serve as a probe of a stuck upstream.
     """
 
     attempt_id: int
     organisation: str
     importance: Importance
     deadline_ms: float
+    idempotent: bool = True
 
 
 class Started(NamedTuple):
@@ -78,12 +80,23 @@
     :param shed_below: attempts below this importance are refused now.
     :param limit: attempts handed to the upstream at once.
     :param retry_after_ms: when a refused attempt may succeed.
+    :param shed_share: share of the attempts of importance ``shed_below`` that
+        callers should refuse before sending.
+    :param chain_shed: shed level of the services that the answered call leads to,
+        as importance plus share.
     """
 
     load: float
     shed_below: int
     limit: int
     retry_after_ms: int
+    shed_share: float = 0.0
+    chain_shed: float = 0.0
+
+    @property
+    def shed(self) -> float:
+        """The shed level as one number: importance plus share."""
+        return self.shed_below + self.shed_share
 
 
 class AdmissionController(Protocol):
@@ -101,6 +114,9 @@
     ) -> list[AdmissionEvent]:
         """Note the end of a started attempt."""
 
+    def nested(self, attempt_id: int, n_change: int, now_ms: float) -> None:
+        """Note that a started attempt began (1) or ended (-1) a nested call."""
+
     def cancel(self, attempt_id: int, now_ms: float) -> list[AdmissionEvent]:
         """Forget an attempt that the caller no longer waits for."""
 
--- a/packages/policy/ibisspoke_policy/fixed_limit.py
+++ b/packages/policy/ibisspoke_policy/fixed_limit.py
@@ -55,6 +55,9 @@
         self._limit = min(capacity.n_slots, capacity.n_connections)
         return []
 
+    def nested(self, attempt_id: int, n_change: int, now_ms: float) -> None:
+        """Do nothing; nested calls do not change the limit."""
+
     def tick(self, now_ms: float) -> list[AdmissionEvent]:
         """Do nothing; the limit does not change with time."""
         return []
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/retry.py
@@ -0,0 +1,154 @@
+"""Bounds on retries: a budget per destination and an allowance per request tree."""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from .refusal import Ran, Refusal, RefusalKind
+from .table import Table
+
+RETRY_SHARE = 0.1
+BUDGET_MAX = 20.0
+BUDGET_START = 5.0
+IDLE_EARN_PER_S = 1.0
+N_REDIRECTS = 2
+RETRIABLE: Collection[RefusalKind] = frozenset(
+    {
+        RefusalKind.OVERLOADED,
+        RefusalKind.DRAINING,
+        RefusalKind.NO_UPSTREAM,
+        RefusalKind.UPSTREAM_FAILED,
+        RefusalKind.OUT_OF_MEMORY,
+        RefusalKind.OUTCOME_UNKNOWN,
+    }
+)
+ELSEWHERE: Collection[RefusalKind] = frozenset(
+    {
+        RefusalKind.OVERLOADED,
+        RefusalKind.DRAINING,
+        RefusalKind.NO_UPSTREAM,
+        RefusalKind.OUT_OF_MEMORY,
+    }
+)
+
+
+class RetryKind(NamedTuple):
+    """What may follow a refused attempt.
+
+    :param retry: whether another attempt may be made at all.
+    :param is_redirect: whether no upstream ran it, so that trying another node
+        spends a redirect and no retry.
+    """
+
+    retry: bool
+    is_redirect: bool
+
+
+def classify(refusal: Refusal, idempotent: bool) -> RetryKind:
+    """Return what may follow an attempt that ended in ``refusal``."""
+    if refusal.kind not in RETRIABLE:
+        return RetryKind(False, False)
+    if refusal.ran is Ran.UNKNOWN:
+        return RetryKind(idempotent, False)
+    return RetryKind(True, refusal.kind in ELSEWHERE)
+
+
+class _Budget(NamedTuple):
+    tokens: float
+    filled_ms: float
+
+
+class RetryBudgets:
+    """Bound the retries to each destination to a share of its recent successes."""
+
+    def __init__(self) -> None:
+        self._budget_by_destination: Table[str, _Budget] = Table("retry budgets")
+
+    def __repr__(self) -> str:
+        return f"RetryBudgets({len(self._budget_by_destination)} destinations)"
+
+    def succeeded(self, destination: str, now_ms: float) -> None:
+        """Earn a share of a retry."""
+        self._put(destination, self.tokens(destination, now_ms) + RETRY_SHARE, now_ms)
+
+    def spend(self, destination: str, now_ms: float) -> bool:
+        """Take one retry if the budget has it."""
+        tokens = self.tokens(destination, now_ms)
+        if tokens < 1.0:
+            return False
+        self._put(destination, tokens - 1.0, now_ms)
+        return True
+
+    def tokens(self, destination: str, now_ms: float) -> float:
+        """Return the retries that may be made now."""
+        budget = self._budget_by_destination.get(destination)
+        if budget is None:
+            return BUDGET_START
+        earned = IDLE_EARN_PER_S * max(0.0, now_ms - budget.filled_ms) / 1000.0
+        return min(BUDGET_MAX, budget.tokens + earned)
+
+    def _put(self, destination: str, tokens: float, now_ms: float) -> None:
+        budget = _Budget(min(BUDGET_MAX, tokens), now_ms)
+        self._budget_by_destination.put(destination, budget)
+
+
+class Allowance:
+    """Retries left to one request and what is below it.
+
+    The whole rest is handed to the attempt in flight, all but one where there are
+    several, and what the attempt did not use comes back with its answer.
+
+    :param n_left: retries that may be made.
+    """
+
+    def __init__(self, n_left: int) -> None:
+        self.n_left = max(0, n_left)
+
+    def __repr__(self) -> str:
+        return f"Allowance({self.n_left})"
+
+    def spend(self) -> bool:
+        """Take one retry if any is left."""
+        if self.n_left <= 0:
+            return False
+        self.n_left -= 1
+        return True
+
+    def lend(self, is_parallel: bool = False) -> int:
+        """Hand retries to an attempt or a nested call.
+
+        :param is_parallel: whether others of the same parent are in flight.
+        """
+        n_lent = self.n_left // 2 if is_parallel else max(1, self.n_left - 1)
+        n_lent = min(n_lent, self.n_left)
+        self.n_left -= n_lent
+        return n_lent
+
+    def give_back(self, n_lent: int, n_unused: int) -> None:
+        """Take back what an ended attempt reports as unused."""
+        self.n_left += max(0, min(n_lent, n_unused))
+
+
+class NestedAllowances:
+    """What is left for nested calls below each attempt at this node's upstream."""
+
+    def __init__(self) -> None:
+        self._allowance_by_attempt: Table[str, Allowance] = Table("allowances")
+
+    def __repr__(self) -> str:
+        return f"NestedAllowances({len(self._allowance_by_attempt)} attempts)"
+
+    def __contains__(self, attempt_id: object) -> bool:
+        return attempt_id in self._allowance_by_attempt
+
+    def open(self, attempt_id: str, n_left: int) -> None:
+        """Note an attempt that was handed to the upstream."""
+        self._allowance_by_attempt.put(attempt_id, Allowance(n_left))
+
+    def find(self, attempt_id: str) -> Allowance | None:
+        """Return the allowance below a running attempt, or None when it ended."""
+        return self._allowance_by_attempt.get(attempt_id)
+
+    def close(self, attempt_id: str) -> int:
+        """Forget an ended attempt and return what it did not use."""
+        allowance = self._allowance_by_attempt.pop(attempt_id)
+        return allowance.n_left if allowance is not None else 0
