--- /dev/null
+++ b/packages/policy/ibisspoke_policy/idempotency.py
@@ -0,0 +1,302 @@
+"""Claims on idempotency keys: a non-idempotent request runs at most once.
+
+The node that owns a key decides alone whether a request with it is the first. It
+answers "unknown" while it cannot know, because it is new or the key moved to it.
+"""
+
+import hashlib
+from enum import Enum
+from typing import Generic, NamedTuple, TypeVar
+
+from .refusal import Ran, Refusal, RefusalKind, outcome_unknown
+from .table import Table
+
+UUID_TEXT_LENGTH = 36
+UUID_VERSION_AT = 14
+MAX_KEY_LENGTH = 128
+SWEEP_MS = 1_000.0
+
+A = TypeVar("A")
+
+
+class ClaimSettings(NamedTuple):
+    """Bounds of a claim table.
+
+    :param horizon_ms: how long after its first transmission a request may be
+        repeated; claims are kept as long.
+    :param skew_ms: largest difference of wall clocks that is tolerated.
+    :param max_claims: claims kept at once.
+    :param max_answer_bytes: bytes of kept answers.
+    """
+
+    horizon_ms: float = 30_000.0
+    skew_ms: float = 2_000.0
+    max_claims: int = 20_000
+    max_answer_bytes: int = 4_194_304
+
+
+class ClaimState(Enum):
+    """What became of the request that claimed a key."""
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+class Claim(NamedTuple, Generic[A]):
+    """The first request with a key.
+
+    :param digest: of the request, to tell a repeat from another request.
+    :param answer: what it was answered; None when it is not kept.
+    """
+
+    digest: bytes
+    state: ClaimState
+    claimed_ms: float
+    answer: A | None = None
+    n_answer_bytes: int = 0
+
+
+class Verdict(Enum):
+    """What to do with a request."""
+
+    RUN = "run"
+    JOIN = "join"
+    REPLAY = "replay"
+    REFUSE = "refuse"
+
+
+class Decision(NamedTuple, Generic[A]):
+    """What to do with a request, with the kept answer or the refusal."""
+
+    verdict: Verdict
+    answer: A | None = None
+    refusal: Refusal | None = None
+
+
+class ClaimTable(Generic[A]):
+    """Remember the requests whose keys this node owns.
+
+    :param now_ms: elapsed time of creation, which counts suspension.
+    :param wall_ms: wall time of creation.
+    """
+
+    def __init__(
+        self, now_ms: float, wall_ms: float, settings: ClaimSettings | None = None
+    ) -> None:
+        self.settings = settings or ClaimSettings()
+        self._started_ms = now_ms
+        self._wall_offset_ms = wall_ms - now_ms
+        self._claim_by_key: Table[str, Claim[A]] = Table("claims")
+        self._n_answer_bytes = 0
+        self._swept_ms = now_ms
+
+    def __repr__(self) -> str:
+        return f"ClaimTable({len(self._claim_by_key)} claims)"
+
+    def __len__(self) -> int:
+        return len(self._claim_by_key)
+
+    @property
+    def n_answer_bytes(self) -> int:
+        """Bytes of kept answers."""
+        return self._n_answer_bytes
+
+    def claim(
+        self, key: str, digest: bytes, moved_ms: float, now_ms: float
+    ) -> Decision[A]:
+        """Decide on a request with ``key``.
+
+        :param key: organisation and idempotency key.
+        :param digest: of the request.
+        :param moved_ms: when the key last came to this node from another owner.
+        """
+        self._sweep(now_ms)
+        claim = self._claim_by_key.get(key)
+        if claim is not None:
+            return _decide_repeat(claim, digest)
+        refusal = self._refuse_new(key, max(moved_ms, self._started_ms), now_ms)
+        if refusal is not None:
+            return Decision(Verdict.REFUSE, refusal=refusal)
+        self._claim_by_key.put(key, Claim(digest, ClaimState.RUNNING, now_ms))
+        return Decision(Verdict.RUN)
+
+    def answered(self, key: str, answer: A, n_bytes: int) -> None:
+        """Keep the answer of the first request, if it fits."""
+        claim = self._claim_by_key.get(key)
+        if claim is None:
+            return
+        kept = self._n_answer_bytes + n_bytes <= self.settings.max_answer_bytes
+        if kept:
+            self._n_answer_bytes += n_bytes
+            claim = claim._replace(answer=answer, n_answer_bytes=n_bytes)
+        self._claim_by_key.put(key, claim._replace(state=ClaimState.ANSWERED))
+
+    def not_run(self, key: str) -> None:
+        """Forget a request that provably did not run."""
+        self._forget(key)
+
+    def lost(self, key: str) -> None:
+        """Note that the first request may have run."""
+        claim = self._claim_by_key.get(key)
+        if claim is not None:
+            self._claim_by_key.put(key, claim._replace(state=ClaimState.UNKNOWN))
+
+    def _refuse_new(self, key: str, since_ms: float, now_ms: float) -> Refusal | None:
+        issued_ms = self._issued_ms(key)
+        settings = self.settings
+        if issued_ms is not None and issued_ms > now_ms + settings.skew_ms:
+            return _from_the_future()
+        if issued_ms is not None and issued_ms < now_ms - settings.horizon_ms:
+            return outcome_unknown("the idempotency key is older than answers are kept")
+        is_settled = now_ms - since_ms >= settings.horizon_ms
+        is_later = issued_ms is not None and issued_ms - settings.skew_ms > since_ms
+        if not (is_settled or is_later):
+            return outcome_unknown(
+                "the node that knows this idempotency key has changed"
+            )
+        if len(self._claim_by_key) >= settings.max_claims:
+            return _table_full()
+        return None
+
+    def _issued_ms(self, key: str) -> float | None:
+        """Return when a key was issued, in the elapsed time of this node."""
+        wall_ms = issued_wall_ms(key.rpartition("/")[2])
+        return None if wall_ms is None else wall_ms - self._wall_offset_ms
+
+    def _sweep(self, now_ms: float) -> None:
+        if now_ms - self._swept_ms < SWEEP_MS:
+            return
+        self._swept_ms = now_ms
+        horizon_ms = self.settings.horizon_ms
+        for key, claim in self._claim_by_key.items():
+            is_old = now_ms - claim.claimed_ms > 2 * horizon_ms
+            if is_old and claim.state is not ClaimState.RUNNING:
+                self._forget(key)
+
+    def _forget(self, key: str) -> None:
+        claim = self._claim_by_key.pop(key)
+        if claim is not None:
+            self._n_answer_bytes -= claim.n_answer_bytes
+
+
+class _Departure(NamedTuple):
+    node_id: str
+    at_ms: float
+
+
+class KeyOwners:
+    """Map keys to the nodes of a service, and remember recent changes.
+
+    :param horizon_ms: how long a change matters.
+    """
+
+    def __init__(self, horizon_ms: float) -> None:
+        self._horizon_ms = horizon_ms
+        self._joined_ms_by_id: dict[str, float] = {}
+        self._departures: list[_Departure] = []
+        self._is_first = True
+
+    def __repr__(self) -> str:
+        return f"KeyOwners({len(self._joined_ms_by_id)} nodes)"
+
+    def update(self, node_ids: frozenset[str], now_ms: float) -> None:
+        """Take in the nodes that serve at present.
+
+        The nodes of the first view are taken as settled.
+        """
+        joined_ms = float("-inf") if self._is_first else now_ms
+        self._is_first = self._is_first and not node_ids
+        for node_id in list(self._joined_ms_by_id):
+            if node_id not in node_ids:
+                del self._joined_ms_by_id[node_id]
+                self._departures.append(_Departure(node_id, now_ms))
+        for node_id in node_ids:
+            self._joined_ms_by_id.setdefault(node_id, joined_ms)
+        self._departures = [
+            departure
+            for departure in self._departures
+            if now_ms - departure.at_ms < self._horizon_ms
+        ]
+
+    def owner(self, key: str) -> str | None:
+        """Return the node that owns ``key``, or None when there is none."""
+        return rendezvous(key, frozenset(self._joined_ms_by_id))
+
+    def moved_ms(self, key: str, now_ms: float) -> float:
+        """Return when ``key`` last came to its present owner, if lately."""
+        owner = self.owner(key)
+        moved_ms = float("-inf")
+        for departure in self._departures:
+            if now_ms - departure.at_ms >= self._horizon_ms:
+                continue
+            others = frozenset((*self._joined_ms_by_id, departure.node_id))
+            if rendezvous(key, others) != owner:
+                moved_ms = max(moved_ms, departure.at_ms)
+        if owner is not None:
+            joined_ms = self._joined_ms_by_id[owner]
+            if now_ms - joined_ms < self._horizon_ms:
+                moved_ms = max(moved_ms, joined_ms)
+        return moved_ms
+
+
+def rendezvous(key: str, node_ids: frozenset[str]) -> str | None:
+    """Return the node with the highest digest of ``key`` and its id."""
+    return max(node_ids, key=lambda node_id: _weight(key, node_id), default=None)
+
+
+def issued_wall_ms(key: str) -> int | None:
+    """Return when a time-ordered UUID (version 7) was issued, else None."""
+    if len(key) != UUID_TEXT_LENGTH or key[UUID_VERSION_AT] != "7":
+        return None
+    try:
+        return int(key[:8] + key[9:13], 16)
+    except ValueError:
+        return None
+
+
+def _weight(key: str, node_id: str) -> bytes:
+    text = f"{node_id}/{key}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def _decide_repeat(claim: Claim[A], digest: bytes) -> Decision[A]:
+    if claim.digest != digest:
+        return Decision(Verdict.REFUSE, refusal=_other_request())
+    if claim.state is ClaimState.RUNNING:
+        return Decision(Verdict.JOIN)
+    if claim.answer is not None:
+        return Decision(Verdict.REPLAY, answer=claim.answer)
+    if claim.state is ClaimState.ANSWERED:
+        detail = "the request was executed, but its answer is not kept"
+        return Decision(Verdict.REFUSE, refusal=outcome_unknown(detail))
+    detail = "an earlier request with this idempotency key may have been executed"
+    return Decision(Verdict.REFUSE, refusal=outcome_unknown(detail))
+
+
+def _other_request() -> Refusal:
+    return Refusal(
+        RefusalKind.BAD_REQUEST,
+        Ran.UNKNOWN,
+        "the idempotency key was used for another request",
+        "use a new key for each new request",
+    )
+
+
+def _from_the_future() -> Refusal:
+    return Refusal(
+        RefusalKind.BAD_REQUEST,
+        Ran.NOT_RUN,
+        "the time in the idempotency key lies in the future",
+        "set the clock of the caller, or use a key without a time",
+    )
+
+
+def _table_full() -> Refusal:
+    return Refusal(
+        RefusalKind.OUT_OF_MEMORY,
+        Ran.NOT_RUN,
+        "the node remembers as many idempotency keys as its settings allow",
+        "retry after the time given, or raise the number of keys kept",
+        1_000,
+    )
