Wire admission, retries, early shedding and claims into the call path

Cause: the thin path had a fixed limit, unbounded trees of retries and no memory of idempotency keys. Change: executor and dispatcher run the policies; nested calls belong to the attempt that made them and end with it; silent links are pinged before non-idempotent calls and given up when they owe an answer; idle upstream connections are replaced after a second or when they hold unread bytes; answers that name another attempt are dropped. A body budget leak on cancelled calls is mended.

--- /dev/null
+++ b/packages/node/ibisspoke_node/claims.py
@@ -0,0 +1,236 @@
+"""Idempotency keys at the node that owns them: a repeat joins the first request."""
+
+import asyncio
+import hashlib
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.idempotency import (
+    MAX_KEY_LENGTH,
+    ClaimSettings,
+    ClaimTable,
+    Decision,
+    KeyOwners,
+    Verdict,
+)
+from ibisspoke_policy.member import Member, MemberState, MemberTable
+from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind, outcome_unknown
+
+from .executor import Executor
+from .messages import Answer, Attempt, Done, Outcome, Refused
+
+REFRESH_MS = 250.0
+DIGEST_BYTES = 16
+
+Forward = Callable[[Attempt, bytes, float], Awaitable[Outcome]]
+
+
+class _Seen(NamedTuple):
+    """Owners of the keys of one service, and when the members were read."""
+
+    owners: KeyOwners
+    read_ms: float
+
+
+class KeyedServices:
+    """Find the owner of a key among the nodes of a service.
+
+    :param members_by_id: all nodes that this node knows.
+    """
+
+    def __init__(self, members_by_id: MemberTable, horizon_ms: float) -> None:
+        self._members_by_id = members_by_id
+        self._horizon_ms = horizon_ms
+        self._seen_by_service: dict[str, _Seen] = {}
+
+    def __repr__(self) -> str:
+        return f"KeyedServices({len(self._seen_by_service)} services)"
+
+    def owner(self, service: str, key: str, now_ms: float) -> Member | None:
+        """Return the node that owns ``key``, or None when the service has none."""
+        owner = self.owners(service, now_ms).owner(key)
+        return None if owner is None else self._members_by_id.get(owner)
+
+    def owners(self, service: str, now_ms: float) -> KeyOwners:
+        """Return the owners of the keys of ``service``."""
+        seen = self._seen_by_service.get(service)
+        if seen is not None and now_ms - seen.read_ms < REFRESH_MS:
+            return seen.owners
+        owners = seen.owners if seen is not None else KeyOwners(self._horizon_ms)
+        members = self._members_by_id.where(
+            lambda member: member.service == service and _is_present(member)
+        )
+        owners.update(frozenset(member.id for member in members), now_ms)
+        self._seen_by_service[service] = _Seen(owners, now_ms)
+        return owners
+
+
+class _Run(NamedTuple):
+    """The first request with a key, while it runs."""
+
+    attempt: Attempt
+    body: bytes
+    deadline_ms: float
+
+
+class ClaimingHandler:
+    """Take attempts in; hold those with a key to one execution.
+
+    :param forward: runs an attempt on another node when this one does not take it.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        executor: Executor,
+        keyed: KeyedServices,
+        settings: ClaimSettings,
+        clock: Clock,
+    ) -> None:
+        self.claims = ClaimTable[Answer](clock.elapsed_ms(), clock.wall_ms(), settings)
+        self.forward: Forward | None = None
+        self._node_id = node_id
+        self._executor = executor
+        self._keyed = keyed
+        self._clock = clock
+        self._waiter_ids = itertools.count(-1, -1)
+        self._waiters_by_key: dict[str, dict[int, Done]] = {}
+        self._key_by_waiter: dict[int, str] = {}
+        self._forwards: set[asyncio.Task[None]] = set()
+
+    def __repr__(self) -> str:
+        return f"ClaimingHandler({self.claims!r})"
+
+    def submit(self, attempt: Attempt, body: bytes, done: Done) -> int:
+        """Start an attempt, or let it wait for the first one with its key."""
+        if not is_keyed(attempt):
+            return self._executor.submit(attempt, body, done)
+        waiter_id = next(self._waiter_ids)
+        key = scoped_key(attempt)
+        decision = self._decide(attempt, body, key)
+        if decision.verdict is Verdict.REFUSE:
+            assert decision.refusal is not None
+            level = self._executor.level
+            n_unused = attempt.context.retries_left
+            done(Err(Refused(decision.refusal, level, n_unused)))
+            return waiter_id
+        if decision.verdict is Verdict.REPLAY:
+            assert decision.answer is not None
+            done(Ok(decision.answer._replace(level=self._executor.level)))
+            return waiter_id
+        self._waiters_by_key.setdefault(key, {})[waiter_id] = done
+        self._key_by_waiter[waiter_id] = key
+        if decision.verdict is Verdict.RUN:
+            self._start(key, attempt, body)
+        return waiter_id
+
+    def cancel(self, attempt_id: int) -> None:
+        """Stop an attempt; one with a key goes on, as a repeat may ask for it."""
+        if attempt_id > 0:
+            self._executor.cancel(attempt_id)
+            return
+        key = self._key_by_waiter.pop(attempt_id, None)
+        if key is not None:
+            self._waiters_by_key.get(key, {}).pop(attempt_id, None)
+
+    def close(self) -> None:
+        """Stop forwarding."""
+        for forward in self._forwards:
+            forward.cancel()
+
+    def _decide(self, attempt: Attempt, body: bytes, key: str) -> Decision[Answer]:
+        if len(attempt.idempotency_key) > MAX_KEY_LENGTH:
+            return Decision(Verdict.REFUSE, refusal=_key_too_long())
+        owners = self._keyed.owners(attempt.service, self._clock.now_ms())
+        if owners.owner(key) != self._node_id:
+            detail = "nodes differ on who knows this idempotency key"
+            return Decision(Verdict.REFUSE, refusal=outcome_unknown(detail))
+        offset_ms = self._clock.elapsed_ms() - self._clock.now_ms()
+        moved_ms = owners.moved_ms(key, self._clock.now_ms()) + offset_ms
+        digest = _digest(attempt, body)
+        return self.claims.claim(key, digest, moved_ms, self._clock.elapsed_ms())
+
+    def _start(self, key: str, attempt: Attempt, body: bytes) -> None:
+        deadline_ms = self._clock.now_ms() + attempt.remaining_ms
+        run = _Run(attempt._replace(idempotency_key=""), body, deadline_ms)
+
+        def ended(outcome: Outcome) -> None:
+            if _may_go_elsewhere(outcome) and self.forward is not None:
+                self._forward(key, run, outcome)
+            else:
+                self._settle(key, outcome)
+
+        self._executor.submit(run.attempt, body, ended)
+
+    def _forward(self, key: str, run: _Run, refused: Outcome) -> None:
+        task = asyncio.ensure_future(self._run_elsewhere(key, run, refused))
+        self._forwards.add(task)
+        task.add_done_callback(self._forwards.discard)
+
+    async def _run_elsewhere(self, key: str, run: _Run, refused: Outcome) -> None:
+        assert self.forward is not None
+        outcome: Outcome = Err(Refused(outcome_unknown("the node is stopping")))
+        try:
+            outcome = await self.forward(run.attempt, run.body, run.deadline_ms)
+            if isinstance(outcome, Err) and outcome.err_value.level is None:
+                outcome = _prefer(refused, outcome)
+        finally:
+            self._settle(key, outcome)
+
+    def _settle(self, key: str, outcome: Outcome) -> None:
+        if isinstance(outcome, Ok):
+            self.claims.answered(key, outcome.ok_value, len(outcome.ok_value.body))
+        elif outcome.err_value.refusal.ran is Ran.NOT_RUN:
+            self.claims.not_run(key)
+        else:
+            self.claims.lost(key)
+        for waiter_id, done in self._waiters_by_key.pop(key, {}).items():
+            self._key_by_waiter.pop(waiter_id, None)
+            done(outcome)
+
+
+def is_keyed(attempt: Attempt) -> bool:
+    """Return whether an attempt is held to one execution by its key."""
+    return bool(attempt.idempotency_key) and not attempt.idempotent
+
+
+def scoped_key(attempt: Attempt) -> str:
+    """Return the key of an attempt, distinct between organisations."""
+    return f"{attempt.context.organisation}/{attempt.idempotency_key}"
+
+
+def _is_present(member: Member) -> bool:
+    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+def _may_go_elsewhere(outcome: Outcome) -> bool:
+    if isinstance(outcome, Ok):
+        return False
+    refusal = outcome.err_value.refusal
+    return refusal.ran is Ran.NOT_RUN and refusal.may_retry
+
+
+def _prefer(refused: Outcome, outcome: Outcome) -> Outcome:
+    """Return the first refusal where nothing was tried after it."""
+    assert isinstance(outcome, Err)
+    return refused if outcome.err_value.refusal.ran is Ran.NOT_RUN else outcome
+
+
+def _digest(attempt: Attempt, body: bytes) -> bytes:
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest.update(f"{attempt.method} {attempt.target}\n".encode())
+    digest.update(body)
+    return digest.digest()
+
+
+def _key_too_long() -> Refusal:
+    return Refusal(
+        RefusalKind.BAD_REQUEST,
+        Ran.NOT_RUN,
+        f"the idempotency key is longer than {MAX_KEY_LENGTH} characters",
+        "use a UUID of version 7",
+    )
--- a/packages/node/ibisspoke_node/client_link.py
+++ b/packages/node/ibisspoke_node/client_link.py
@@ -33,6 +33,9 @@
 )
 from .messages import Answer, Attempt, BufferBudget, Done, Outcome, Refused
 
+QUIET_TICKS = 20
+SILENT_TICKS = 8
+
 
 class _Arriving(NamedTuple):
     """An answer whose body is still arriving."""
@@ -58,6 +61,8 @@
         self._done_by_stream: dict[int, Done] = {}
         self._arriving_by_stream: dict[int, _Arriving] = {}
         self._pong_by_stream: dict[int, asyncio.Future[None]] = {}
+        self._n_quiet_ticks = 0
+        self._n_owed_ticks = 0
 
     def __repr__(self) -> str:
         return f"ClientLink({len(self._done_by_stream)} calls, closed={self.closed})"
@@ -117,14 +122,36 @@
             self._pong_by_stream.pop(stream_id, None)
         return True
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether nothing arrived lately that proves the connection."""
+        return self._n_quiet_ticks >= QUIET_TICKS
+
+    def tick(self) -> None:
+        """Ping a peer that owes an answer and is silent; then give it up.
+
+        What it owes ends as unknown; the peer itself may be well.
+        """
+        self._n_quiet_ticks += 1
+        if not self._done_by_stream:
+            self._n_owed_ticks = 0
+            return
+        self._n_owed_ticks += 1
+        silent = min(self._n_owed_ticks, self._n_quiet_ticks)
+        if silent == SILENT_TICKS:
+            self.send(FrameKind.PING, next(self._stream_ids))
+        elif silent >= 2 * SILENT_TICKS:
+            self.abort()
+
     def _handle(self, frame: Frame) -> None:
+        self._n_quiet_ticks = 0
         if frame.kind is FrameKind.ANSWER:
             self._start_answer(frame)
         elif frame.kind is FrameKind.BODY:
             self._add_part(frame)
         elif frame.kind is FrameKind.REFUSAL:
             head, _ = REFUSAL_HEAD.decode(frame.payload)
-            self._end(frame.stream_id, Err(Refused(head.refusal, head.level)))
+            self._end(frame.stream_id, Err(Refused(*head)))
         elif frame.kind is FrameKind.PONG:
             pong = self._pong_by_stream.get(frame.stream_id)
             if pong is not None and not pong.done():
@@ -173,7 +200,14 @@
             self._answer(frame.stream_id, arriving.head, arriving.assembly.body)
 
     def _answer(self, stream_id: int, head: AnswerHead, body: bytes) -> None:
-        answer = Answer(head.status, head.reason, head.headers, body, head.level)
+        answer = Answer(
+            head.status,
+            head.reason,
+            head.headers,
+            body,
+            head.level,
+            head.n_retries_unused,
+        )
         self._end(stream_id, Ok(answer))
 
     def _end(self, stream_id: int, outcome: Outcome) -> None:
--- a/packages/node/ibisspoke_node/executor.py
+++ b/packages/node/ibisspoke_node/executor.py
@@ -11,6 +11,7 @@
 from ibisspoke_policy.admission import (
     AdmissionController,
     AdmissionEvent,
+    AdmissionLevel,
     Capacity,
     Ending,
     Refused,
@@ -31,8 +32,15 @@
 from ibisspoke_policy.table import Table
 
 from . import messages
-from .headers import CONTEXT_HEADER, NOT_RUN_HEADER, TIMEOUT_HEADER, to_caller
+from .headers import (
+    ATTEMPT_HEADER,
+    CONTEXT_HEADER,
+    NOT_RUN_HEADER,
+    TIMEOUT_HEADER,
+    to_caller,
+)
 from .messages import Answer, Attempt, Done, Outcome
+from .parents import ParentTable
 from .upstream_client import (
     UpstreamAnswer,
     UpstreamClient,
@@ -68,12 +76,19 @@
     """Hand attempts to the upstream as its admission controller allows.
 
     :param controller: decides what starts and what is refused.
+    :param parents: told of every attempt that the upstream holds.
     """
 
     def __init__(
-        self, controller: AdmissionController, signer: ContextSigner, clock: Clock
+        self,
+        controller: AdmissionController,
+        parents: ParentTable,
+        signer: ContextSigner,
+        clock: Clock,
     ) -> None:
         self._controller = controller
+        self._parents = parents
+        parents.on_nested = self._nested
         self._signer = signer
         self._clock = clock
         self._ids = itertools.count(1)
@@ -92,6 +107,11 @@
         """What the upstream last announced."""
         return self._announcement
 
+    @property
+    def level(self) -> AdmissionLevel:
+        """The admission level of this node."""
+        return self._controller.level
+
     @property
     def n_open(self) -> int:
         """Attempts that have not ended."""
@@ -103,7 +123,9 @@
         if client is None or (client.host, client.port) != announcement[1:3]:
             if client is not None:
                 client.close()
-            self._client = UpstreamClient(announcement.host, announcement.port)
+            self._client = UpstreamClient(
+                announcement.host, announcement.port, self._clock
+            )
         self._announcement = announcement
         now_ms = self._clock.now_ms()
         self._apply(self._controller.announce(announcement.capacity, now_ms))
@@ -114,14 +136,20 @@
         now_ms = self._clock.now_ms()
         refusal = self._refusal(attempt)
         if refusal is not None:
-            done(Err(messages.Refused(refusal, self._controller.level)))
+            level = self._level(attempt.call_id)
+            n_unused = attempt.context.retries_left
+            done(Err(messages.Refused(refusal, level, n_unused)))
             return attempt_id
         deadline_ms = now_ms + attempt.remaining_ms
         opened = OpenAttempt(attempt_id, attempt, body, done, deadline_ms)
         self._open_by_id.put(attempt_id, opened)
         context = attempt.context
         ticket = Ticket(
-            attempt_id, context.organisation, context.importance, deadline_ms
+            attempt_id,
+            context.organisation,
+            context.importance,
+            deadline_ms,
+            attempt.idempotent,
         )
         self._apply(self._controller.offer(ticket, now_ms))
         return attempt_id
@@ -130,13 +158,15 @@
         """Stop an attempt that nobody waits for."""
         if self._open_by_id.pop(attempt_id) is None:
             return
-        task = self._task_by_id.pop(attempt_id, None)
         now_ms = self._clock.now_ms()
+        events = self._controller.cancel(attempt_id, now_ms)
+        task = self._task_by_id.pop(attempt_id, None)
         if task is None:
-            self._apply(self._controller.cancel(attempt_id, now_ms))
+            self._apply(events)
             return
         task.cancel()
-        ending = Ending(succeeded=False, timed_out=False)
+        self._parents.close(attempt_id, now_ms)
+        ending = Ending(succeeded=False)
         self._apply(self._controller.finish(attempt_id, ending, now_ms))
 
     def tick(self) -> None:
@@ -190,21 +220,38 @@
 
     def _start(self, attempt_id: int) -> None:
         opened = self._open_by_id.get(attempt_id)
-        if opened is not None:
-            task = asyncio.ensure_future(self._execute(opened))
-            self._task_by_id[attempt_id] = task
+        if opened is None:
+            return
+        context = opened.attempt.context
+        self._parents.open(attempt_id, opened.attempt.call_id, context.retries_left)
+        task = asyncio.ensure_future(self._execute(opened))
+        self._task_by_id[attempt_id] = task
 
     def _end(self, attempt_id: int, refusal: Refusal) -> None:
         opened = self._open_by_id.pop(attempt_id)
         if opened is not None:
-            opened.done(Err(messages.Refused(refusal, self._controller.level)))
+            level = self._level(opened.attempt.call_id)
+            n_unused = opened.attempt.context.retries_left
+            opened.done(Err(messages.Refused(refusal, level, n_unused)))
 
     def _abort(self, attempt_id: int) -> None:
-        task = self._task_by_id.pop(attempt_id, None)
-        if task is not None:
-            task.cancel()
+        opened = self._open_by_id.get(attempt_id)
+        task = self._task_by_id.get(attempt_id)
+        if opened is None or task is None:
+            return
+        task.cancel()
+        if self._client is not None:
+            self._client.close()
         detail = "the upstream made no progress and the attempt was cancelled"
-        self._end(attempt_id, outcome_unknown(detail))
+        ending = Ending(succeeded=False, timed_out=True)
+        self._finish(opened, ending, Err(messages.Refused(outcome_unknown(detail))))
+
+    def _nested(self, attempt_id: int, n_change: int) -> None:
+        self._controller.nested(attempt_id, n_change, self._clock.now_ms())
+
+    def _level(self, call_id: str) -> AdmissionLevel:
+        chain_shed = self._parents.chain.level(call_id, self._clock.now_ms())
+        return self._controller.level._replace(chain_shed=chain_shed)
 
     async def _execute(self, opened: OpenAttempt) -> None:
         client = self._client
@@ -221,8 +268,9 @@
             self._finish(opened, ending, Err(messages.Refused(refusal)))
             return
         if isinstance(result, Err):
-            refusal = _failure(result.err_value)
-            self._finish(opened, Ending(False), Err(messages.Refused(refusal)))
+            failure = result.err_value
+            ending = Ending(succeeded=False, timed_out=not failure.sent)
+            self._finish(opened, ending, Err(messages.Refused(_failure(failure))))
             return
         self._answered(opened, result.ok_value)
 
@@ -243,21 +291,27 @@
         self._task_by_id.pop(opened.id, None)
         if self._open_by_id.pop(opened.id) is None:
             return
-        events = self._controller.finish(opened.id, ending, self._clock.now_ms())
-        level = self._controller.level
+        now_ms = self._clock.now_ms()
+        n_unused = self._parents.close(opened.id, now_ms)
+        events = self._controller.finish(opened.id, ending, now_ms)
+        level = self._level(opened.attempt.call_id)
         if isinstance(outcome, Ok):
-            opened.done(Ok(outcome.ok_value._replace(level=level)))
+            answer = outcome.ok_value
+            opened.done(Ok(answer._replace(level=level, n_retries_unused=n_unused)))
         else:
-            opened.done(Err(outcome.err_value._replace(level=level)))
+            refused = outcome.err_value
+            opened.done(Err(refused._replace(level=level, n_retries_unused=n_unused)))
         self._apply(events)
 
     def _request(self, opened: OpenAttempt, remaining_ms: float) -> UpstreamRequest:
         attempt = opened.attempt
-        token = self._signer.encode(attempt.context)
+        attempt_id = self._parents.attempt_id(opened.id)
+        token = self._signer.encode(attempt.context._replace(attempt_id=attempt_id))
         headers = [
             *attempt.headers,
             (CONTEXT_HEADER, token),
             (TIMEOUT_HEADER, str(max(0, int(remaining_ms)))),
+            (ATTEMPT_HEADER, attempt_id),
         ]
         return UpstreamRequest(
             attempt.method,
@@ -265,6 +319,8 @@
             headers,
             opened.body,
             attempt.max_answer_bytes,
+            attempt.idempotent,
+            attempt_id,
         )
 
 
--- a/packages/node/ibisspoke_node/frames.py
+++ b/packages/node/ibisspoke_node/frames.py
@@ -69,6 +69,7 @@
     headers: list[Header]
     level: AdmissionLevel | None
     n_body_bytes: int
+    n_retries_unused: int = 0
 
 
 class RefusalHead(NamedTuple):
@@ -76,6 +77,7 @@
 
     refusal: Refusal
     level: AdmissionLevel | None
+    n_retries_unused: int = 0
 
 
 class FrameError(Exception):
--- a/packages/node/ibisspoke_node/headers.py
+++ b/packages/node/ibisspoke_node/headers.py
@@ -6,6 +6,7 @@
 
 CONTEXT_HEADER = "Ibisspoke-Context"
 TIMEOUT_HEADER = "Ibisspoke-Timeout-Ms"
+ATTEMPT_HEADER = "Ibisspoke-Attempt"
 NOT_RUN_HEADER = "Ibisspoke-Not-Run"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 INTERNAL_PREFIX = "ibisspoke-"
--- a/packages/node/ibisspoke_node/link_pool.py
+++ b/packages/node/ibisspoke_node/link_pool.py
@@ -8,6 +8,7 @@
 from .messages import BufferBudget
 
 CONNECT_TIMEOUT_MS = 1_000
+PING_TIMEOUT_MS = 250
 
 logger = logging.getLogger(__name__)
 
@@ -49,6 +50,23 @@
             )
         return await asyncio.shield(opening)
 
+    async def proven_link(self, host: str, port: int) -> ClientLink | None:
+        """Return a connection that has just proved that it reaches the peer."""
+        link = self.open_link(host, port)
+        if link is None:
+            return await self.connect(host, port)
+        if not link.is_quiet or await link.ping(PING_TIMEOUT_MS):
+            return link
+        if self.open_link(host, port) is link:
+            self.discard(host, port)
+        return await self.connect(host, port)
+
+    def tick(self) -> None:
+        """Look for silent connections."""
+        for link in list(self._link_by_address.values()):
+            if not link.closed:
+                link.tick()
+
     def discard(self, host: str, port: int) -> None:
         """Close the connection to a peer; its calls end as unknown."""
         link = self._link_by_address.pop((host, port), None)
--- a/packages/node/ibisspoke_node/messages.py
+++ b/packages/node/ibisspoke_node/messages.py
@@ -37,6 +37,7 @@
     """A whole answer of an upstream.
 
     :param level: admission level of its node, None where not known.
+    :param n_retries_unused: retries lent to the attempt and not spent below it.
     """
 
     status: int
@@ -44,13 +45,19 @@
     headers: list[Header]
     body: bytes
     level: AdmissionLevel | None = None
+    n_retries_unused: int = 0
 
 
 class Refused(NamedTuple):
-    """A refusal and the admission level of the node that gave it."""
+    """A refusal and the admission level of the node that gave it.
+
+    :param level: None where the refusal comes from no node of an upstream.
+    :param n_retries_unused: retries lent to the attempt and not spent below it.
+    """
 
     refusal: Refusal
     level: AdmissionLevel | None = None
+    n_retries_unused: int = 0
 
 
 Outcome = Result[Answer, Refused]
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -8,15 +8,18 @@
 from typing import NamedTuple
 
 from ibisspoke_policy.admission import AdmissionController
+from ibisspoke_policy.admission_controller import UpstreamAdmissionController
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.context import ContextSigner
-from ibisspoke_policy.fixed_limit import FixedLimit
+from ibisspoke_policy.early_shedding import ChainLevels
+from ibisspoke_policy.idempotency import ClaimSettings
 from ibisspoke_policy.member import Member, MemberState, MemberTable
 from ibisspoke_policy.nearest_router import NearestRouter
 from ibisspoke_policy.static_split import StaticSplit
 from ibisspoke_policy.table import Table
 
 from .acceptance import Acceptance
+from .claims import ClaimingHandler, KeyedServices
 from .control import ControlClient, ControlService, control_client, control_server
 from .dispatch import Dispatcher
 from .entry import Entry, EntryLimits, entry_server
@@ -25,6 +28,7 @@
 from .link_pool import LinkPool
 from .messages import BufferBudget
 from .metrics import Metrics, StatsdSender
+from .parents import ParentTable
 from .server_link import link_server
 from .settings import NodeSettings
 from .status import StatusPage, status_server
@@ -48,7 +52,7 @@
     """All parts of one node.
 
     :param settings: checked settings.
-    :param controller: admission at this node; a fixed limit by default.
+    :param controller: admission at this node; an adaptive limit by default.
     """
 
     def __init__(
@@ -68,18 +72,28 @@
         self.members_by_id: MemberTable = Table("members")
         self.ports = Ports(0, 0, 0, 0)
         signer = ContextSigner(settings.secrets)
-        self.executor = Executor(controller or FixedLimit(), signer, clock)
+        parents = ParentTable(settings.id, ChainLevels())
+        self.controller = controller or UpstreamAdmissionController(
+            now_ms=clock.now_ms()
+        )
+        self.executor = Executor(self.controller, parents, signer, clock)
+        claim_settings = ClaimSettings()
+        keyed = KeyedServices(self.members_by_id, claim_settings.horizon_ms)
+        self.handler = ClaimingHandler(
+            settings.id, self.executor, keyed, claim_settings, clock
+        )
         self.links = LinkPool(settings.secrets, self.budget, settings.id)
         self.router = NearestRouter(self.own_member(), self.members_by_id)
-        dispatcher = Dispatcher(
-            settings.id, self.router, self.links, self.executor, clock
+        self.dispatcher = Dispatcher(
+            settings.id, self.router, self.links, self.handler, parents, keyed, clock
         )
+        self.handler.forward = self.dispatcher.forward
         wallet = StaticSplit(
             lambda: self.in_force.catalogue.organisations_by_id,
             lambda: len(self.members_by_id),
         )
         acceptance = Acceptance(settings.id, self.in_force, wallet, signer, clock)
-        self.entry = Entry(acceptance, dispatcher, self.budget, self.metrics)
+        self.entry = Entry(acceptance, self.dispatcher, self.budget, self.metrics)
 
     def __repr__(self) -> str:
         return f"Node({self.settings.id!r}, {self.ports})"
@@ -134,6 +148,7 @@
         while True:
             await asyncio.sleep(TICK_MS / 1000.0)
             self.executor.tick()
+            self.links.tick()
             now_ms = self.clock.now_ms()
             if now_ms - flushed_ms >= METRICS_MS:
                 flushed_ms = now_ms
@@ -160,6 +175,7 @@
         ticks = asyncio.ensure_future(node.run_ticks())
         stack.callback(ticks.cancel)
         stack.callback(node.executor.close)
+        stack.callback(node.handler.close)
         stack.callback(node.links.close)
         logger.info("node started", extra={"node": settings.id, "pid": os.getpid()})
         yield node
@@ -169,7 +185,7 @@
     settings = node.settings
     call_port = await stack.enter_async_context(
         link_server(
-            node.executor,
+            node.handler,
             settings.secrets,
             node.budget,
             settings.host,
--- a/packages/node/ibisspoke_node/server_link.py
+++ b/packages/node/ibisspoke_node/server_link.py
@@ -51,6 +51,13 @@
     assembly: Assembly
 
 
+class _Running(NamedTuple):
+    """A submitted attempt and the bytes of its body."""
+
+    attempt_id: int
+    n_bytes: int
+
+
 class ServerLink(FrameProtocol):
     """Serve the calls of one peer.
 
@@ -70,7 +77,7 @@
         self._nonce = os.urandom(NONCE_BYTES)
         self._authenticated = False
         self._inbound_by_stream: dict[int, _Inbound] = {}
-        self._attempt_by_stream: dict[int, int] = {}
+        self._running_by_stream: dict[int, _Running] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Challenge the peer."""
@@ -85,9 +92,8 @@
         for inbound in self._inbound_by_stream.values():
             self._budget.release(inbound.assembly.n_bytes)
         self._inbound_by_stream.clear()
-        for attempt_id in list(self._attempt_by_stream.values()):
-            self._handler.cancel(attempt_id)
-        self._attempt_by_stream.clear()
+        for stream_id in list(self._running_by_stream):
+            self._cancel(stream_id)
         self._on_close(self)
 
     def _close_stranger(self) -> None:
@@ -148,25 +154,26 @@
             nonlocal ended
             ended = True
             self._budget.release(len(body))
-            self._attempt_by_stream.pop(stream_id, None)
+            self._running_by_stream.pop(stream_id, None)
             self._reply(stream_id, outcome)
 
         attempt_id = self._handler.submit(inbound.attempt, body, done)
         if not ended:
-            self._attempt_by_stream[stream_id] = attempt_id
+            self._running_by_stream[stream_id] = _Running(attempt_id, len(body))
 
     def _cancel(self, stream_id: int) -> None:
         inbound = self._inbound_by_stream.pop(stream_id, None)
         if inbound is not None:
             self._budget.release(inbound.assembly.n_bytes)
-        attempt_id = self._attempt_by_stream.pop(stream_id, None)
-        if attempt_id is not None:
-            self._handler.cancel(attempt_id)
+        running = self._running_by_stream.pop(stream_id, None)
+        if running is not None:
+            self._budget.release(running.n_bytes)
+            self._handler.cancel(running.attempt_id)
 
     def _reply(self, stream_id: int, outcome: Outcome) -> None:
         if isinstance(outcome, Err):
             refused = outcome.err_value
-            head = RefusalHead(refused.refusal, refused.level)
+            head = RefusalHead(refused.refusal, refused.level, refused.n_retries_unused)
             self.send(FrameKind.REFUSAL, stream_id, REFUSAL_HEAD.encode(head))
             return
         answer = outcome.ok_value
@@ -176,6 +183,7 @@
             answer.headers,
             answer.level,
             len(answer.body),
+            answer.n_retries_unused,
         )
         payload = ANSWER_HEAD.encode(answer_head, answer.body[:CHUNK_BYTES])
         self.send(FrameKind.ANSWER, stream_id, payload)
--- a/packages/node/ibisspoke_node/upstream_client.py
+++ b/packages/node/ibisspoke_node/upstream_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client of the upstream on this VM, with kept connections."""
 
 import asyncio
+import socket
 from collections import deque
 from typing import NamedTuple
 
@@ -15,20 +16,29 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from ibisspoke_policy.clock import Clock
+
+from .headers import ATTEMPT_HEADER
 from .messages import Header
 
 CONNECT_TIMEOUT_MS = 1_000
 MAX_HEADER_BYTES = 65_536
+PROVEN_MS = 1_000.0
 
 
 class UpstreamRequest(NamedTuple):
-    """What the upstream is handed."""
+    """What the upstream is handed.
+
+    :param attempt_id: an answer that names another attempt is not taken.
+    """
 
     method: str
     target: str
     headers: list[Header]
     body: bytes
     max_answer_bytes: int
+    idempotent: bool = True
+    attempt_id: str = ""
 
 
 class UpstreamAnswer(NamedTuple):
@@ -87,6 +97,13 @@
     def finish(self) -> None:
         self.finished = True
 
+    def answers_another(self, attempt_id: str) -> bool:
+        """Return whether the answer names another attempt than ``attempt_id``."""
+        for name, value in self.headers:
+            if name.lower() == ATTEMPT_HEADER.lower():
+                return value != attempt_id
+        return False
+
     @property
     def whole(self) -> bool:
         return self.finished and self.delimited and not self.too_large
@@ -96,16 +113,24 @@
         return self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
 
 
+class _Idle(NamedTuple):
+    """A kept connection and when it last carried a whole answer."""
+
+    stream: IOStream
+    proven_ms: float
+
+
 class UpstreamClient:
     """Send requests to one upstream over kept connections.
 
     :param host: IP number of the upstream.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, clock: Clock) -> None:
         self.host = host
         self.port = port
-        self._idle: deque[IOStream] = deque()
+        self._clock = clock
+        self._idle: deque[_Idle] = deque()
         self._tcp = TCPClient()
         self._host_header = f"{host}:{port}"
 
@@ -130,7 +155,7 @@
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            self._idle.popleft().close()
+            self._idle.popleft().stream.close()
 
     async def _exchange(
         self, stream: IOStream, request: UpstreamRequest
@@ -149,19 +174,28 @@
         finally:
             if not (reusable and reader.whole):
                 stream.close()
+        if reader.answers_another(request.attempt_id):
+            stream.close()
+            return Err(UpstreamFailure(True, False, "the answer is to another request"))
         if not reader.whole or reader.start_line is None:
             detail = "the connection ended before a whole answer of stated length"
             return Err(UpstreamFailure(True, reader.too_large, detail))
         if not stream.closed():
-            self._idle.append(stream)
+            self._idle.append(_Idle(stream, self._clock.now_ms()))
         start = reader.start_line
         return Ok(UpstreamAnswer(start.code, start.reason, reader.headers, reader.body))
 
     def _take_idle(self) -> IOStream | None:
+        """Return a connection that proved itself lately, or None.
+
+        Older ones are closed: what lies between may have lost track of them.
+        """
+        oldest_ms = self._clock.now_ms() - PROVEN_MS
         while self._idle:
-            stream = self._idle.pop()
-            if not stream.closed():
-                return stream
+            idle = self._idle.pop()
+            if idle.proven_ms >= oldest_ms and _is_clean(idle.stream):
+                return idle.stream
+            idle.stream.close()
         return None
 
     async def _connect(self) -> IOStream:
@@ -188,6 +222,22 @@
     )
 
 
+def _is_clean(stream: IOStream) -> bool:
+    """Return whether an idle connection is open and holds no unread bytes.
+
+    Bytes that nobody asked for belong to a late or doubled answer.
+    """
+    if stream.closed() or stream._read_buffer_size:
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def _is_delimited(status: int, headers: HTTPHeaders) -> bool:
     if status in (204, 304):
         return True
