Add a router by distance, load and link budget

The call path had only the protocol of a router. NearestRouter sends to the VM, data centre and region in this order, by two random choices on own outstanding attempts and the reported load, which fades with its age; the other region gets an attempt only when the own would refuse it and the node's share of the link allows its size. A node that refused is tried again by one attempt at a time.

Member rows gain the UDP port of membership messages and an order of supersession.

--- /dev/null
+++ b/packages/policy/ibisspoke_policy/load_estimate.py
@@ -0,0 +1,117 @@
+"""Estimate of another node's load from its answers and own outstanding attempts."""
+
+import math
+from typing import NamedTuple
+
+from .admission import AdmissionLevel
+from .catalogue import Importance
+
+LOAD_HALF_LIFE_MS = 1_000.0
+FULL_LOAD = 1.0
+RETURN_LOAD = 0.8
+MIN_VERDICT_MS = 50.0
+MAX_VERDICT_MS = 1_000.0
+FAILURE_LIMIT = 2
+FAILURE_HOLD_MS = 1_000.0
+MAX_FAILURE_HOLD_MS = 8_000.0
+
+
+class Report(NamedTuple):
+    """The last level that a node reported, and when."""
+
+    level: AdmissionLevel
+    at_ms: float
+
+
+class LoadEstimate:
+    """What is known of the load of one node.
+
+    A node that refused is left alone until its verdict expires; then one attempt
+    tries it again before others follow.
+    """
+
+    __slots__ = (
+        "n_outstanding",
+        "_report",
+        "_is_full",
+        "_is_trying",
+        "_n_failures",
+        "_held_until_ms",
+    )
+
+    def __init__(self) -> None:
+        self.n_outstanding = 0
+        self._report: Report | None = None
+        self._is_full = False
+        self._is_trying = False
+        self._n_failures = 0
+        self._held_until_ms = 0.0
+
+    def __repr__(self) -> str:
+        return f"LoadEstimate({self.n_outstanding} outstanding, {self._report})"
+
+    def score(self, now_ms: float) -> float:
+        """Return the expected load; the reported part fades with its age."""
+        if self._report is None:
+            return float(self.n_outstanding)
+        level, at_ms = self._report
+        age_ms = max(0.0, now_ms - at_ms)
+        fade = math.exp2(-age_ms / LOAD_HALF_LIFE_MS)
+        return level.load * fade + self.n_outstanding / max(1, level.limit)
+
+    def is_held(self, now_ms: float) -> bool:
+        """Whether it gave no answer lately."""
+        if self._n_failures < FAILURE_LIMIT:
+            return False
+        return now_ms < self._held_until_ms or self._is_trying
+
+    def is_full(self, now_ms: float) -> bool:
+        """Whether it reported a used-up limit and no headroom since."""
+        return self._is_full and self._is_fresh(now_ms)
+
+    def would_refuse(self, importance: Importance, now_ms: float) -> bool:
+        """Whether its last answer says that an attempt would be refused now."""
+        if self._report is None or self._report.level.shed_below <= importance:
+            return False
+        return self._is_fresh(now_ms)
+
+    def level(self) -> AdmissionLevel | None:
+        """Return the last reported level."""
+        return self._report.level if self._report is not None else None
+
+    def sent(self) -> None:
+        """Count an attempt as outstanding."""
+        self.n_outstanding += 1
+        if self._is_full or self._n_failures >= FAILURE_LIMIT or self._is_shedding:
+            self._is_trying = True
+
+    def done(self, level: AdmissionLevel | None, now_ms: float) -> None:
+        """Count an attempt as ended; no level means that no answer came."""
+        self.n_outstanding = max(0, self.n_outstanding - 1)
+        self._is_trying = False
+        if level is None:
+            self._fail(now_ms)
+            return
+        self._n_failures = 0
+        self._report = Report(level, now_ms)
+        if level.load >= FULL_LOAD:
+            self._is_full = True
+        elif level.load < RETURN_LOAD:
+            self._is_full = False
+
+    @property
+    def _is_shedding(self) -> bool:
+        return self._report is not None and self._report.level.shed_below > 0
+
+    def _is_fresh(self, now_ms: float) -> bool:
+        if self._report is None:
+            return False
+        level, at_ms = self._report
+        wait_ms = min(MAX_VERDICT_MS, max(MIN_VERDICT_MS, level.retry_after_ms))
+        return now_ms - at_ms < wait_ms or self._is_trying
+
+    def _fail(self, now_ms: float) -> None:
+        self._n_failures += 1
+        n_doublings = max(0, self._n_failures - FAILURE_LIMIT)
+        hold_ms = min(MAX_FAILURE_HOLD_MS, FAILURE_HOLD_MS * 2.0 ** min(n_doublings, 8))
+        self._held_until_ms = now_ms + hold_ms
--- a/packages/policy/ibisspoke_policy/member.py
+++ b/packages/policy/ibisspoke_policy/member.py
@@ -27,7 +27,8 @@
     :param service: service of the announced upstream; empty when none.
     :param n_slots: slots that the upstream announced.
     :param draining: whether it takes no new work.
-    :param catalogue_version: the version in force there.
+    :param catalogue_version: the version in force there when the row was written.
+    :param membership_port: UDP port for membership messages; 0 when it has none.
     """
 
     id: str
@@ -43,12 +44,30 @@
     draining: bool
     state: MemberState
     catalogue_version: int
+    membership_port: int = 0
+
+    @property
+    def is_present(self) -> bool:
+        """Whether its process is believed to run."""
+        return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
     @property
     def takes_calls(self) -> bool:
         """Whether calls may be sent there."""
-        usable = self.state in (MemberState.ALIVE, MemberState.SUSPECT)
-        return usable and bool(self.service) and not self.draining
+        return self.is_present and bool(self.service) and not self.draining
+
+    def supersedes(self, other: "Member") -> bool:
+        """Whether this row is newer than ``other``, a row of the same id."""
+        if self.incarnation != other.incarnation:
+            return self.incarnation > other.incarnation
+        return _RANK_BY_STATE[self.state] > _RANK_BY_STATE[other.state]
+
 
+_RANK_BY_STATE = {
+    MemberState.ALIVE: 0,
+    MemberState.SUSPECT: 1,
+    MemberState.DEAD: 2,
+    MemberState.LEFT: 3,
+}
 
 MemberTable = Table[str, Member]
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/member_index.py
@@ -0,0 +1,105 @@
+"""Members of each service by distance from this node."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from .member import Member, MemberTable
+
+
+class Distance(IntEnum):
+    """How far a member is from this node; the nearest is preferred."""
+
+    VM = 0
+    DATA_CENTRE = 1
+    REGION = 2
+    OTHER_REGION = 3
+
+
+class Place(NamedTuple):
+    """Where this node stands."""
+
+    member_id: str
+    region: str
+    data_centre: str
+
+    def distance(self, member: Member) -> Distance:
+        """Return how far ``member`` is from here."""
+        if member.id == self.member_id:
+            return Distance.VM
+        if member.region != self.region:
+            return Distance.OTHER_REGION
+        if member.data_centre != self.data_centre:
+            return Distance.REGION
+        return Distance.DATA_CENTRE
+
+
+Tiers = tuple[list[Member], list[Member], list[Member], list[Member]]
+
+
+class MemberIndex:
+    """Keep the members that take calls by service and distance.
+
+    :param members: read when the index is created or rebuilt.
+    :param place: where this node stands.
+    """
+
+    def __init__(self, members: MemberTable, place: Place) -> None:
+        self._members = members
+        self._place = place
+        self._tiers_by_service: dict[str, Tiers] = {}
+        self._service_by_id: dict[str, str] = {}
+        self._region_by_id: dict[str, str] = {}
+        self._n_by_region: dict[str, int] = {}
+        self.rebuild()
+
+    def __repr__(self) -> str:
+        return f"MemberIndex({len(self._service_by_id)} members)"
+
+    @property
+    def n_in_region(self) -> int:
+        """The members of the own region that are not known to be gone."""
+        return max(1, self._n_by_region.get(self._place.region, 0))
+
+    def tiers(self, service: str) -> Tiers | None:
+        """Return the members of ``service``, nearest first."""
+        return self._tiers_by_service.get(service)
+
+    def rebuild(self) -> None:
+        """Read the whole table anew."""
+        self._tiers_by_service.clear()
+        self._service_by_id.clear()
+        self._region_by_id.clear()
+        self._n_by_region.clear()
+        for member in self._members.rows():
+            self._add(member)
+
+    def refresh(self, member_id: str) -> None:
+        """Read one row of the table anew."""
+        self._remove(member_id)
+        member = self._members.get(member_id)
+        if member is not None:
+            self._add(member)
+
+    def _add(self, member: Member) -> None:
+        if member.is_present:
+            self._region_by_id[member.id] = member.region
+            count = self._n_by_region.get(member.region, 0)
+            self._n_by_region[member.region] = count + 1
+        if not member.takes_calls:
+            return
+        self._service_by_id[member.id] = member.service
+        tiers = self._tiers_by_service.setdefault(member.service, ([], [], [], []))
+        tiers[self._place.distance(member)].append(member)
+
+    def _remove(self, member_id: str) -> None:
+        region = self._region_by_id.pop(member_id, None)
+        if region is not None:
+            self._n_by_region[region] -= 1
+        service = self._service_by_id.pop(member_id, None)
+        if service is None:
+            return
+        tiers = self._tiers_by_service[service]
+        for tier in tiers:
+            tier[:] = [member for member in tier if member.id != member_id]
+        if not any(tiers):
+            del self._tiers_by_service[service]
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/nearest_router.py
@@ -0,0 +1,205 @@
+"""Router that sends nearest first, by two random choices on load."""
+
+import random
+from collections.abc import Callable
+
+from .admission import AdmissionLevel
+from .link_budget import LinkBudget, LinkTraffic
+from .load_estimate import LoadEstimate
+from .member import Member, MemberState, MemberTable
+from .member_index import Distance, MemberIndex, Place, Tiers
+from .routing import RouteQuery
+
+N_RANDOM_CHOICES = 2
+
+Test = Callable[[Member], bool]
+
+
+class NearestRouter:
+    """Choose nodes by distance, then by load.
+
+    A farther node of the own region gets an attempt when the nearer ones are full;
+    the other region gets it only when all of the own region would refuse it and
+    the link's budget allows its size.
+
+    :param members: rows of the fleet; report changes with :meth:`refresh`.
+    :param place: where this node stands.
+    :param rng: source of the random choices.
+    :param now_ms: time of creation.
+    """
+
+    def __init__(
+        self, members: MemberTable, place: Place, rng: random.Random, now_ms: float
+    ) -> None:
+        self._place = place
+        self._rng = rng
+        self._index = MemberIndex(members, place)
+        self._members = members
+        self._load_by_id: dict[str, LoadEstimate] = {}
+        self._unreachable_data_centres: frozenset[str] = frozenset()
+        self.budget = LinkBudget(self._index.n_in_region, now_ms)
+
+    def __repr__(self) -> str:
+        return f"NearestRouter({self._index!r})"
+
+    def refresh(self, member_id: str, now_ms: float) -> None:
+        """Take in a changed row of the member table."""
+        self._index.refresh(member_id)
+        member = self._members.get(member_id)
+        if member is None or not member.is_present:
+            self._load_by_id.pop(member_id, None)
+        self.budget.resize(self._index.n_in_region, now_ms)
+
+    def rebuild(self, now_ms: float) -> None:
+        """Read the whole member table anew."""
+        self._index.rebuild()
+        self.budget.resize(self._index.n_in_region, now_ms)
+
+    def set_unreachable(self, data_centres: frozenset[str]) -> None:
+        """Send nothing to ``data_centres`` until told otherwise."""
+        self._unreachable_data_centres = data_centres
+
+    def choose(self, query: RouteQuery, now_ms: float) -> Member | None:
+        """Return the node for the attempt, or None when none takes calls."""
+        tiers = self._index.tiers(query.service)
+        if tiers is None:
+            return None
+        member = self._choose_near(tiers, query, now_ms)
+        if member is None:
+            member = self._choose_far(tiers, query, now_ms)
+        if member is None:
+            member = self._choose_unlikely(tiers, query, now_ms)
+        return member
+
+    def shed_early(self, query: RouteQuery, now_ms: float) -> AdmissionLevel | None:
+        """Return the level by which every node in reach would refuse, or None."""
+        tiers = self._index.tiers(query.service)
+        if tiers is None:
+            return None
+        soonest: AdmissionLevel | None = None
+        for distance in Distance:
+            if soonest is not None and not self._may_reach(distance, query, now_ms):
+                break
+            for member in tiers[distance]:
+                if member.data_centre in self._unreachable_data_centres:
+                    continue
+                load = self._load_by_id.get(member.id)
+                if load is None or not load.would_refuse(query.importance, now_ms):
+                    return None
+                level = load.level()
+                if level is not None and _is_sooner(level, soonest):
+                    soonest = level
+        return soonest
+
+    def sent(self, member_id: str, now_ms: float) -> None:
+        """Count an attempt as outstanding."""
+        self._load(member_id).sent()
+
+    def done(self, member_id: str, level: AdmissionLevel | None, now_ms: float) -> None:
+        """Count an attempt as ended and keep the level on its answer."""
+        load = self._load_by_id.get(member_id)
+        if load is not None:
+            load.done(level, now_ms)
+
+    def count_bytes(self, member_id: str, n_bytes: int, now_ms: float) -> None:
+        """Count the bytes of a body sent to or received from a member."""
+        member = self._members.get(member_id)
+        if member is not None and member.region != self._place.region:
+            self.budget.spend(LinkTraffic.CALLS, n_bytes, now_ms)
+
+    def _choose_near(
+        self, tiers: Tiers, query: RouteQuery, now_ms: float
+    ) -> Member | None:
+        for distance in (Distance.VM, Distance.DATA_CENTRE, Distance.REGION):
+
+            def has_headroom(member: Member) -> bool:
+                return self._accepts(member, query, now_ms) and not self._is_full(
+                    member, now_ms
+                )
+
+            member = self._pick(tiers[distance], has_headroom, now_ms)
+            if member is not None:
+                return member
+        return self._choose_full(tiers, query, now_ms)
+
+    def _choose_full(
+        self, tiers: Tiers, query: RouteQuery, now_ms: float
+    ) -> Member | None:
+        near = [member for tier in tiers[: Distance.OTHER_REGION] for member in tier]
+        return self._pick(
+            near, lambda member: self._accepts(member, query, now_ms), now_ms
+        )
+
+    def _choose_far(
+        self, tiers: Tiers, query: RouteQuery, now_ms: float
+    ) -> Member | None:
+        far = tiers[Distance.OTHER_REGION]
+        if not far or not self._may_reach(Distance.OTHER_REGION, query, now_ms):
+            return None
+        return self._pick(
+            far, lambda member: self._accepts(member, query, now_ms), now_ms
+        )
+
+    def _choose_unlikely(
+        self, tiers: Tiers, query: RouteQuery, now_ms: float
+    ) -> Member | None:
+        """Return a node that may refuse or not answer, rather than none."""
+        for distance in Distance:
+            if not self._may_reach(distance, query, now_ms):
+                return None
+            member = self._pick(
+                tiers[distance],
+                lambda member: self._is_candidate(member, query),
+                now_ms,
+            )
+            if member is not None:
+                return member
+        return None
+
+    def _pick(self, tier: list[Member], test: Test, now_ms: float) -> Member | None:
+        if not tier:
+            return None
+        some = [self._rng.choice(tier) for _ in range(N_RANDOM_CHOICES)]
+        if not all(test(member) for member in some):
+            passing = [member for member in tier if test(member)]
+            if not passing:
+                return None
+            some = [self._rng.choice(passing) for _ in range(N_RANDOM_CHOICES)]
+        return min(some, key=lambda member: self._load(member.id).score(now_ms))
+
+    def _may_reach(self, distance: Distance, query: RouteQuery, now_ms: float) -> bool:
+        if distance is not Distance.OTHER_REGION:
+            return True
+        return self.budget.allows(query.n_bytes, now_ms)
+
+    def _accepts(self, member: Member, query: RouteQuery, now_ms: float) -> bool:
+        if member.state is MemberState.SUSPECT:
+            return False
+        if not self._is_candidate(member, query):
+            return False
+        load = self._load_by_id.get(member.id)
+        if load is None:
+            return True
+        if load.is_held(now_ms):
+            return False
+        return not load.would_refuse(query.importance, now_ms)
+
+    def _is_candidate(self, member: Member, query: RouteQuery) -> bool:
+        if member.id in query.excluded:
+            return False
+        return member.data_centre not in self._unreachable_data_centres
+
+    def _is_full(self, member: Member, now_ms: float) -> bool:
+        load = self._load_by_id.get(member.id)
+        return load is not None and load.is_full(now_ms)
+
+    def _load(self, member_id: str) -> LoadEstimate:
+        load = self._load_by_id.get(member_id)
+        if load is None:
+            load = LoadEstimate()
+            self._load_by_id[member_id] = load
+        return load
+
+
+def _is_sooner(level: AdmissionLevel, other: AdmissionLevel | None) -> bool:
+    return other is None or level.retry_after_ms < other.retry_after_ms
