--- /dev/null
+++ b/packages/policy/ibisspoke_policy/membership.py
@@ -0,0 +1,299 @@
+"""Membership of one node: its view of the fleet, kept by messages and ticks."""
+
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from .attention import AttentiveTime
+from .failure_detector import FailureDetector
+from .member import Member, MemberState, MemberTable
+from .member_view import MemberView
+from .membership_messages import (
+    MAX_ROWS_PER_MESSAGE,
+    Action,
+    Changed,
+    Evidence,
+    MembershipMessage,
+    MessageKind,
+    Reach,
+    ReachChanged,
+    Reply,
+    Send,
+    Synchronise,
+)
+from .membership_times import MembershipTimes
+from .message_writer import MessageWriter
+from .relay_reach import RelayReach
+from .watch_plan import RingWatch, WatchPlan
+
+FORGET_PERIOD_MS = 60_000.0
+
+
+class Membership:
+    """Keep the member table; every method returns actions for the caller.
+
+    :param own: row of this node; its incarnation must exceed that of any earlier
+        process with the same id.
+    :param members: the table to keep.
+    :param rng: source of random peers.
+    :param now_ms: time of creation.
+    :param times: periods and sizes.
+    :param plan: who watches whom; the ring by default.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        members: MemberTable,
+        rng: random.Random,
+        now_ms: float,
+        times: MembershipTimes = MembershipTimes(),  # noqa: B008
+        plan: WatchPlan | None = None,
+    ) -> None:
+        self._times = times
+        self._rng = rng
+        self._plan = plan or RingWatch(times.n_watchers, times.n_max_watched)
+        self._attention = AttentiveTime(now_ms)
+        self.view = MemberView(members)
+        self.view.apply(own, now_ms)
+        self._writer = MessageWriter(own, self.view, times.n_repeats)
+        self._detector = FailureDetector(
+            self.view, self._writer, self._attention, self._plan, times, rng
+        )
+        self._reach = RelayReach(self.view, self._writer, self._attention, times, rng)
+        self._unreachable: frozenset[str] = frozenset()
+        self._next_heartbeat_ms = rng.uniform(0.0, times.heartbeat_ms)
+        self._next_forget_ms = now_ms + FORGET_PERIOD_MS
+        self._differs_since_ms: float | None = None
+        self._synchronised_ms = float("-inf")
+
+    def __repr__(self) -> str:
+        return f"Membership({self.own.id!r}, {len(self.view.members)} members)"
+
+    @property
+    def own(self) -> Member:
+        """The row of this node."""
+        return self._writer.own
+
+    @property
+    def unreachable(self) -> frozenset[str]:
+        """The data centres that cannot be reached from here."""
+        return self._unreachable
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this node lost sight of much of its data centre at once."""
+        return self._detector.is_cut_off
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this node talks to other data centres."""
+        return self._reach.is_relay
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Send what is due and decide on silent members."""
+        self._attention.advance(now_ms)
+        findings = self._detector.tick()
+        self._writer.is_deaf = self._detector.is_deaf
+        actions = [*findings.actions, *self._take(findings.rows, now_ms)]
+        actions.extend(self._heartbeats())
+        pings, reports = self._reach.tick()
+        actions.extend(pings)
+        actions.extend(self._take_reaches(reports))
+        actions.extend(self._reach_change())
+        if now_ms >= self._next_forget_ms:
+            self._next_forget_ms = now_ms + FORGET_PERIOD_MS
+            self.view.forget_gone(now_ms)
+        return actions
+
+    def receive(self, message: MembershipMessage, now_ms: float) -> list[Action]:
+        """Take in a message of another node."""
+        self._attention.advance(now_ms)
+        if message.sender == self.own.id:
+            return []
+        actions = self._take(message.rows, now_ms)
+        actions.extend(self._recognise(message))
+        actions.extend(self._answer(message))
+        actions.extend(self._take_reaches(message.reaches))
+        actions.extend(self._reach_change())
+        actions.extend(self._compare(message, now_ms))
+        return actions
+
+    def announce(self, now_ms: float, **fields: Any) -> list[Action]:
+        """Change fields of the own row and tell the fleet."""
+        row = self.own._replace(incarnation=self.own.incarnation + 1, **fields)
+        return self._renew(row, now_ms)
+
+    def note_version(self, catalogue_version: int) -> None:
+        """Set the version in the own row without telling the fleet."""
+        self._writer.own = self.own._replace(catalogue_version=catalogue_version)
+        self.view.members.put(self.own.id, self.own)
+
+    def leave(self, now_ms: float) -> list[Action]:
+        """Tell the fleet that this process ends."""
+        return self.announce(now_ms, state=MemberState.LEFT, draining=True)
+
+    def merge(self, rows: Iterable[Member], now_ms: float) -> list[Action]:
+        """Take in rows of another view; few new ones are passed on."""
+        fresh = list(rows)
+        if len(fresh) <= MAX_ROWS_PER_MESSAGE:
+            return self._take(fresh, now_ms)
+        changed, actions = self._apply(fresh, now_ms)
+        return [*actions, *(Changed(row.id) for row in changed)]
+
+    def note_life(self, member_id: str) -> None:
+        """Note an answer of a member to a call as a sign of life."""
+        self._detector.note_life(member_id)
+
+    def connection_lost(self, member_id: str, now_ms: float) -> list[Action]:
+        """Check a member whose connection broke."""
+        self._attention.advance(now_ms)
+        return self._detector.doubt(member_id)
+
+    def checked(
+        self, member_id: str, evidence: Evidence, started_ms: float, now_ms: float
+    ) -> list[Action]:
+        """Take in the result of a direct check."""
+        self._attention.advance(now_ms)
+        return self._detector.checked(member_id, evidence, started_ms)
+
+    def _renew(self, row: Member, now_ms: float) -> list[Action]:
+        self._writer.own = row
+        self.view.apply(row, now_ms)
+        return [Changed(row.id), *self._spread((row,), is_own=True)]
+
+    def _take(self, rows: Iterable[Member], now_ms: float) -> list[Action]:
+        changed, actions = self._apply(rows, now_ms)
+        actions.extend(Changed(row.id) for row in changed)
+        if changed:
+            actions.extend(self._spread(tuple(changed)))
+        return actions
+
+    def _apply(
+        self, rows: Iterable[Member], now_ms: float
+    ) -> tuple[list[Member], list[Action]]:
+        changed: list[Member] = []
+        actions: list[Action] = []
+        for row in rows:
+            if row.id == self.own.id:
+                actions.extend(self._refute(row, now_ms))
+            elif self.view.apply(row, now_ms):
+                changed.append(row)
+        return changed, actions
+
+    def _refute(self, row: Member, now_ms: float) -> list[Action]:
+        """Announce this node again where others hold a newer row of it."""
+        if not row.supersedes(self.own) or not self.own.is_present:
+            return []
+        own = self.own._replace(incarnation=row.incarnation + 1)
+        return self._renew(own, now_ms)
+
+    def _spread(self, rows: tuple[Member, ...], is_own: bool = False) -> list[Action]:
+        for row in rows:
+            self._writer.repeat(row.id)
+        targets = self._random_peers()
+        if is_own:
+            targets.update(dict.fromkeys(self._reach.relays(self.own.data_centre)))
+            targets.update(dict.fromkeys(self._heartbeat_targets()))
+        actions = self._send_rows(targets, rows)
+        if self.is_relay:
+            near = [row for row in rows if row.data_centre == self.own.data_centre]
+            far = dict.fromkeys(self._reach.far_relays())
+            actions.extend(self._send_rows(far, tuple(near)))
+        return actions
+
+    def _send_rows(
+        self, targets: dict[str, None], rows: tuple[Member, ...]
+    ) -> list[Action]:
+        actions: list[Action] = []
+        targets.pop(self.own.id, None)
+        for start in range(0, len(rows), MAX_ROWS_PER_MESSAGE):
+            part = rows[start : start + MAX_ROWS_PER_MESSAGE]
+            message = self._writer.write(MessageKind.UPDATE, rows=part)
+            actions.extend(Send(target, message) for target in targets)
+        return actions
+
+    def _random_peers(self) -> dict[str, None]:
+        ring = self.view.ring(self.own.data_centre)
+        if not len(ring):
+            return {}
+        n_peers = self._times.fan_out
+        picks = (ring[self._rng.randrange(len(ring))] for _ in range(n_peers))
+        return dict.fromkeys(picks)
+
+    def _heartbeat_targets(self) -> list[str]:
+        ring = self.view.ring(self.own.data_centre)
+        return self._plan.heartbeat_targets(self.own.id, ring)
+
+    def _heartbeats(self) -> list[Action]:
+        at_ms = self._attention.ms
+        if at_ms < self._next_heartbeat_ms or not self.own.is_present:
+            return []
+        period_ms = self._times.heartbeat_ms
+        self._next_heartbeat_ms = max(at_ms, self._next_heartbeat_ms + period_ms)
+        rows = self._writer.repeated_rows()
+        message = self._writer.write(MessageKind.HEARTBEAT, rows=rows)
+        return [Send(target, message) for target in self._heartbeat_targets()]
+
+    def _recognise(self, message: MembershipMessage) -> list[Action]:
+        """Take a message as a sign of life, or correct what its sender believes."""
+        row = self.view.members.get(message.sender)
+        if row is None or message.incarnation > row.incarnation:
+            return [Reply(self._writer.write(MessageKind.INTRODUCE))]
+        if row.state is not MemberState.ALIVE:
+            return [Reply(self._writer.write(MessageKind.UPDATE, rows=(row,)))]
+        if message.incarnation == row.incarnation:
+            self._detector.hear(message)
+        return []
+
+    def _answer(self, message: MembershipMessage) -> list[Action]:
+        if message.kind is MessageKind.PING:
+            return [Reply(self._writer.write(MessageKind.ACK))]
+        if message.kind is MessageKind.INTRODUCE:
+            update = self._writer.write(MessageKind.UPDATE, rows=(self.own,))
+            return [Reply(update)]
+        if message.kind is MessageKind.ACCUSE:
+            if message.subject == self.own.id:
+                return [Reply(self._writer.write(MessageKind.ACK))]
+            return self._detector.accused(message)
+        if message.kind is MessageKind.VOUCH:
+            self._detector.vouched(message)
+        elif message.kind is MessageKind.ACK:
+            row = self.view.members.get(message.sender)
+            if row is not None and row.data_centre != self.own.data_centre:
+                self._reach.hear(row.data_centre)
+        return []
+
+    def _take_reaches(self, reaches: Iterable[Reach]) -> list[Action]:
+        fresh = tuple(reach for reach in reaches if self._reach.apply(reach))
+        if not fresh:
+            return []
+        message = self._writer.write(MessageKind.UPDATE, reaches=fresh)
+        targets = self._random_peers()
+        targets.update(dict.fromkeys(self._heartbeat_targets()))
+        targets.pop(self.own.id, None)
+        return [Send(target, message) for target in targets]
+
+    def _reach_change(self) -> list[Action]:
+        unreachable = self._reach.unreachable
+        if unreachable == self._unreachable:
+            return []
+        self._unreachable = unreachable
+        return [ReachChanged(unreachable)]
+
+    def _compare(self, message: MembershipMessage, now_ms: float) -> list[Action]:
+        """Ask for a comparison when views stay different."""
+        if message.digest == self.view.digest.total:
+            self._differs_since_ms = None
+            return []
+        if self._differs_since_ms is None:
+            self._differs_since_ms = now_ms
+        sync_ms = self._times.sync_ms
+        if now_ms - self._differs_since_ms < sync_ms / 2:
+            return []
+        if now_ms - self._synchronised_ms < sync_ms:
+            return []
+        if self.view.present(message.sender) is None:
+            return []
+        self._synchronised_ms = now_ms
+        return [Synchronise(message.sender)]
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/membership_times.py
@@ -0,0 +1,43 @@
+"""Periods and sizes of membership."""
+
+from typing import NamedTuple
+
+
+class MembershipTimes(NamedTuple):
+    """Periods in milliseconds, and numbers of peers.
+
+    :param heartbeat_ms: between heartbeats to the nodes that watch this one.
+    :param far_heartbeat_ms: between pings of a relay to another region.
+    :param ask_after_ms: silence after which a watched node is pinged.
+    :param suspect_after_ms: silence after which it is checked directly.
+    :param remove_after_ms: silence after which it may be removed.
+    :param remove_hung_after_ms: the same where its VM still takes connections.
+    :param vote_ms: for how long an accusation counts.
+    :param lost_after_ms: time without a round trip after which another data
+        centre is unreachable.
+    :param sync_ms: between two comparisons of views.
+    :param n_watchers: nodes that watch one node.
+    :param n_max_watched: nodes that one node watches when many are silent.
+    :param n_relays: nodes of a data centre that talk to other data centres.
+    :param n_far_relays: relays of another data centre that each of them talks to.
+    :param fan_out: peers that a new row is passed on to at once.
+    :param n_repeats: heartbeats on which a new row is repeated.
+    :param n_sample: other peers asked before a removal.
+    """
+
+    heartbeat_ms: float = 500.0
+    far_heartbeat_ms: float = 1_000.0
+    ask_after_ms: float = 750.0
+    suspect_after_ms: float = 1_000.0
+    remove_after_ms: float = 2_000.0
+    remove_hung_after_ms: float = 2_300.0
+    vote_ms: float = 2_000.0
+    lost_after_ms: float = 2_500.0
+    sync_ms: float = 2_000.0
+    n_watchers: int = 3
+    n_max_watched: int = 16
+    n_relays: int = 3
+    n_far_relays: int = 2
+    fan_out: int = 4
+    n_repeats: int = 3
+    n_sample: int = 5
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/relay_reach.py
@@ -0,0 +1,164 @@
+"""Relays between data centres, and which data centres can be reached."""
+
+import random
+
+from .attention import AttentiveTime
+from .member import Member
+from .member_ring import MemberRing
+from .member_view import MemberView
+from .membership_messages import Action, MembershipMessage, MessageKind, Reach, Send
+from .membership_times import MembershipTimes
+from .message_writer import MessageWriter
+
+
+class RelayReach:
+    """Ping other data centres where this node is a relay; keep all relays' reports.
+
+    The first nodes on the ring of a data centre are its relays. A data centre is
+    unreachable when every relay that reported on it says so.
+    """
+
+    def __init__(
+        self,
+        view: MemberView,
+        writer: MessageWriter,
+        attention: AttentiveTime,
+        times: MembershipTimes,
+        rng: random.Random,
+    ) -> None:
+        self._view = view
+        self._writer = writer
+        self._attention = attention
+        self._times = times
+        self._rng = rng
+        self._next_ping_ms_by_data_centre: dict[str, float] = {}
+        self._round_trip_ms_by_data_centre: dict[str, float] = {}
+        self._reported_ms_by_data_centre: dict[str, float] = {}
+        self._reach_by_key: dict[tuple[str, str], Reach] = {}
+
+    def __repr__(self) -> str:
+        return f"RelayReach(unreachable={sorted(self.unreachable)})"
+
+    @property
+    def _own(self) -> Member:
+        return self._writer.own
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this node talks to other data centres."""
+        return self._own.id in self.relays(self._own.data_centre)
+
+    @property
+    def unreachable(self) -> frozenset[str]:
+        """The data centres that no relay of the own one can reach."""
+        relays = self.relays(self._own.data_centre)
+        said_by_data_centre: dict[str, list[bool]] = {}
+        for reach in self._reach_by_key.values():
+            if reach.relay in relays:
+                said = said_by_data_centre.setdefault(reach.data_centre, [])
+                said.append(reach.is_reachable)
+        return frozenset(
+            data_centre
+            for data_centre, said in said_by_data_centre.items()
+            if not any(said)
+        )
+
+    def relays(self, data_centre: str) -> list[str]:
+        """Return the relays of a data centre."""
+        return self._view.ring(data_centre).first(self._times.n_relays)
+
+    def far_relays(self) -> list[str]:
+        """Return the nodes of other data centres that this relay talks to."""
+        found: list[str] = []
+        for data_centre in self._other_data_centres():
+            ring = self._view.ring(data_centre)
+            found.extend(ring.first(self._times.n_far_relays))
+        return found
+
+    def hear(self, data_centre: str) -> None:
+        """Note a round trip to another data centre."""
+        self._round_trip_ms_by_data_centre[data_centre] = self._attention.ms
+
+    def apply(self, reach: Reach) -> bool:
+        """Take in a relay's report.
+
+        :returns: whether it was new.
+        """
+        key = (reach.relay, reach.data_centre)
+        known = self._reach_by_key.get(key)
+        if known is not None and known.stamp >= reach.stamp:
+            return False
+        self._reach_by_key[key] = reach
+        return True
+
+    def tick(self) -> tuple[list[Action], list[Reach]]:
+        """Ping due data centres.
+
+        :returns: pings to send, and reports to pass on.
+        """
+        if not self.is_relay:
+            self._round_trip_ms_by_data_centre.clear()
+            self._next_ping_ms_by_data_centre.clear()
+            return [], []
+        actions: list[Action] = []
+        reports: list[Reach] = []
+        for data_centre in self._other_data_centres():
+            self._round_trip_ms_by_data_centre.setdefault(
+                data_centre, self._attention.ms
+            )
+            actions.extend(self._ping(data_centre))
+            report = self._report(data_centre)
+            if report is not None:
+                reports.append(report)
+        return actions, reports
+
+    def _other_data_centres(self) -> list[str]:
+        rings = self._view.rings_by_data_centre.items()
+        return [name for name, ring in rings if len(ring) and name != self._dc]
+
+    @property
+    def _dc(self) -> str:
+        return self._own.data_centre
+
+    def _ping(self, data_centre: str) -> list[Action]:
+        at_ms = self._attention.ms
+        if at_ms < self._next_ping_ms_by_data_centre.get(data_centre, 0.0):
+            return []
+        region = self._view.region_by_data_centre[data_centre]
+        is_far = region != self._own.region
+        period_ms = self._times.far_heartbeat_ms if is_far else self._times.heartbeat_ms
+        self._next_ping_ms_by_data_centre[data_centre] = at_ms + period_ms
+        targets = self._targets(data_centre, self._view.ring(data_centre))
+        ping = self._message()
+        return [Send(target, ping) for target in targets]
+
+    def _targets(self, data_centre: str, ring: MemberRing) -> list[str]:
+        """Return relays there, and one more node while they do not answer."""
+        targets = ring.first(self._times.n_far_relays)
+        silence_ms = self._silence_ms(data_centre)
+        if silence_ms > self._times.lost_after_ms / 2:
+            targets.append(ring[self._rng.randrange(len(ring))])
+        return targets
+
+    def _message(self) -> MembershipMessage:
+        return self._writer.write(MessageKind.PING)
+
+    def _silence_ms(self, data_centre: str) -> float:
+        heard_ms = self._round_trip_ms_by_data_centre.get(data_centre)
+        return self._attention.ms - heard_ms if heard_ms is not None else 0.0
+
+    def _report(self, data_centre: str) -> Reach | None:
+        """Return a report if this relay's state changed, or is bad and due."""
+        at_ms = self._attention.ms
+        is_reachable = self._silence_ms(data_centre) < self._times.lost_after_ms
+        known = self._reach_by_key.get((self._own.id, data_centre))
+        was_reachable = known is None or known.is_reachable
+        reported_ms = self._reported_ms_by_data_centre.get(data_centre, float("-inf"))
+        is_due = known is None or (
+            not is_reachable and at_ms - reported_ms >= self._times.sync_ms
+        )
+        if is_reachable == was_reachable and not is_due:
+            return None
+        self._reported_ms_by_data_centre[data_centre] = at_ms
+        stamp = max(self._own.incarnation, known.stamp + 1 if known else 0)
+        return Reach(self._own.id, data_centre, is_reachable, stamp)
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/watch_plan.py
@@ -0,0 +1,56 @@
+"""Who watches whom inside a data centre."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from .member_ring import MemberRing
+
+IsQuiet = Callable[[str], bool]
+
+
+class WatchPlan(Protocol):
+    """Choose the peers that get heartbeats and those that are watched.
+
+    :ivar asks_at_once: whether a newly watched peer is pinged without waiting for
+        its silence.
+    """
+
+    asks_at_once: bool
+
+    def heartbeat_targets(self, own_id: str, ring: MemberRing) -> list[str]:
+        """Return the peers that expect this node's heartbeats."""
+
+    def watched(self, own_id: str, ring: MemberRing, is_quiet: IsQuiet) -> list[str]:
+        """Return the peers whose silence this node notices."""
+
+
+class RingWatch:
+    """Watch the next nodes on the ring, and more where these are silent.
+
+    :param n_watchers: nodes that watch one node.
+    :param n_max_watched: bound on the nodes watched.
+    """
+
+    asks_at_once = False
+
+    def __init__(self, n_watchers: int, n_max_watched: int) -> None:
+        self._n_watchers = n_watchers
+        self._n_max_watched = n_max_watched
+
+    def __repr__(self) -> str:
+        return f"RingWatch({self._n_watchers})"
+
+    def heartbeat_targets(self, own_id: str, ring: MemberRing) -> list[str]:
+        """Return the nodes before this one."""
+        return ring.predecessors(own_id, self._n_watchers)
+
+    def watched(self, own_id: str, ring: MemberRing, is_quiet: IsQuiet) -> list[str]:
+        """Return the nodes after this one, up to enough that are not silent."""
+        watched: list[str] = []
+        n_heard = 0
+        for member_id in ring.successors(own_id, self._n_max_watched):
+            watched.append(member_id)
+            n_heard += not is_quiet(member_id)
+            if n_heard == self._n_watchers:
+                break
+        return watched
