--- a/packages/policy/ibisspoke_policy/membership.py
+++ b/packages/policy/ibisspoke_policy/membership.py
@@ -62,7 +62,7 @@
         )
         self._reach = RelayReach(self.view, self._writer, self._attention, times, rng)
         self._unreachable: frozenset[str] = frozenset()
-        self._next_heartbeat_ms = rng.uniform(0.0, times.heartbeat_ms)
+        self._next_heartbeat_ms = now_ms + rng.uniform(0.0, times.heartbeat_ms)
         self._next_forget_ms = now_ms + FORGET_PERIOD_MS
         self._differs_since_ms: float | None = None
         self._synchronised_ms = float("-inf")
@@ -96,7 +96,7 @@
         findings = self._detector.tick()
         self._writer.is_deaf = self._detector.is_deaf
         actions = [*findings.actions, *self._take(findings.rows, now_ms)]
-        actions.extend(self._heartbeats())
+        actions.extend(self._heartbeats(now_ms))
         pings, reports = self._reach.tick()
         actions.extend(pings)
         actions.extend(self._take_reaches(reports))
@@ -114,8 +114,9 @@
         actions = self._take(message.rows, now_ms)
         actions.extend(self._recognise(message))
         actions.extend(self._answer(message))
-        actions.extend(self._take_reaches(message.reaches))
-        actions.extend(self._reach_change())
+        if message.reaches:
+            actions.extend(self._take_reaches(message.reaches))
+            actions.extend(self._reach_change())
         actions.extend(self._compare(message, now_ms))
         return actions
 
@@ -225,12 +226,11 @@
         ring = self.view.ring(self.own.data_centre)
         return self._plan.heartbeat_targets(self.own.id, ring)
 
-    def _heartbeats(self) -> list[Action]:
-        at_ms = self._attention.ms
-        if at_ms < self._next_heartbeat_ms or not self.own.is_present:
+    def _heartbeats(self, now_ms: float) -> list[Action]:
+        if now_ms < self._next_heartbeat_ms or not self.own.is_present:
             return []
         period_ms = self._times.heartbeat_ms
-        self._next_heartbeat_ms = max(at_ms, self._next_heartbeat_ms + period_ms)
+        self._next_heartbeat_ms = max(now_ms, self._next_heartbeat_ms + period_ms)
         rows = self._writer.repeated_rows()
         message = self._writer.write(MessageKind.HEARTBEAT, rows=rows)
         return [Send(target, message) for target in self._heartbeat_targets()]
--- a/packages/policy/ibisspoke_policy/relay_reach.py
+++ b/packages/policy/ibisspoke_policy/relay_reach.py
@@ -6,7 +6,7 @@
 from .member import Member
 from .member_ring import MemberRing
 from .member_view import MemberView
-from .membership_messages import Action, MembershipMessage, MessageKind, Reach, Send
+from .membership_messages import Action, MessageKind, Reach, Send
 from .membership_times import MembershipTimes
 from .message_writer import MessageWriter
 
@@ -34,6 +34,7 @@
         self._next_ping_ms_by_data_centre: dict[str, float] = {}
         self._round_trip_ms_by_data_centre: dict[str, float] = {}
         self._reported_ms_by_data_centre: dict[str, float] = {}
+        self._answered: set[str] = set()
         self._reach_by_key: dict[tuple[str, str], Reach] = {}
 
     def __repr__(self) -> str:
@@ -78,6 +79,7 @@
     def hear(self, data_centre: str) -> None:
         """Note a round trip to another data centre."""
         self._round_trip_ms_by_data_centre[data_centre] = self._attention.ms
+        self._answered.add(data_centre)
 
     def apply(self, reach: Reach) -> bool:
         """Take in a relay's report.
@@ -98,6 +100,7 @@
         """
         if not self.is_relay:
             self._round_trip_ms_by_data_centre.clear()
+            self._answered.clear()
             self._next_ping_ms_by_data_centre.clear()
             return [], []
         actions: list[Action] = []
@@ -106,7 +109,7 @@
             self._round_trip_ms_by_data_centre.setdefault(
                 data_centre, self._attention.ms
             )
-            actions.extend(self._ping(data_centre))
+            actions.extend(self._pings(data_centre))
             report = self._report(data_centre)
             if report is not None:
                 reports.append(report)
@@ -114,13 +117,10 @@
 
     def _other_data_centres(self) -> list[str]:
         rings = self._view.rings_by_data_centre.items()
-        return [name for name, ring in rings if len(ring) and name != self._dc]
+        own = self._own.data_centre
+        return [name for name, ring in rings if len(ring) and name != own]
 
-    @property
-    def _dc(self) -> str:
-        return self._own.data_centre
-
-    def _ping(self, data_centre: str) -> list[Action]:
+    def _pings(self, data_centre: str) -> list[Action]:
         at_ms = self._attention.ms
         if at_ms < self._next_ping_ms_by_data_centre.get(data_centre, 0.0):
             return []
@@ -129,7 +129,7 @@
         period_ms = self._times.far_heartbeat_ms if is_far else self._times.heartbeat_ms
         self._next_ping_ms_by_data_centre[data_centre] = at_ms + period_ms
         targets = self._targets(data_centre, self._view.ring(data_centre))
-        ping = self._message()
+        ping = self._writer.write(MessageKind.PING)
         return [Send(target, ping) for target in targets]
 
     def _targets(self, data_centre: str, ring: MemberRing) -> list[str]:
@@ -140,9 +140,6 @@
             targets.append(ring[self._rng.randrange(len(ring))])
         return targets
 
-    def _message(self) -> MembershipMessage:
-        return self._writer.write(MessageKind.PING)
-
     def _silence_ms(self, data_centre: str) -> float:
         heard_ms = self._round_trip_ms_by_data_centre.get(data_centre)
         return self._attention.ms - heard_ms if heard_ms is not None else 0.0
@@ -152,6 +149,8 @@
         at_ms = self._attention.ms
         is_reachable = self._silence_ms(data_centre) < self._times.lost_after_ms
         known = self._reach_by_key.get((self._own.id, data_centre))
+        if is_reachable and known is None and data_centre not in self._answered:
+            return None
         was_reachable = known is None or known.is_reachable
         reported_ms = self._reported_ms_by_data_centre.get(data_centre, float("-inf"))
         is_due = known is None or (
