--- a/packages/policy/ibisspoke_policy/failure_detector.py
+++ b/packages/policy/ibisspoke_policy/failure_detector.py
@@ -24,6 +24,7 @@
 ASK_PERIOD_MS = 250.0
 CHECK_PERIOD_MS = 500.0
 MIN_CUT_OFF = 2
+CUT_OFF_SHARE = 1 / 3
 
 
 class Findings(NamedTuple):
@@ -79,13 +80,14 @@
 
     @property
     def is_cut_off(self) -> bool:
-        """Whether about half of the data centre went silent together."""
+        """Whether a large part of the data centre went silent together."""
         ids = self._life.ids()
         n_silent = sum(
             self._is_quiet(member_id) and not self._is_proved_gone(member_id)
             for member_id in ids
         )
-        return n_silent >= MIN_CUT_OFF and 2 * n_silent >= len(ids) + 1
+        limit = (len(ids) + 1) * CUT_OFF_SHARE
+        return n_silent >= MIN_CUT_OFF and n_silent >= limit
 
     def hear(self, message: MembershipMessage) -> None:
         """Take a message as a sign of life of its sender."""
@@ -173,6 +175,8 @@
                 if voter != self._writer.own.id
             ]
         suspicion.vote(self._writer.own.id, evidence, self._attention.ms)
+        if self.is_cut_off:
+            return []
         return [
             self._accuse(recipient, member, evidence)
             for recipient in self._recipients(member)
--- a/packages/policy/ibisspoke_policy/member_index.py
+++ b/packages/policy/ibisspoke_policy/member_index.py
@@ -39,7 +39,7 @@
 class MemberIndex:
     """Keep the members that take calls by service and distance.
 
-    :param members: read when the index is created or rebuilt.
+    :param members: the rows; their changes are followed.
     :param place: where this node stands.
     """
 
@@ -50,7 +50,9 @@
         self._service_by_id: dict[str, str] = {}
         self._region_by_id: dict[str, str] = {}
         self._n_by_region: dict[str, int] = {}
-        self.rebuild()
+        for member in members.rows():
+            self._add(member)
+        members.subscribe(self._refresh)
 
     def __repr__(self) -> str:
         return f"MemberIndex({len(self._service_by_id)} members)"
@@ -64,17 +66,7 @@
         """Return the members of ``service``, nearest first."""
         return self._tiers_by_service.get(service)
 
-    def rebuild(self) -> None:
-        """Read the whole table anew."""
-        self._tiers_by_service.clear()
-        self._service_by_id.clear()
-        self._region_by_id.clear()
-        self._n_by_region.clear()
-        for member in self._members.rows():
-            self._add(member)
-
-    def refresh(self, member_id: str) -> None:
-        """Read one row of the table anew."""
+    def _refresh(self, member_id: str) -> None:
         self._remove(member_id)
         member = self._members.get(member_id)
         if member is not None:
--- a/packages/policy/ibisspoke_policy/member_view.py
+++ b/packages/policy/ibisspoke_policy/member_view.py
@@ -53,6 +53,17 @@
             self._gone_ms_by_id[row.id] = now_ms
         return True
 
+    def dead_in(self, data_centre: str) -> list[Member]:
+        """Return the members of a data centre that are held for dead."""
+        gone = (self.members.get(member_id) for member_id in self._gone_ms_by_id)
+        return [
+            row
+            for row in gone
+            if row is not None
+            and row.state is MemberState.DEAD
+            and row.data_centre == data_centre
+        ]
+
     def forget_gone(self, now_ms: float) -> None:
         """Drop rows of members that have been gone for long."""
         for member_id, gone_ms in list(self._gone_ms_by_id.items()):
--- a/packages/policy/ibisspoke_policy/membership.py
+++ b/packages/policy/ibisspoke_policy/membership.py
@@ -24,6 +24,7 @@
 from .membership_times import MembershipTimes
 from .message_writer import MessageWriter
 from .relay_reach import RelayReach
+from .view_comparison import ViewComparison
 from .watch_plan import RingWatch, WatchPlan
 
 FORGET_PERIOD_MS = 60_000.0
@@ -64,8 +65,8 @@
         self._unreachable: frozenset[str] = frozenset()
         self._next_heartbeat_ms = now_ms + rng.uniform(0.0, times.heartbeat_ms)
         self._next_forget_ms = now_ms + FORGET_PERIOD_MS
-        self._differs_since_ms: float | None = None
-        self._synchronised_ms = float("-inf")
+        self._next_retry_ms = now_ms
+        self._comparison = ViewComparison(times.sync_ms)
 
     def __repr__(self) -> str:
         return f"Membership({self.own.id!r}, {len(self.view.members)} members)"
@@ -99,6 +100,7 @@
         actions.extend(self._heartbeats(now_ms))
         pings, reports = self._reach.tick()
         actions.extend(pings)
+        actions.extend(self._retry_dead(now_ms))
         actions.extend(self._take_reaches(reports))
         actions.extend(self._reach_change())
         if now_ms >= self._next_forget_ms:
@@ -111,7 +113,11 @@
         self._attention.advance(now_ms)
         if message.sender == self.own.id:
             return []
+        incarnation = self.own.incarnation
         actions = self._take(message.rows, now_ms)
+        if self.own.incarnation != incarnation:
+            update = self._writer.write(MessageKind.UPDATE, rows=(self.own,))
+            actions.append(Reply(update))
         actions.extend(self._recognise(message))
         actions.extend(self._answer(message))
         if message.reaches:
@@ -235,6 +241,17 @@
         message = self._writer.write(MessageKind.HEARTBEAT, rows=rows)
         return [Send(target, message) for target in self._heartbeat_targets()]
 
+    def _retry_dead(self, now_ms: float) -> list[Action]:
+        """Speak to a member held for dead, as it may have been cut off."""
+        if now_ms < self._next_retry_ms or not self.is_relay:
+            return []
+        self._next_retry_ms = now_ms + self._times.retry_dead_ms
+        dead = self.view.dead_in(self.own.data_centre)
+        if not dead:
+            return []
+        message = self._writer.write(MessageKind.HEARTBEAT)
+        return [Send(self._rng.choice(dead).id, message)]
+
     def _recognise(self, message: MembershipMessage) -> list[Action]:
         """Take a message as a sign of life, or correct what its sender believes."""
         row = self.view.members.get(message.sender)
@@ -283,17 +300,8 @@
 
     def _compare(self, message: MembershipMessage, now_ms: float) -> list[Action]:
         """Ask for a comparison when views stay different."""
-        if message.digest == self.view.digest.total:
-            self._differs_since_ms = None
-            return []
-        if self._differs_since_ms is None:
-            self._differs_since_ms = now_ms
-        sync_ms = self._times.sync_ms
-        if now_ms - self._differs_since_ms < sync_ms / 2:
-            return []
-        if now_ms - self._synchronised_ms < sync_ms:
-            return []
         if self.view.present(message.sender) is None:
             return []
-        self._synchronised_ms = now_ms
+        if not self._comparison.is_due(message, self.view.digest.total, now_ms):
+            return []
         return [Synchronise(message.sender)]
--- a/packages/policy/ibisspoke_policy/membership_times.py
+++ b/packages/policy/ibisspoke_policy/membership_times.py
@@ -16,6 +16,7 @@
     :param lost_after_ms: time without a round trip after which another data
         centre is unreachable.
     :param sync_ms: between two comparisons of views.
+    :param retry_dead_ms: between messages of a relay to members held for dead.
     :param n_watchers: nodes that watch one node.
     :param n_max_watched: nodes that one node watches when many are silent.
     :param n_relays: nodes of a data centre that talk to other data centres.
@@ -34,10 +35,11 @@
     vote_ms: float = 2_000.0
     lost_after_ms: float = 2_500.0
     sync_ms: float = 2_000.0
+    retry_dead_ms: float = 1_000.0
     n_watchers: int = 3
     n_max_watched: int = 16
     n_relays: int = 3
     n_far_relays: int = 2
     fan_out: int = 4
     n_repeats: int = 3
-    n_sample: int = 5
+    n_sample: int = 8
--- a/packages/policy/ibisspoke_policy/nearest_router.py
+++ b/packages/policy/ibisspoke_policy/nearest_router.py
@@ -22,7 +22,7 @@
     the other region gets it only when all of the own region would refuse it and
     the link's budget allows its size.
 
-    :param members: rows of the fleet; report changes with :meth:`refresh`.
+    :param members: rows of the fleet; their changes are followed.
     :param place: where this node stands.
     :param rng: source of the random choices.
     :param now_ms: time of creation.
@@ -38,23 +38,11 @@
         self._load_by_id: dict[str, LoadEstimate] = {}
         self._unreachable_data_centres: frozenset[str] = frozenset()
         self.budget = LinkBudget(self._index.n_in_region, now_ms)
+        members.subscribe(self._forget_gone)
 
     def __repr__(self) -> str:
         return f"NearestRouter({self._index!r})"
 
-    def refresh(self, member_id: str, now_ms: float) -> None:
-        """Take in a changed row of the member table."""
-        self._index.refresh(member_id)
-        member = self._members.get(member_id)
-        if member is None or not member.is_present:
-            self._load_by_id.pop(member_id, None)
-        self.budget.resize(self._index.n_in_region, now_ms)
-
-    def rebuild(self, now_ms: float) -> None:
-        """Read the whole member table anew."""
-        self._index.rebuild()
-        self.budget.resize(self._index.n_in_region, now_ms)
-
     def set_unreachable(self, data_centres: frozenset[str]) -> None:
         """Send nothing to ``data_centres`` until told otherwise."""
         self._unreachable_data_centres = data_centres
@@ -107,6 +95,11 @@
         if member is not None and member.region != self._place.region:
             self.budget.spend(LinkTraffic.CALLS, n_bytes, now_ms)
 
+    def _forget_gone(self, member_id: str) -> None:
+        member = self._members.get(member_id)
+        if member is None or not member.is_present:
+            self._load_by_id.pop(member_id, None)
+
     def _choose_near(
         self, tiers: Tiers, query: RouteQuery, now_ms: float
     ) -> Member | None:
@@ -170,6 +163,7 @@
     def _may_reach(self, distance: Distance, query: RouteQuery, now_ms: float) -> bool:
         if distance is not Distance.OTHER_REGION:
             return True
+        self.budget.resize(self._index.n_in_region, now_ms)
         return self.budget.allows(query.n_bytes, now_ms)
 
     def _accepts(self, member: Member, query: RouteQuery, now_ms: float) -> bool:
--- a/packages/policy/ibisspoke_policy/table.py
+++ b/packages/policy/ibisspoke_policy/table.py
@@ -16,6 +16,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self._by_key: dict[K, R] = {}
+        self._listeners: list[Callable[[K], None]] = []
 
     def __repr__(self) -> str:
         return f"Table({self.name!r}, {len(self._by_key)} rows)"
@@ -32,6 +33,10 @@
     def __getitem__(self, key: K) -> R:
         return self._by_key[key]
 
+    def subscribe(self, listener: Callable[[K], None]) -> None:
+        """Call ``listener`` with the key of each row put, popped or replaced."""
+        self._listeners.append(listener)
+
     def get(self, key: K) -> R | None:
         """Return the row of ``key``, or None."""
         return self._by_key.get(key)
@@ -39,10 +44,15 @@
     def put(self, key: K, row: R) -> None:
         """Insert or replace the row of ``key``."""
         self._by_key[key] = row
+        for listener in self._listeners:
+            listener(key)
 
     def pop(self, key: K) -> R | None:
         """Remove and return the row of ``key``, or None."""
-        return self._by_key.pop(key, None)
+        row = self._by_key.pop(key, None)
+        for listener in self._listeners:
+            listener(key)
+        return row
 
     def items(self) -> list[tuple[K, R]]:
         """Return keys with rows; the table may change while they are read."""
@@ -58,4 +68,8 @@
 
     def replace_all(self, by_key: Mapping[K, R]) -> None:
         """Replace every row at once."""
+        keys = {**self._by_key, **by_key}
         self._by_key = dict(by_key)
+        for listener in self._listeners:
+            for key in keys:
+                listener(key)
