--- a/packages/policy/ibisspoke_policy/node_settings.py
+++ b/packages/policy/ibisspoke_policy/node_settings.py
@@ -65,6 +65,7 @@
     entry_port: NotRequired[Port]
     call_port: NotRequired[Port]
     control_port: NotRequired[Port]
+    membership_port: NotRequired[Port]
     status_port: NotRequired[Port]
 
 
@@ -123,6 +124,7 @@
     entry_port: int = 0
     call_port: int = 0
     control_port: int = 0
+    membership_port: int = 0
     status_port: int = 0
     max_buffer_bytes: int = 67_108_864
     max_body_bytes: int = 10_485_760
