--- a/packages/standins/ibisspoke_standins/callers.py
+++ b/packages/standins/ibisspoke_standins/callers.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import random
+import uuid
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -116,31 +117,29 @@
     async def _request(self, kind: CallKind) -> None:
         """Send one request, again only where that is safe."""
         request = f"{self.name}-{kind.name}-{next(self._numbers)}"
+        headers = {"Authorization": f"Bearer {self._key}"}
+        if kind.is_order:
+            headers[IDEMPOTENCY_HEADER] = make_uuid7(self._clock, self._rng)
         body = self._rng.randbytes(kind.n_bytes)
         for n_attempt in range(1, MAX_ATTEMPTS + 1):
-            outcome, pause_ms = await self._attempt(kind, request, n_attempt, body)
+            number = f"{request}.{n_attempt}"
+            numbered = {**headers, NUMBER_HEADER: number}
+            outcome, pause_ms = await self._attempt(kind, request, numbered, body)
             self._outcomes.append(outcome)
             if outcome.refusal == "" or pause_ms is None or not kind.is_order:
                 return
             await asyncio.sleep(min(pause_ms, MAX_PAUSE_MS) / 1000.0)
 
     async def _attempt(
-        self, kind: CallKind, request: str, n_attempt: int, body: bytes
+        self, kind: CallKind, request: str, headers: dict[str, str], body: bytes
     ) -> tuple[Outcome, float | None]:
-        number = f"{request}.{n_attempt}"
-        headers = {
-            "Authorization": f"Bearer {self._key}",
-            NUMBER_HEADER: number,
-        }
-        if kind.is_order:
-            headers[IDEMPOTENCY_HEADER] = request
         started_ms = self._clock.now_ms()
         reply = await self._send(kind, headers, body)
         outcome = Outcome(
             self._organisation,
             kind.name,
             request,
-            number,
+            headers[NUMBER_HEADER],
             self._clients[0].port,
             started_ms,
             self._clock.now_ms(),
@@ -167,6 +166,15 @@
         return reply
 
 
+def make_uuid7(clock: Clock, rng: random.Random) -> str:
+    """Return a version 7 UUID, which tells when it was made."""
+    time_bits = int(clock.wall_ms()) & (1 << 48) - 1
+    bits = time_bits << 80 | rng.getrandbits(80)
+    bits = bits & ~(0xF << 76) | 7 << 76
+    bits = bits & ~(0x3 << 62) | 2 << 62
+    return str(uuid.UUID(int=bits))
+
+
 def _judge(
     outcome: Outcome, reply: Result[Reply, NoReply], body: bytes
 ) -> tuple[Outcome, float | None]:
--- a/packages/standins/ibisspoke_standins/demo_results.py
+++ b/packages/standins/ibisspoke_standins/demo_results.py
@@ -71,6 +71,7 @@
             ("change in force after", _seconds(record.propagation_ms("changed"))),
             ("withdrawal in force after", _seconds(record.propagation_ms("withdrawn"))),
             ("worst-served organisation", _describe(worst)),
+            ("refused although inside its rate", _wrongful(record)),
         ],
     )
     refused = refusals_by_kind(outcomes).most_common()
@@ -120,6 +121,13 @@
     return "never" if took_ms is None else f"{took_ms / 1000.0:.1f} s"
 
 
+def _wrongful(record: Record) -> str:
+    """Return the refusals by rate of the organisation that keeps to its rate."""
+    own = [o for o in record.outcomes if o.organisation == "karlstad"]
+    n_refused = sum(outcome.refusal == "rate_exceeded" for outcome in own)
+    return f"{n_refused} of {len(own)} attempts of karlstad"
+
+
 def _describe(entry: Served) -> str:
     return (
         f"{entry.organisation}: {entry.n_good} of {entry.n_requests} requests good, "
