Add a harness for benchmarks and the time that nodes add to a call

call_overhead.py runs two VMs as processes and alternates blocks of calls that go direct, through one node and through two.

--- /dev/null
+++ b/benchmarks/_harness.py
@@ -0,0 +1,295 @@
+"""Starts nodes and stand-in upstreams as child processes on loopback for benchmarks.
+
+Every child prints one JSON line when it is ready and takes JSON lines on standard
+input. A child is stopped by its own process id when the context that owns it ends.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import urllib.request
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+import psutil
+
+from ibisspoke_policy.catalogue import (
+    Call,
+    Catalogue,
+    Importance,
+    Key,
+    Organisation,
+    digest_key,
+    encode_catalogue,
+)
+from ibisspoke_policy.member import Member, MemberState
+
+HERE = Path(__file__).parent
+SECRET = "benchmark fleet secret"
+KEY = "benchmark-key"
+STOP_TIMEOUT_S = 10.0
+MAX_BODY_BYTES = 8_388_608
+UNLIMITED_PER_S = 1e9
+MEGABYTE = 1_048_576
+
+
+class NodeSpec(NamedTuple):
+    """A node to start, and the service of the upstream on its VM.
+
+    :param service: empty starts no upstream.
+    """
+
+    id: str
+    service: str = ""
+    region: str = "svealand"
+    data_centre: str = "svea-1"
+
+
+class Child(NamedTuple):
+    """A running child process.
+
+    :param ready: the JSON that it printed when it was ready.
+    """
+
+    process: subprocess.Popen[str]
+    ready: Any
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self.process.pid
+
+    def tell(self, command: Mapping[str, Any]) -> Any:
+        """Send one command and return its JSON reply."""
+        assert self.process.stdin is not None
+        assert self.process.stdout is not None
+        self.process.stdin.write(json.dumps(command) + "\n")
+        self.process.stdin.flush()
+        return json.loads(self.process.stdout.readline())
+
+
+class Usage(NamedTuple):
+    """What a process has used so far.
+
+    :param cpu_s: user and system time since its start.
+    """
+
+    cpu_s: float
+    rss_mb: float
+    pss_mb: float
+    peak_rss_mb: float
+
+
+class Fleet(NamedTuple):
+    """Running nodes and upstreams.
+
+    :param nodes_by_id: one child a node; several nodes may share a child.
+    :param ports_by_id: ports of each node by name.
+    :param upstream_by_id: the upstream on the VM of each node that has one.
+    """
+
+    nodes_by_id: dict[str, Child]
+    ports_by_id: dict[str, dict[str, int]]
+    upstream_by_id: dict[str, Child]
+    members: list[Member]
+
+    def url_port(self, node_id: str) -> int:
+        """Return the port for callers of a node."""
+        return self.ports_by_id[node_id]["entry"]
+
+    def upstream_port(self, node_id: str) -> int:
+        """Return the port of the upstream on the VM of a node."""
+        return int(self.upstream_by_id[node_id].ready["port"])
+
+    def pids(self) -> list[int]:
+        """Return the process ids of the nodes."""
+        return sorted({child.pid for child in self.nodes_by_id.values()})
+
+    def status(self, node_id: str) -> dict[str, Any]:
+        """Return the status page of a node."""
+        url = f"http://127.0.0.1:{self.ports_by_id[node_id]['status']}/status"
+        with urllib.request.urlopen(url, timeout=5) as response:
+            page: dict[str, Any] = json.load(response)
+        return page
+
+
+@contextmanager
+def child(script: str, *arguments: str) -> Iterator[Child]:
+    """Run ``script`` of this directory while the context is open."""
+    process = subprocess.Popen(
+        [sys.executable, str(HERE / script), *arguments],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        assert process.stdout is not None
+        line = process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{script} ended early; see its output above")
+        yield Child(process, json.loads(line))
+    finally:
+        process.terminate()
+        try:
+            process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+@contextmanager
+def running_fleet(
+    specs: Sequence[NodeSpec],
+    catalogue: Catalogue,
+    n_nodes_per_process: int = 1,
+    settings: Mapping[str, Mapping[str, Any]] | None = None,
+) -> Iterator[Fleet]:
+    """Run nodes and upstreams that know each other and ``catalogue``.
+
+    :param settings: sections that go into every settings file.
+    """
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        nodes_by_id: dict[str, Child] = {}
+        ports_by_id: dict[str, dict[str, int]] = {}
+        for start in range(0, len(specs), n_nodes_per_process):
+            group = specs[start : start + n_nodes_per_process]
+            paths = [_write_settings(folder, spec, settings or {}) for spec in group]
+            process = stack.enter_context(child("_node_process.py", *paths))
+            ports_by_id.update(process.ready)
+            nodes_by_id.update({spec.id: process for spec in group})
+        upstream_by_id = {
+            spec.id: _start_upstream(stack, spec, ports_by_id[spec.id])
+            for spec in specs
+            if spec.service
+        }
+        members = [_member(spec, ports_by_id[spec.id]) for spec in specs]
+        fleet = Fleet(nodes_by_id, ports_by_id, upstream_by_id, members)
+        feed(fleet, members, catalogue)
+        yield fleet
+
+
+def feed(fleet: Fleet, members: Sequence[Member], catalogue: Catalogue) -> None:
+    """Give every node its members and catalogue."""
+    command = {
+        "members": msgspec.to_builtins(list(members)),
+        "catalogue": json.loads(encode_catalogue(catalogue)),
+    }
+    for process in {node.pid: node for node in fleet.nodes_by_id.values()}.values():
+        process.tell(command)
+
+
+def benchmark_catalogue(
+    services: Sequence[str], version: int = 1, n_organisations: int = 1
+) -> Catalogue:
+    """Return a catalogue with one idempotent call a service, open to ``KEY``."""
+    calls = [
+        Call(
+            f"{service}.any",
+            service,
+            "POST",
+            "/*",
+            "benchmarks",
+            Importance.NORMAL,
+            True,
+            timeout_ms=30_000,
+            max_body_bytes=MAX_BODY_BYTES,
+            max_answer_bytes=MAX_BODY_BYTES,
+        )
+        for service in services
+    ]
+    organisations = [
+        Organisation(f"org-{number}", UNLIMITED_PER_S, UNLIMITED_PER_S)
+        for number in range(n_organisations)
+    ]
+    key = Key(digest_key(KEY), "org-0", "benchmark", 0)
+    return Catalogue(
+        version,
+        {call.id: call for call in calls},
+        {organisation.id: organisation for organisation in organisations},
+        {key.digest: key},
+    )
+
+
+def usage_of(pid: int) -> Usage:
+    """Return what the process has used so far."""
+    process = psutil.Process(pid)
+    times = process.cpu_times()
+    memory = process.memory_full_info()
+    return Usage(
+        times.user + times.system,
+        memory.rss / MEGABYTE,
+        memory.pss / MEGABYTE,
+        _peak_rss_mb(pid),
+    )
+
+
+def machine() -> dict[str, Any]:
+    """Return what a reader needs to judge the figures."""
+    return {
+        "n_cores": os.cpu_count(),
+        "load_1min": round(os.getloadavg()[0], 2),
+        "python": sys.version.split()[0],
+    }
+
+
+def _peak_rss_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024.0
+    return 0.0
+
+
+def _start_upstream(stack: ExitStack, spec: NodeSpec, ports: dict[str, int]) -> Child:
+    return stack.enter_context(
+        child(
+            "_upstream_process.py",
+            spec.service,
+            str(ports["status"]),
+            str(ports["entry"]),
+        )
+    )
+
+
+def _member(spec: NodeSpec, ports: dict[str, int]) -> Member:
+    return Member(
+        spec.id,
+        0,
+        spec.region,
+        spec.data_centre,
+        "127.0.0.1",
+        ports["call"],
+        ports["control"],
+        ports["entry"],
+        spec.service,
+        1_000,
+        False,
+        MemberState.ALIVE,
+        1,
+    )
+
+
+def _write_settings(
+    folder: Path, spec: NodeSpec, settings: Mapping[str, Mapping[str, Any]]
+) -> str:
+    sections: dict[str, dict[str, Any]] = {
+        "node": {
+            "id": spec.id,
+            "region": spec.region,
+            "data_centre": spec.data_centre,
+            "host": "127.0.0.1",
+        },
+        "platform": {"url": "http://127.0.0.1:9"},
+        "fleet": {"secrets": [SECRET]},
+        "log": {"level": "WARNING"},
+    }
+    for name, section in settings.items():
+        sections.setdefault(name, {}).update(section)
+    path = folder / f"{spec.id}.toml"
+    path.write_bytes(msgspec.toml.encode(sections))
+    return str(path)
--- /dev/null
+++ b/benchmarks/_node_process.py
@@ -0,0 +1,66 @@
+"""Runs nodes in one process and takes members and catalogue from standard input.
+
+Usage: ``python _node_process.py SETTINGS...``. Prints the ports by node id. Each line
+of input is ``{"members": [...], "catalogue": [...]}``; the reply is ``{}``.
+"""
+
+import asyncio
+import gc
+import json
+import signal
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import msgspec
+
+from ibisspoke_node.main import GC_THRESHOLD
+from ibisspoke_node.node import Node, running_node
+from ibisspoke_node.settings import load_settings
+from ibisspoke_policy.catalogue import Catalogue
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.member import Member
+
+
+def _apply(nodes: list[Node], line: str) -> None:
+    command = json.loads(line)
+    members = msgspec.convert(command["members"], list[Member], strict=False)
+    catalogue = msgspec.convert(command["catalogue"], Catalogue, strict=False)
+    for node in nodes:
+        node.in_force.adopt(catalogue)
+        for member in members:
+            if member.id != node.settings.id:
+                node.members_by_id.put(member.id, member)
+    print("{}", flush=True)
+
+
+async def _run(paths: list[Path]) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    async with AsyncExitStack() as stack:
+        nodes = [
+            await stack.enter_async_context(
+                running_node(load_settings(path).unwrap(), Clock())
+            )
+            for path in paths
+        ]
+        ports = {node.settings.id: node.ports._asdict() for node in nodes}
+        loop.add_reader(sys.stdin, lambda: _on_input(nodes, stop))
+        print(json.dumps(ports), flush=True)
+        await stop.wait()
+        loop.remove_reader(sys.stdin)
+
+
+def _on_input(nodes: list[Node], stop: asyncio.Event) -> None:
+    line = sys.stdin.readline()
+    if line:
+        _apply(nodes, line)
+    else:
+        stop.set()
+
+
+if __name__ == "__main__":
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    asyncio.run(_run([Path(argument) for argument in sys.argv[1:]]))
--- /dev/null
+++ b/benchmarks/call_overhead.py
@@ -0,0 +1,268 @@
+"""Time that nodes add to a call: direct, through one node, and through two.
+
+Two VMs, each with a node and an upstream, run as processes. Blocks of calls of the
+three paths alternate in one run, so that all see the same machine. The last line
+printed is JSON; see README.md for its keys.
+"""
+
+import argparse
+import asyncio
+import gc
+import itertools
+import json
+import random
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from _caller import Caller
+from _harness import (
+    KEY,
+    SECRET,
+    Fleet,
+    NodeSpec,
+    benchmark_catalogue,
+    machine,
+    running_fleet,
+)
+from hdrh.histogram import HdrHistogram
+
+from ibisspoke_node.client_link import ClientLink
+from ibisspoke_node.messages import BufferBudget
+
+SPECS = [NodeSpec("node-a", "alpha"), NodeSpec("node-b", "beta")]
+PATHS = ("direct", "one_node", "two_nodes")
+MAX_US = 60_000_000
+TARGET_MS = 0.74
+BLOCK_S = 0.5
+SEED = 7
+N_CONNECTIONS = 16
+
+
+class Target(NamedTuple):
+    """Where one call of a path goes."""
+
+    caller: Caller
+    target: str
+    headers: dict[str, str]
+
+
+class Plan(NamedTuple):
+    """How much is measured.
+
+    :param n_sequential: calls a path at idle.
+    :param n_blocks: open-loop blocks a path and rate.
+    """
+
+    n_sequential: int
+    n_blocks: int
+    rates_per_s: tuple[int, ...]
+    body_sizes: tuple[int, ...]
+    hop_counts: tuple[int, ...]
+
+
+QUICK = Plan(300, 4, (130, 500), (512, 65_536), (1, 2, 3))
+FULL = Plan(2_000, 16, (130, 500), (512, 65_536), (1, 2, 3))
+
+
+class Bench:
+    """Callers towards one fleet."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        key = {"Authorization": f"Bearer {KEY}"}
+        ids_by_service = {"alpha": "node-a", "beta": "node-b"}
+        other = {"alpha": "node-b", "beta": "node-a"}
+        self._targets_by_path: dict[str, list[Target]] = {path: [] for path in PATHS}
+        for service, node_id in ids_by_service.items():
+            direct = Target(Caller(fleet.upstream_port(node_id)), "", {})
+            one = Target(Caller(fleet.url_port(node_id)), f"/{service}", key)
+            two = Target(Caller(fleet.url_port(other[service])), f"/{service}", key)
+            for path, target in zip(PATHS, (direct, one, two), strict=True):
+                self._targets_by_path[path].append(target)
+        self._services = list(ids_by_service)
+
+    async def connect(self) -> None:
+        """Open the connections of all paths ahead of the calls."""
+        for target in itertools.chain(*self._targets_by_path.values()):
+            await target.caller.connect(N_CONNECTIONS)
+
+    async def call(self, path: str, number: int, n_hops: int, body: bytes) -> None:
+        """Make one call and check its answer."""
+        target = self._targets_by_path[path][number % 2]
+        names = [self._services[(number + hop) % 2] for hop in range(1, n_hops)]
+        if path == "one_node":
+            names = [self._services[number % 2]] * (n_hops - 1)
+        url = f"{target.target}/hops/{n_hops}/" + "/".join(names)
+        answer = await target.caller.post(url, target.headers, body)
+        if answer.status != 200 or answer.body != body:
+            raise RuntimeError(f"{path}: status {answer.status}, {answer.body[:200]!r}")
+
+
+def _histogram() -> Any:
+    return HdrHistogram(1, MAX_US, 3)
+
+
+async def _sequential(
+    bench: Bench, n_calls: int, n_hops: int, body: bytes
+) -> dict[str, Any]:
+    histogram_by_path = {path: _histogram() for path in PATHS}
+    for number, path in itertools.product(range(-50, n_calls), PATHS):
+        started = time.perf_counter_ns()
+        await bench.call(path, number, n_hops, body)
+        if number >= 0:
+            elapsed_us = (time.perf_counter_ns() - started) // 1_000
+            histogram_by_path[path].record_value(elapsed_us)
+    return histogram_by_path
+
+
+async def _open_loop(
+    bench: Bench, rate_per_s: int, n_blocks: int, body: bytes
+) -> dict[str, Any]:
+    histogram_by_path = {path: _histogram() for path in PATHS}
+    arrivals = random.Random(SEED)
+    for block, path in itertools.product(range(-1, n_blocks), PATHS):
+        histogram = histogram_by_path[path] if block >= 0 else _histogram()
+        await _block(bench, path, rate_per_s * 2, body, arrivals, histogram)
+    return histogram_by_path
+
+
+async def _block(
+    bench: Bench,
+    path: str,
+    rate_per_s: int,
+    body: bytes,
+    arrivals: random.Random,
+    histogram: Any,
+) -> None:
+    calls = []
+    due = time.perf_counter()
+    end = due + BLOCK_S
+    for number in itertools.count():
+        due += arrivals.expovariate(rate_per_s)
+        if due >= end:
+            break
+        wait_s = due - time.perf_counter()
+        if wait_s > 0:
+            await _sleep_until(due)
+        calls.append(asyncio.ensure_future(_timed(bench, path, number, due, body)))
+    for elapsed_us in await asyncio.gather(*calls):
+        histogram.record_value(elapsed_us)
+
+
+async def _sleep_until(due: float) -> None:
+    coarse_s = due - time.perf_counter() - 0.0015
+    if coarse_s > 0:
+        await asyncio.sleep(coarse_s)
+    while time.perf_counter() < due:
+        await asyncio.sleep(0)
+
+
+async def _timed(bench: Bench, path: str, number: int, due: float, body: bytes) -> int:
+    started = time.perf_counter()
+    await bench.call(path, number, 1, body)
+    return int((time.perf_counter() - min(started, due)) * 1e6)
+
+
+async def _frame_round_trip(fleet: Fleet, n_pings: int) -> Any:
+    loop = asyncio.get_running_loop()
+    link = ClientLink((SECRET.encode(),), BufferBudget(1_000_000), "benchmark")
+    port = fleet.ports_by_id["node-b"]["call"]
+    await loop.create_connection(lambda: link, "127.0.0.1", port)
+    await link.ready()
+    histogram = _histogram()
+    for _ in range(n_pings):
+        started = time.perf_counter_ns()
+        await link.ping(1_000.0)
+        histogram.record_value((time.perf_counter_ns() - started) // 1_000)
+    link.abort()
+    return histogram
+
+
+def _summary(histogram_by_path: dict[str, Any]) -> dict[str, Any]:
+    summary: dict[str, Any] = {}
+    for path, histogram in histogram_by_path.items():
+        summary[path] = {
+            "n": histogram.get_total_count(),
+            "p50_ms": _ms(histogram, 50),
+            "p99_ms": _ms(histogram, 99),
+        }
+    for path in ("one_node", "two_nodes"):
+        for name in ("p50_ms", "p99_ms"):
+            added = summary[path][name] - summary["direct"][name]
+            summary[path][f"added_{name}"] = round(added, 3)
+    return summary
+
+
+def _ms(histogram: Any, percentile: float) -> float:
+    return round(histogram.get_value_at_percentile(percentile) / 1000.0, 3)
+
+
+async def measure(fleet: Fleet, plan: Plan) -> dict[str, Any]:
+    """Run every part of the plan and return its figures."""
+    bench = Bench(fleet)
+    await bench.connect()
+    results: dict[str, Any] = {}
+    parts: list[tuple[str, Callable[[], Awaitable[dict[str, Any]]]]] = []
+    for size, n_hops in itertools.product(plan.body_sizes, plan.hop_counts):
+        body = b"x" * size
+        if size == plan.body_sizes[0] or n_hops == 1:
+            parts.append(
+                (
+                    f"idle_{size}_bytes_{n_hops}_hops",
+                    lambda n_hops=n_hops, body=body: _sequential(
+                        bench, plan.n_sequential, n_hops, body
+                    ),
+                )
+            )
+    for rate_per_s in plan.rates_per_s:
+        body = b"x" * plan.body_sizes[0]
+        parts.append(
+            (
+                f"open_{rate_per_s}_per_s",
+                lambda rate_per_s=rate_per_s, body=body: _open_loop(
+                    bench, rate_per_s, plan.n_blocks, body
+                ),
+            )
+        )
+    for name, run in parts:
+        results[name] = _summary(await run())
+        print(name, json.dumps(results[name]), flush=True)
+    frame = await _frame_round_trip(fleet, plan.n_sequential)
+    return {
+        "frame_p50_ms": _ms(frame, 50),
+        "frame_p99_ms": _ms(frame, 99),
+        "parts": results,
+    }
+
+
+def report(measured: dict[str, Any]) -> dict[str, Any]:
+    """Return the JSON of one run; its headline is 130 calls/s a node."""
+    headline = measured["parts"]["open_130_per_s"]
+    return {
+        "benchmark": "call_overhead",
+        "target_added_p99_ms": TARGET_MS,
+        "added_p50_ms": {path: headline[path]["added_p50_ms"] for path in PATHS[1:]},
+        "added_p99_ms": {path: headline[path]["added_p99_ms"] for path in PATHS[1:]},
+        **measured,
+        "machine": machine(),
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="under a minute")
+    arguments = parser.parse_args()
+    gc.freeze()
+    gc.set_threshold(50_000)
+    catalogue = benchmark_catalogue(["alpha", "beta"])
+    with running_fleet(SPECS, catalogue) as fleet:
+        ports = {spec.service: fleet.upstream_port(spec.id) for spec in SPECS}
+        for upstream in fleet.upstream_by_id.values():
+            upstream.tell({"ports_by_service": ports})
+        plan = QUICK if arguments.quick else FULL
+        measured = asyncio.run(measure(fleet, plan))
+    print(json.dumps(report(measured)))
+
+
+if __name__ == "__main__":
+    main()
