--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -152,7 +152,8 @@
     ) -> Outcome:
         remaining_ms = request.deadline_ms - self._clock.now_ms()
         try:
-            return await asyncio.wait_for(ended, max(0.0, remaining_ms) / 1000.0)
+            async with asyncio.timeout(max(0.0, remaining_ms) / 1000.0):
+                return await ended
         except TimeoutError:
             canceller.cancel(attempt_id)
             detail = "no answer came before the deadline"
--- a/packages/node/ibisspoke_node/entry.py
+++ b/packages/node/ibisspoke_node/entry.py
@@ -24,6 +24,7 @@
 
 from .acceptance import Acceptance, Accepted
 from .dispatch import Dispatcher, Request
+from .eager_task import EagerTask
 from .headers import IDEMPOTENCY_HEADER, to_upstream
 from .messages import Answer, BufferBudget
 from .metrics import Metrics
@@ -87,7 +88,7 @@
         self._parts: list[bytes] = []
         self._n_bytes = 0
         self._request_id = ""
-        self._task: asyncio.Task[None] | None = None
+        self._task: EagerTask | None = None
         self._answered = False
         self._open = False
 
@@ -134,7 +135,7 @@
             self._answer(to_answer(self._refusal, self._request_id))
             return
         self._connection.set_close_callback(self._caller_left)  # type: ignore[attr-defined]
-        self._task = asyncio.ensure_future(self._run())
+        self._task = EagerTask(self._run())
 
     def on_connection_close(self) -> None:
         self._end()
--- a/packages/node/ibisspoke_node/executor.py
+++ b/packages/node/ibisspoke_node/executor.py
@@ -31,6 +31,7 @@
 from ibisspoke_policy.table import Table
 
 from . import messages
+from .eager_task import EagerTask
 from .headers import CONTEXT_HEADER, NOT_RUN_HEADER, TIMEOUT_HEADER, to_caller
 from .messages import Answer, Attempt, Done, Outcome
 from .upstream_client import (
@@ -78,7 +79,7 @@
         self._clock = clock
         self._ids = itertools.count(1)
         self._open_by_id: Table[int, OpenAttempt] = Table("open attempts")
-        self._task_by_id: dict[int, asyncio.Task[None]] = {}
+        self._task_by_id: dict[int, EagerTask] = {}
         self._announcement: Announcement | None = None
         self._client: UpstreamClient | None = None
         self._idle = asyncio.Event()
@@ -191,8 +192,9 @@
     def _start(self, attempt_id: int) -> None:
         opened = self._open_by_id.get(attempt_id)
         if opened is not None:
-            task = asyncio.ensure_future(self._execute(opened))
-            self._task_by_id[attempt_id] = task
+            task = EagerTask(self._execute(opened))
+            if not task.done():
+                self._task_by_id[attempt_id] = task
 
     def _end(self, attempt_id: int, refusal: Refusal) -> None:
         opened = self._open_by_id.pop(attempt_id)
@@ -212,9 +214,8 @@
         remaining_ms = opened.deadline_ms - self._clock.now_ms()
         request = self._request(opened, remaining_ms)
         try:
-            result = await asyncio.wait_for(
-                client.fetch(request), max(0.0, remaining_ms) / 1000.0
-            )
+            async with asyncio.timeout(max(0.0, remaining_ms) / 1000.0):
+                result = await client.fetch(request)
         except TimeoutError:
             ending = Ending(succeeded=False, timed_out=True)
             refusal = deadline_exceeded(Ran.UNKNOWN, "the upstream did not answer")
--- a/packages/node/ibisspoke_node/upstream_client.py
+++ b/packages/node/ibisspoke_node/upstream_client.py
@@ -141,7 +141,7 @@
         try:
             headers = self._headers(request)
             start_line = RequestStartLine(request.method, request.target, "HTTP/1.1")
-            await connection.write_headers(start_line, headers, request.body)
+            connection.write_headers(start_line, headers, request.body)
             connection.finish()
             reusable = await connection.read_response(reader) and not reader.closes
         except (StreamClosedError, OSError) as error:
