--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import os
+import random
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import NamedTuple
@@ -14,6 +15,7 @@
 from ibisspoke_policy.early_shedding import ChainLevels
 from ibisspoke_policy.idempotency import ClaimSettings
 from ibisspoke_policy.member import Member, MemberState, MemberTable
+from ibisspoke_policy.member_index import Place
 from ibisspoke_policy.nearest_router import NearestRouter
 from ibisspoke_policy.static_split import StaticSplit
 from ibisspoke_policy.table import Table
@@ -83,7 +85,10 @@
             settings.id, self.executor, keyed, claim_settings, clock
         )
         self.links = LinkPool(settings.secrets, self.budget, settings.id)
-        self.router = NearestRouter(self.own_member(), self.members_by_id)
+        place = Place(settings.id, settings.region, settings.data_centre)
+        self.router = NearestRouter(
+            self.members_by_id, place, random.Random(), clock.now_ms()
+        )
         self.dispatcher = Dispatcher(
             settings.id, self.router, self.links, self.handler, parents, keyed, clock
         )
