--- a/packages/ctl/ibisspoke_ctl/main.py
+++ b/packages/ctl/ibisspoke_ctl/main.py
@@ -28,7 +28,7 @@
 
 def main() -> None:
     """Run the command line."""
-    app()
+    app(prog_name="ibisspoke")
 
 
 if __name__ == "__main__":
