Report which version is in force in each data centre

One node of a data centre asks a sample of at most 20 others once a version is in force at itself, and writes one row when all have it: two requests to the platform for each change and data centre.

--- a/packages/ctl/ibisspoke_ctl/in_force_wait.py
+++ b/packages/ctl/ibisspoke_ctl/in_force_wait.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from ibisspoke_platform.config_reader import ConfigReader
+from ibisspoke_platform.config_records import InForceRecord
 from ibisspoke_policy.clock import Clock
 
 from .exit_code import ExitCode
@@ -50,7 +51,7 @@
                     record = records.ok_value.get(name)
                     if record is not None and record.version >= version:
                         missing.remove(name)
-                        _print_arrival(name, version, record.n_nodes, elapsed_ms)
+                        _print_arrival(record, elapsed_ms)
             if missing and elapsed_ms >= timeout_s * 1000.0:
                 return _not_in_force(version, missing, last_error)
             if missing:
@@ -58,10 +59,11 @@
         return ExitCode.OK
 
 
-def _print_arrival(name: str, version: int, n_nodes: int, elapsed_ms: float) -> None:
-    seconds = elapsed_ms / 1000.0
+def _print_arrival(record: InForceRecord, elapsed_ms: float) -> None:
     typer.echo(
-        f"{name}: version {version} in force at {n_nodes} nodes ({seconds:.1f} s)"
+        f"{record.data_centre}: version {record.version} in force after "
+        f"{elapsed_ms / 1000.0:.1f} s ({record.n_asked} of {record.n_present} "
+        "nodes asked)"
     )
 
 
--- a/packages/ctl/ibisspoke_ctl/status.py
+++ b/packages/ctl/ibisspoke_ctl/status.py
@@ -82,8 +82,9 @@
             rows.append((name, "-", "-", "no report yet"))
             continue
         when = format_wall(record.wall_ms)
-        rows.append((name, record.version, record.n_nodes, when))
-    print_table(("data centre", "in force", "nodes", "reported"), rows)
+        asked = f"{record.n_asked} of {record.n_present}"
+        rows.append((name, record.version, asked, when))
+    print_table(("data centre", "in force", "nodes asked", "since"), rows)
 
 
 async def _node_status(url: str, as_json: bool) -> ExitCode:
--- a/packages/ctl/tests/test_session.py
+++ b/packages/ctl/tests/test_session.py
@@ -231,7 +231,7 @@
 
 
 async def report(memory, data_centre, version):
-    record = InForceRecord(data_centre, version, 4, 1_700_000_000_000)
+    record = InForceRecord(data_centre, version, 4, 4, 1_700_000_000_000)
     value = msgspec.json.encode(record)
     await memory.commit([], [Write(in_force_key(data_centre), value)])
 
--- /dev/null
+++ b/packages/node/ibisspoke_node/in_force_report.py
@@ -0,0 +1,166 @@
+"""Reports to the platform which version is in force in this data centre.
+
+One node of each data centre asks a sample of the others once a version is in force
+at itself, and writes one row when all of them have it.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from typing import Generic, Protocol, TypeVar
+
+import msgspec
+from result import Err
+
+from ibisspoke_platform.config_records import (
+    InForceRecord,
+    decode_record,
+    in_force_key,
+)
+from ibisspoke_platform.store import Check, TableRow, TableService, Write
+from ibisspoke_policy.backoff import Backoff
+from ibisspoke_policy.clock import Clock
+
+MAX_ASKED = 20
+REPORT_MS = 500.0
+
+P = TypeVar("P")
+
+logger = logging.getLogger(__name__)
+
+
+class VersionSource(Protocol[P]):
+    """Versions in force at this node and at others of its data centre."""
+
+    @property
+    def version(self) -> int:
+        """The version in force at this node."""
+
+    @property
+    def is_reporter(self) -> bool:
+        """Whether this node reports for its data centre."""
+
+    def near_peers(self) -> Sequence[P]:
+        """Return the other nodes of the data centre."""
+
+    async def ask_version(self, peer: P) -> int | None:
+        """Return the version in force at ``peer``, or None without an answer."""
+
+
+class InForceReporter(Generic[P]):
+    """Write the row of a data centre when a version is in force there.
+
+    :param source: what is in force, here and at peers.
+    :param table: where the row is kept.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        source: VersionSource[P],
+        table: TableService,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._data_centre = data_centre
+        self._source = source
+        self._table = table
+        self._clock = clock
+        self._rng = rng
+        self._backoff = Backoff(rng)
+        self._reported = 0
+        self._asked_version = 0
+        self._n_asked = 0
+        self._pending: list[P] = []
+
+    def __repr__(self) -> str:
+        return f"InForceReporter({self._data_centre!r}, version={self._reported})"
+
+    async def step(self) -> bool:
+        """Ask peers or write the row, as needed; return whether all went well."""
+        source = self._source
+        version = source.version
+        if not source.is_reporter or version <= self._reported:
+            return True
+        if version != self._asked_version:
+            self._choose(version)
+        answers = await asyncio.gather(
+            *(source.ask_version(peer) for peer in self._pending)
+        )
+        self._pending = [
+            peer
+            for peer, answer in zip(self._pending, answers, strict=True)
+            if answer is None or answer < version
+        ]
+        if self._pending:
+            self._forget_absent()
+            return True
+        return await self._write(version)
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            wait_ms = self._backoff.jittered_ms(REPORT_MS)
+            if await self.step():
+                self._backoff.succeeded()
+            else:
+                wait_ms = self._backoff.failed_ms()
+            await asyncio.sleep(wait_ms / 1000.0)
+
+    def _choose(self, version: int) -> None:
+        peers = list(self._source.near_peers())
+        self._pending = self._rng.sample(peers, min(MAX_ASKED, len(peers)))
+        self._asked_version = version
+        self._n_asked = len(self._pending) + 1
+
+    def _forget_absent(self) -> None:
+        """Stop waiting for peers that have left or failed meanwhile."""
+        present = self._source.near_peers()
+        kept = [peer for peer in self._pending if peer in present]
+        self._n_asked -= len(self._pending) - len(kept)
+        self._pending = kept
+
+    async def _write(self, version: int) -> bool:
+        """Write the row unless it shows this version or a later one."""
+        key = in_force_key(self._data_centre)
+        row = await self._table.read(key)
+        if isinstance(row, Err):
+            return False
+        if self._shown(row.ok_value) < version:
+            record = InForceRecord(
+                self._data_centre,
+                version,
+                self._n_asked,
+                len(self._source.near_peers()) + 1,
+                int(self._clock.wall_ms()),
+            )
+            written = await self._table.commit(
+                [Check(key, row.ok_value.version)],
+                [Write(key, msgspec.json.encode(record))],
+            )
+            if isinstance(written, Err):
+                return False
+        self._reported = version
+        return True
+
+    def _shown(self, row: TableRow) -> int:
+        """Return the version in the row; 0 where it is absent or unreadable."""
+        if row.version == 0:
+            return 0
+        record = decode_record(row.value, InForceRecord, row.key)
+        if isinstance(record, Err):
+            logger.warning("row is replaced", extra={"detail": record.err_value.detail})
+            return 0
+        return record.ok_value.version
+
+
+@asynccontextmanager
+async def running_reports(reporter: InForceReporter[P]) -> AsyncIterator[None]:
+    """Report while the context is open."""
+    running = asyncio.ensure_future(reporter.run())
+    try:
+        yield
+    finally:
+        running.cancel()
--- a/packages/platform/ibisspoke_platform/config_records.py
+++ b/packages/platform/ibisspoke_platform/config_records.py
@@ -71,14 +71,16 @@
 class InForceRecord(NamedTuple):
     """The version in force in one data centre, written by one of its nodes.
 
-    :param version: the lowest version in force at its nodes.
-    :param n_nodes: nodes that were counted.
+    :param version: every node that was asked had this version or a later one.
+    :param n_asked: nodes asked, the writer included; a sample in large fleets.
+    :param n_present: nodes of the data centre that the writer knew.
     :param wall_ms: when it was written.
     """
 
     data_centre: str
     version: int
-    n_nodes: int
+    n_asked: int
+    n_present: int
     wall_ms: int
 
 
