--- a/packages/standins/tests/test_promises.py
+++ b/packages/standins/tests/test_promises.py
@@ -81,6 +81,7 @@
 def test_share_counts_requests_inside_the_rate_once():
     outcomes = [refused("overloaded"), GOOD._replace(number="svea-1.2")]
     outcomes += [refused("rate_exceeded", request=f"svea-{n}") for n in range(2, 5)]
+    outcomes.append(refused("unknown_key", request="svea-9"))
     assert served(outcomes, "svea", 2.0) == ("svea", 4, 1, 0.5)
 
 
