--- /dev/null
+++ b/packages/node/ibisspoke_node/slot_store.py
@@ -0,0 +1,125 @@
+"""Rows of quota slots in the platform's table, within a budget of requests."""
+
+import logging
+import os
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import msgspec
+from result import Err, Ok, Result
+
+from ibisspoke_platform.store import (
+    Check,
+    StoreErrorKind,
+    TableRow,
+    TableService,
+    Write,
+)
+from ibisspoke_policy.backoff import Backoff, RequestBudget
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.slot_lease import ROW_PREFIX, SlotRow, decode_row, encode_row
+
+STORE_RATE_PER_S = 1.0
+STORE_BURST = 20.0
+
+logger = logging.getLogger(__name__)
+
+
+class StoredRow(NamedTuple):
+    """A row and its version in the table."""
+
+    row: SlotRow
+    version: int
+
+
+class SlotStore:
+    """Read and write slot rows; back off while the platform fails."""
+
+    def __init__(self, table: TableService, clock: Clock, rng: random.Random) -> None:
+        self._table = table
+        self._clock = clock
+        self._backoff = Backoff(rng)
+        self._retry_ms = clock.now_ms()
+        self._budget = RequestBudget(STORE_RATE_PER_S, STORE_BURST, clock.now_ms())
+
+    def __repr__(self) -> str:
+        return f"SlotStore({self._backoff!r})"
+
+    @property
+    def ready(self) -> bool:
+        """Whether the backoff allows a request now."""
+        return self._clock.now_ms() >= self._retry_ms
+
+    def jittered_ms(self, interval_ms: float) -> float:
+        """Return ``interval_ms`` spread at random, so that nodes do not coincide."""
+        return self._backoff.jittered_ms(interval_ms)
+
+    async def scan(self) -> list[StoredRow] | None:
+        """Return all rows, or None when the platform did not answer."""
+        if not self._budget.take(self._clock.now_ms()):
+            return None
+        scanned = await self._table.scan(ROW_PREFIX)
+        if isinstance(scanned, Err):
+            self._failed()
+            return None
+        self._backoff.succeeded()
+        stored = [_decode(table_row) for table_row in scanned.ok_value]
+        return [row for row in stored if row is not None]
+
+    async def create(self, rows: Sequence[SlotRow]) -> None:
+        """Write ``rows`` if none of them exists; the next scan shows the outcome."""
+        if self._budget.take(self._clock.now_ms()):
+            checks = [Check(row.key, 0) for row in rows]
+            writes = [Write(row.key, encode_row(row)) for row in rows]
+            await self._table.commit(checks, writes)
+
+    async def write(
+        self, row: SlotRow, checks: Sequence[Check]
+    ) -> Result[int, StoredRow | None]:
+        """Write ``row`` if every check holds; read back after a lost answer.
+
+        :returns: its version, or the row that stands there instead, or None when
+            that is not known.
+        """
+        if not self._budget.take(self._clock.now_ms()):
+            return Err(None)
+        result = await self._table.commit(checks, [Write(row.key, encode_row(row))])
+        if isinstance(result, Ok):
+            self._backoff.succeeded()
+            return Ok(result.ok_value[0].version)
+        if result.err_value.kind is StoreErrorKind.UNAVAILABLE:
+            self._failed()
+            return Err(None)
+        return await self._read_back(row)
+
+    async def _read_back(self, row: SlotRow) -> Result[int, StoredRow | None]:
+        result = await self._table.read(row.key)
+        if isinstance(result, Err):
+            self._failed()
+            return Err(None)
+        found = _decode(result.ok_value)
+        if found is not None and found.row.nonce == row.nonce:
+            return Ok(found.version)
+        return Err(found)
+
+    def _failed(self) -> None:
+        self._retry_ms = self._clock.now_ms() + self._backoff.failed_ms()
+
+
+def new_nonce() -> str:
+    """Return a nonce for one write."""
+    return os.urandom(8).hex()
+
+
+def _decode(table_row: TableRow) -> StoredRow | None:
+    if table_row.version == 0:
+        return None
+    try:
+        return StoredRow(decode_row(table_row.value), table_row.version)
+    except msgspec.DecodeError as error:
+        logger.error(
+            "quota row cannot be read",
+            extra={"key": table_row.key, "reason": str(error)},
+        )
+        return None
--- /dev/null
+++ b/packages/node/tests/test_slot_holder.py
@@ -0,0 +1,182 @@
+"""Leases of slots against a table that fails in every way."""
+
+import asyncio
+import random
+
+import pytest
+
+from ibisspoke_node import slot_holder
+from ibisspoke_node.slot_holder import RENEW_MS, WATCH_MS, HolderIdentity, SlotHolder
+from ibisspoke_node.slot_store import SlotStore
+from ibisspoke_platform.store import Write
+from ibisspoke_policy.clock import ManualClock
+from ibisspoke_policy.quota_messages import DrawRequest, Limit, SlotId, TokenRequest
+from ibisspoke_policy.rendezvous import ranked
+from ibisspoke_policy.slot_directory import SlotDirectory
+from ibisspoke_policy.slot_lease import LEASE_MS, decode_row, encode_row, row_key
+from ibisspoke_policy.slot_ledger import QUIET_MS
+from ibisspoke_standins.memory_store import MemoryStore
+
+SLOT = SlotId("svea-1", 0)
+LIMITS = {"svea": Limit(10.0, 10.0)}
+NODE_IDS = {"svea-1": ["n1", "n2"], "gota-1": ["g1"]}
+FIRST, SECOND = ranked(str(SLOT), NODE_IDS["svea-1"])
+
+
+def _holder(store, clock, node_id=FIRST, port=1, slots=(SLOT,), near="svea-1"):
+    identity = HolderIdentity(node_id, near, "10.0.0.1", port)
+    slot_store = SlotStore(store, clock, random.Random(1))
+    holder = SlotHolder(
+        identity, clock, slot_store, SlotDirectory(), lambda: NODE_IDS[near]
+    )
+    holder.configure(LIMITS, list(slots))
+    return holder
+
+
+async def _take(holder):
+    for _ in range(3):
+        await holder.step()
+
+
+def _tokens(holder, slot=SLOT, sequence=1, needed=10.0):
+    item = TokenRequest("svea", 0.0, 0.0, needed, 0.0)
+    reply = holder.draw(DrawRequest(slot, "asker", sequence, [item]))
+    return reply.grants[0].tokens if reply.accepted else None
+
+
+async def _row(store, slot=SLOT):
+    return decode_row((await store.read(row_key(slot))).ok_value.value)
+
+
+async def test_the_first_holder_starts_with_the_whole_burst():
+    store, clock = MemoryStore(), ManualClock()
+    holder = _holder(store, clock)
+    await _take(holder)
+    assert holder.slots == [SLOT]
+    assert _tokens(holder) == 10.0
+    assert (await _row(store)).full is False
+
+
+async def test_of_two_takers_one_wins():
+    store, clock = MemoryStore(delay_ms=1.0), ManualClock()
+    one, two = _holder(store, clock, FIRST, 1), _holder(store, clock, FIRST, 2)
+    for _ in range(4):
+        await asyncio.gather(one.step(), two.step())
+    assert sorted([len(one.slots), len(two.slots)]) == [0, 1]
+
+
+@pytest.mark.parametrize("n_th_write", [1, 2, 3])
+async def test_a_write_whose_answer_is_lost_counts_once(n_th_write):
+    store, clock = MemoryStore(), ManualClock()
+    holder = _holder(store, clock)
+    for _ in range(6):
+        if store.n_writes == n_th_write - 1:
+            store.n_lost_answers = 1
+        await holder.step()
+        clock.advance(RENEW_MS)
+    assert store.n_lost_answers == 0
+    assert holder.slots == [SLOT]
+    assert (await _row(store)).holder == "10.0.0.1:1"
+
+
+async def test_a_holder_whose_slot_was_taken_stops_at_its_next_renewal():
+    store, clock = MemoryStore(), ManualClock()
+    holder = _holder(store, clock)
+    await _take(holder)
+    stolen = (await _row(store))._replace(holder="10.0.0.9:1", term=99, nonce="x")
+    await store.commit([], [Write(stolen.key, encode_row(stolen))])
+    clock.advance(RENEW_MS)
+    await holder.step()
+    assert holder.slots == []
+
+
+async def test_a_holder_suspended_past_its_lease_grants_nothing():
+    store, clock = MemoryStore(), ManualClock()
+    holder = _holder(store, clock)
+    await _take(holder)
+    clock.suspend(LEASE_MS)
+    assert _tokens(holder) is None
+
+
+async def test_a_store_that_is_down_for_hours_stops_no_holder():
+    store, clock = MemoryStore(), ManualClock()
+    holder = _holder(store, clock)
+    await _take(holder)
+    store.down = True
+    n_writes = store.n_writes
+    for _ in range(3 * 3_600):
+        clock.advance(1_000.0)
+        await holder.step()
+    assert _tokens(holder) == 10.0
+    assert store.n_writes - n_writes < 3 * 3_600 / 20
+    store.down = False
+    clock.advance(60_000.0)
+    await holder.step()
+    clock.advance(LEASE_MS / 2.0)
+    assert _tokens(holder, sequence=2) == 10.0
+
+
+async def test_a_dead_holder_is_replaced_after_its_lease():
+    store, clock = MemoryStore(), ManualClock()
+    await _take(_holder(store, clock, FIRST, 1))
+    heir = _holder(store, clock, SECOND, 2)
+    await _take(heir)
+    clock.advance(LEASE_MS - 1.0)
+    await heir.step()
+    assert heir.slots == []
+    clock.advance(WATCH_MS * 2.0)
+    await heir.step()
+    assert heir.slots == [SLOT]
+    assert _tokens(heir) == 0.0
+    clock.advance(QUIET_MS + 500.0)
+    assert _tokens(heir, sequence=2) == 5.0
+
+
+async def test_a_restart_on_the_same_address_reclaims_with_an_empty_bucket():
+    store, clock = MemoryStore(), ManualClock()
+    await _take(_holder(store, clock))
+    again = _holder(store, clock)
+    await _take(again)
+    assert again.slots == [SLOT]
+    assert _tokens(again) == 0.0
+
+
+async def test_a_planned_stop_hands_the_slot_and_its_tokens_over():
+    store, clock = MemoryStore(), ManualClock()
+    holder = _holder(store, clock, SECOND, 2)
+    clock.advance(0.0)
+    await _take(holder)
+    clock.advance(WATCH_MS * 2.0)
+    await _take(holder)
+    assert _tokens(holder, needed=4.0) == 4.0
+    store.n_lost_answers = 1
+    await holder.release()
+    assert _tokens(holder) is None
+    heir = _holder(store, clock, FIRST, 1)
+    await _take(heir)
+    assert heir.slots == [SLOT]
+    assert _tokens(heir) == 6.0
+
+
+async def test_slots_move_with_the_catalogue_and_never_exceed_the_whole(monkeypatch):
+    monkeypatch.setattr(slot_holder, "QUIET_MS", 0.0)
+    store, clock = MemoryStore(), ManualClock()
+    other = SlotId("gota-1", 0)
+    old = _holder(store, clock)
+    await _take(old)
+    new = _holder(store, clock, "g1", 3, [SLOT, other], "gota-1")
+    for slots in ([SLOT], [SLOT, other], [other]):
+        for _ in range(6):
+            for holder in (new, old):
+                holder.configure(LIMITS, slots)
+                holder.watch_soon()
+                await holder.step()
+            rows = (await store.scan("quota/slot/")).ok_value
+            assert sum(decode_row(row.value).weight for row in rows) <= 1.0 + 1e-9
+        weights = {row.slot: row.weight for row in map(_decoded, rows)}
+        assert all(weights[slot] == 1.0 / len(slots) for slot in slots)
+    assert (old.slots, new.slots) == ([], [other])
+
+
+def _decoded(table_row):
+    return decode_row(table_row.value)
