--- a/packages/node/tests/test_slot_holder.py
+++ b/packages/node/tests/test_slot_holder.py
@@ -15,9 +15,10 @@
 from ibisspoke_policy.slot_directory import SlotDirectory
 from ibisspoke_policy.slot_lease import LEASE_MS, decode_row, encode_row, row_key
 from ibisspoke_policy.slot_ledger import QUIET_MS
-from ibisspoke_standins.memory_store import MemoryStore
+from ibisspoke_standins.memory_store import Fault, FaultKind, FaultScope, MemoryStore
 
 SLOT = SlotId("svea-1", 0)
+LOST_ANSWER = Fault(FaultKind.ANSWER_LOST, FaultScope.WRITES, n_requests=1)
 LIMITS = {"svea": Limit(10.0, 10.0)}
 NODE_IDS = {"svea-1": ["n1", "n2"], "gota-1": ["g1"]}
 FIRST, SECOND = ranked(str(SLOT), NODE_IDS["svea-1"])
@@ -58,7 +59,8 @@
 
 
 async def test_of_two_takers_one_wins():
-    store, clock = MemoryStore(delay_ms=1.0), ManualClock()
+    store, clock = MemoryStore(), ManualClock()
+    store.inject(Fault(FaultKind.SLOW, delay_ms=1.0))
     one, two = _holder(store, clock, FIRST, 1), _holder(store, clock, FIRST, 2)
     for _ in range(4):
         await asyncio.gather(one.step(), two.step())
@@ -70,11 +72,11 @@
     store, clock = MemoryStore(), ManualClock()
     holder = _holder(store, clock)
     for _ in range(6):
-        if store.n_writes == n_th_write - 1:
-            store.n_lost_answers = 1
+        if store.stats.n_writes == n_th_write - 1:
+            store.inject(LOST_ANSWER)
         await holder.step()
         clock.advance(RENEW_MS)
-    assert store.n_lost_answers == 0
+    assert store.stats.n_writes > n_th_write
     assert holder.slots == [SLOT]
     assert (await _row(store)).holder == "10.0.0.1:1"
 
@@ -102,14 +104,14 @@
     store, clock = MemoryStore(), ManualClock()
     holder = _holder(store, clock)
     await _take(holder)
-    store.down = True
-    n_writes = store.n_writes
+    store.inject(Fault(FaultKind.DOWN))
+    n_writes = store.stats.n_writes
     for _ in range(3 * 3_600):
         clock.advance(1_000.0)
         await holder.step()
     assert _tokens(holder) == 10.0
-    assert store.n_writes - n_writes < 3 * 3_600 / 20
-    store.down = False
+    assert store.stats.n_writes - n_writes < 3 * 3_600 / 20
+    store.clear_faults()
     clock.advance(60_000.0)
     await holder.step()
     clock.advance(LEASE_MS / 2.0)
@@ -149,7 +151,7 @@
     clock.advance(WATCH_MS * 2.0)
     await _take(holder)
     assert _tokens(holder, needed=4.0) == 4.0
-    store.n_lost_answers = 1
+    store.inject(LOST_ANSWER)
     await holder.release()
     assert _tokens(holder) is None
     heir = _holder(store, clock, FIRST, 1)
