Synchronise configuration between nodes by version

Cause: thousands of nodes cannot poll the platform, and no version may revert. Change: a few pollers a data centre, differences pushed and pulled by version and checked by digest; slot addresses travel along; entries ask other nodes for a token before they refuse, and refuse when isolated for longer than the organisation allows.

--- a/packages/node/ibisspoke_node/acceptance.py
+++ b/packages/node/ibisspoke_node/acceptance.py
@@ -10,26 +10,31 @@
 from ibisspoke_policy.catalogue import Call
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.context import MAX_HOPS, ContextSigner, RequestContext
+from ibisspoke_policy.isolation import IsolationWatch
 from ibisspoke_policy.quota import QuotaDecision, TokenSource
 from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind, deadline_exceeded
+from ibisspoke_policy.slot_lease import open_call_name
 
 from .headers import CONTEXT_HEADER, TIMEOUT_HEADER
 from .in_force import InForce
 
 KEY_SCHEME = "bearer "
 NO_CATALOGUE_RETRY_MS = 1_000
+ISOLATED_RETRY_MS = 5_000
 
 
 class Accepted(NamedTuple):
     """A request that may run.
 
     :param target: path and query below the service.
+    :param quota_name: set when a token must still be acquired from other nodes.
     """
 
     call: Call
     context: RequestContext
     target: str
     deadline_ms: float
+    quota_name: str = ""
 
 
 class Acceptance:
@@ -45,7 +50,9 @@
         tokens: TokenSource,
         signer: ContextSigner,
         clock: Clock,
+        isolation: IsolationWatch | None = None,
     ) -> None:
+        self._isolation = isolation or IsolationWatch(clock)
         self._id_prefix = f"{node_id}-{os.urandom(4).hex()}-"
         self._ids = itertools.count(1)
         self._in_force = in_force
@@ -68,6 +75,12 @@
             return self._nested(call, target, token)
         return self._root(call, target, headers)
 
+    async def acquire(self, accepted: Accepted) -> Refusal | None:
+        """Acquire the token that ``accepted`` still needs, or return a refusal."""
+        name = accepted.quota_name
+        decision = await self._tokens.acquire(name, accepted.deadline_ms)
+        return None if decision.granted else _rate_exceeded(name, decision)
+
     def next_id(self) -> str:
         """Return a request id that no other request has."""
         return self._id_prefix + str(next(self._ids))
@@ -76,19 +89,19 @@
         self, call: Call, target: str, headers: HTTPHeaders
     ) -> Result[Accepted, Refusal]:
         organisation = ""
+        quota_name = open_call_name(call.id)
         if not call.is_open:
             found = self._organisation(headers)
             if isinstance(found, Err):
                 return found
-            organisation = found.ok_value
-        now_ms = self._clock.now_ms()
-        if organisation:
-            decision = self._tokens.take(organisation, now_ms)
-            if not decision.granted:
-                return Err(_rate_exceeded(organisation, decision))
+            organisation = quota_name = found.ok_value
         timeout_ms = _timeout_ms(call, headers)
         if isinstance(timeout_ms, Err):
             return timeout_ms
+        now_ms = self._clock.now_ms()
+        decision = self._tokens.take(quota_name, now_ms)
+        if not decision.granted and not decision.ask_elsewhere:
+            return Err(_rate_exceeded(quota_name, decision))
         wall_ms = self._clock.wall_ms()
         context = RequestContext(
             self.next_id(),
@@ -101,7 +114,8 @@
             "",
         )
         deadline_ms = now_ms + timeout_ms.ok_value
-        return Ok(Accepted(call, context, target, deadline_ms))
+        pending = "" if decision.granted else quota_name
+        return Ok(Accepted(call, context, target, deadline_ms, pending))
 
     def _nested(self, call: Call, target: str, token: str) -> Result[Accepted, Refusal]:
         context = self._signer.decode(token)
@@ -126,6 +140,9 @@
         organisation = self._in_force.catalogue.organisation_of_key(key)
         if organisation is None:
             return Err(_unknown_key())
+        limit_s = organisation.serve_when_isolated_s
+        if self._isolation.isolated_ms > limit_s * 1000.0:
+            return Err(_isolated(limit_s))
         return Ok(organisation.id)
 
     def _no_route(self, method: str, service: str, path: str) -> Refusal:
@@ -171,6 +188,16 @@
     )
 
 
+def _isolated(limit_s: int) -> Refusal:
+    return Refusal(
+        RefusalKind.ISOLATED,
+        Ran.NOT_RUN,
+        f"this data centre has reached no other for more than {limit_s} s",
+        "send to another data centre, or raise serve_when_isolated_s",
+        ISOLATED_RETRY_MS,
+    )
+
+
 def _missing_key() -> Refusal:
     return Refusal(
         RefusalKind.MISSING_KEY,
--- /dev/null
+++ b/packages/node/ibisspoke_node/config_state.py
@@ -0,0 +1,106 @@
+"""The catalogue in force and how it came about, for passing it on."""
+
+import logging
+
+import msgspec
+from result import Err
+
+from ibisspoke_policy.catalogue import Catalogue, decode_catalogue, encode_catalogue
+from ibisspoke_policy.catalogue_delta import (
+    CatalogueDelta,
+    DeltaLog,
+    apply_delta,
+    delta_between,
+    snapshot_digest,
+)
+from ibisspoke_policy.config_messages import ConfigQuery, ConfigReply
+
+from .in_force import InForce
+
+logger = logging.getLogger(__name__)
+
+
+class ConfigState:
+    """Adopt higher versions only, each checked against its digest.
+
+    :param in_force: holds the catalogue for the rest of the node.
+    """
+
+    def __init__(self, in_force: InForce) -> None:
+        self._in_force = in_force
+        self._log = DeltaLog()
+        self._last: CatalogueDelta | None = None
+
+    def __repr__(self) -> str:
+        return f"ConfigState({self.version})"
+
+    @property
+    def version(self) -> int:
+        """Version in force."""
+        return self._in_force.version
+
+    @property
+    def latest(self) -> list[CatalogueDelta]:
+        """The difference adopted last."""
+        return [] if self._last is None else [self._last]
+
+    def adopt(self, catalogue: Catalogue) -> bool:
+        """Put a checked catalogue in force; return False if it is not newer."""
+        old = self._in_force.catalogue
+        if catalogue.version <= old.version:
+            return False
+        delta = delta_between(old, catalogue, snapshot_digest(catalogue))
+        return self._adopt(catalogue, delta)
+
+    def adopt_deltas(self, deltas: list[CatalogueDelta]) -> bool:
+        """Apply the differences that lead on; return whether any did."""
+        changed = False
+        for delta in deltas:
+            if delta.from_version != self.version:
+                continue
+            applied = apply_delta(self._in_force.catalogue, delta)
+            if isinstance(applied, Err):
+                logger.warning(
+                    "difference rejected", extra={"reason": applied.err_value}
+                )
+                return changed
+            changed |= self._adopt(applied.ok_value, delta)
+        return changed
+
+    def adopt_snapshot(self, data: bytes, digest: str) -> bool:
+        """Put a peer's snapshot in force if it is whole and newer."""
+        try:
+            catalogue = decode_catalogue(data)
+        except msgspec.DecodeError as error:
+            logger.warning("snapshot rejected", extra={"reason": str(error)})
+            return False
+        if snapshot_digest(catalogue) != digest:
+            logger.warning("snapshot rejected", extra={"reason": "digest differs"})
+            return False
+        return self.adopt(catalogue)
+
+    def adopt_reply(self, reply: ConfigReply) -> bool:
+        """Take in what a peer sent; return whether the version changed."""
+        if reply.snapshot:
+            return self.adopt_snapshot(reply.snapshot, reply.digest)
+        return self.adopt_deltas(reply.deltas)
+
+    def reply(
+        self, query: ConfigQuery, data_centre: str, isolated_ms: float
+    ) -> ConfigReply:
+        """Return what the sender of ``query`` lacks of the catalogue."""
+        empty = ConfigReply(data_centre, self.version, isolated_ms, [], b"", "", [])
+        if query.version >= self.version:
+            return empty
+        deltas = self._log.since(query.version, self.version)
+        if deltas is not None:
+            return empty._replace(deltas=deltas)
+        catalogue = self._in_force.catalogue
+        return empty._replace(
+            snapshot=encode_catalogue(catalogue), digest=snapshot_digest(catalogue)
+        )
+
+    def _adopt(self, catalogue: Catalogue, delta: CatalogueDelta) -> bool:
+        self._log.add(delta)
+        self._last = delta
+        return self._in_force.adopt(catalogue)
--- /dev/null
+++ b/packages/node/ibisspoke_node/config_sync.py
@@ -0,0 +1,298 @@
+"""Keeps the catalogue in force up to date: few nodes poll, the rest hear of it."""
+
+import asyncio
+import logging
+import random
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Collection,
+    Coroutine,
+    Sequence,
+)
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple, Protocol
+
+from result import Err, Ok, Result
+
+from ibisspoke_platform.config_records import CurrentVersion
+from ibisspoke_platform.store import StoreError
+from ibisspoke_policy.backoff import Backoff
+from ibisspoke_policy.catalogue import Catalogue
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.config_messages import ConfigQuery, ConfigReply
+from ibisspoke_policy.isolation import IsolationWatch
+from ibisspoke_policy.member import Member
+from ibisspoke_policy.rendezvous import rank_of
+from ibisspoke_policy.slot_directory import SlotAddress, SlotDirectory
+
+from .config_state import ConfigState
+from .control import ControlError, ControlService, Method
+
+EXCHANGE = Method("ExchangeConfig", ConfigQuery, ConfigReply)
+N_POLLERS = 2
+N_PUSHES = 3
+N_BOOT_PEERS = 3
+POLL_MS = 1_000.0
+PULL_MS = 2_000.0
+SPREAD_DELAY_MS = 10.0
+QUERY_TIMEOUT_MS = 2_000.0
+UNHEARD_MS = 10_000.0
+
+logger = logging.getLogger(__name__)
+
+
+class PeerAddress(NamedTuple):
+    """Where a node answers control messages."""
+
+    host: str
+    control_port: int
+
+
+class SyncIdentity(NamedTuple):
+    """This node as others reach it."""
+
+    node_id: str
+    data_centre: str
+    address: PeerAddress
+
+
+class VersionReader(Protocol):
+    """Read versions of the catalogue from the platform."""
+
+    async def read_version(self) -> Result[CurrentVersion, StoreError]:
+        """Return the current version."""
+
+    async def read_snapshot(
+        self, current: CurrentVersion
+    ) -> Result[Catalogue, StoreError]:
+        """Return the catalogue of a version after checking its digest."""
+
+
+class ConfigCaller(Protocol):
+    """Send control messages to other nodes."""
+
+    async def call(
+        self,
+        host: str,
+        port: int,
+        method: Method[ConfigQuery, ConfigReply],
+        request: ConfigQuery,
+        timeout_ms: float,
+    ) -> Result[ConfigReply, ControlError]:
+        """Send ``request`` and wait for its reply."""
+
+
+class ConfigSync:
+    """Poll the platform, pull from peers, and push what is new.
+
+    :param members: returns the present members of the fleet.
+    """
+
+    def __init__(
+        self,
+        identity: SyncIdentity,
+        state: ConfigState,
+        reader: VersionReader,
+        control: ConfigCaller,
+        members: Callable[[], Sequence[Member]],
+        directory: SlotDirectory,
+        isolation: IsolationWatch,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.identity = identity
+        self.state = state
+        self.directory = directory
+        self.isolation = isolation
+        self._reader = reader
+        self._control = control
+        self._members = members
+        self._clock = clock
+        self._rng = rng
+        self._backoff = Backoff(rng)
+        self._heard_ms = clock.now_ms()
+        self._spread_version = state.version
+        self._spread_addresses: set[SlotAddress] = set()
+        self._spreading = False
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def __repr__(self) -> str:
+        return f"ConfigSync({self.identity.node_id!r}, version={self.state.version})"
+
+    def register(self, service: ControlService) -> None:
+        """Serve queries of peers."""
+        service.register(EXCHANGE, self.answer)
+
+    async def answer(self, query: ConfigQuery) -> ConfigReply:
+        """Take in what a peer sends and return what it lacks."""
+        self._note_contact(query.data_centre)
+        self.directory.merge(query.addresses)
+        self.state.adopt_deltas(query.deltas)
+        self.spread()
+        if query.version > self.state.version:
+            self._start(self.exchange(PeerAddress(query.host, query.control_port)))
+        reply = self.state.reply(
+            query, self.identity.data_centre, self.isolation.isolated_ms
+        )
+        if query.directory_digest == self.directory.digest:
+            return reply
+        return reply._replace(addresses=self.directory.addresses)
+
+    async def exchange(self, peer: PeerAddress) -> None:
+        """Ask ``peer`` for what is new there, and tell it what is new here."""
+        sent_elapsed_ms = self._clock.elapsed_ms()
+        answer = await self._query(peer, self._describe())
+        if answer is None:
+            return
+        self._heard_ms = self._clock.now_ms()
+        self._note_contact(answer.data_centre)
+        self.isolation.learn(answer.isolated_ms, sent_elapsed_ms)
+        self.directory.merge(answer.addresses)
+        self.state.adopt_reply(answer)
+        self.spread()
+        if answer.version < self.state.version:
+            await self._query(peer, self._describe(with_latest=True))
+
+    async def poll(self) -> bool:
+        """Read the version from the platform; return whether it answered."""
+        current = await self._reader.read_version()
+        if isinstance(current, Err):
+            return False
+        self.isolation.reached()
+        if current.ok_value.version <= self.state.version:
+            return True
+        snapshot = await self._reader.read_snapshot(current.ok_value)
+        if isinstance(snapshot, Ok):
+            self.state.adopt(snapshot.ok_value)
+            self.spread()
+        return snapshot.is_ok()
+
+    async def boot(self, seeds: Collection[PeerAddress]) -> None:
+        """Ask several peers and the platform, and keep the highest version."""
+        peers = list(seeds) or [_address(member) for member in self._others()]
+        chosen = self._rng.sample(peers, min(N_BOOT_PEERS, len(peers)))
+        await asyncio.gather(self.poll(), *(self.exchange(peer) for peer in chosen))
+
+    def spread(self) -> None:
+        """Push to some peers, soon, what has changed since the last push."""
+        fresh = self.directory.take_changes()
+        self._spread_addresses.update(fresh)
+        changed = self.state.version > self._spread_version
+        if (changed or self._spread_addresses) and not self._spreading:
+            self._spreading = True
+            self._start(self._push())
+
+    @property
+    def is_poller(self) -> bool:
+        """Whether this node reads the version from the platform."""
+        if self._clock.now_ms() - self._heard_ms > UNHEARD_MS:
+            return True
+        own = self.identity
+        names = {member.id for member in self._near()} | {own.node_id}
+        key = f"config-poller/{own.data_centre}"
+        return rank_of(key, own.node_id, names) < N_POLLERS
+
+    async def run_polls(self) -> None:
+        """Poll while this node is one of the pollers, until cancelled."""
+        while True:
+            wait_ms = self._backoff.jittered_ms(POLL_MS)
+            if self.is_poller:
+                if await self.poll():
+                    self._backoff.succeeded()
+                else:
+                    wait_ms = self._backoff.failed_ms()
+            await asyncio.sleep(wait_ms / 1000.0)
+
+    async def run_pulls(self) -> None:
+        """Exchange with random peers, until cancelled."""
+        while True:
+            await asyncio.sleep(self._backoff.jittered_ms(PULL_MS) / 1000.0)
+            near = self._near()
+            if near:
+                await self.exchange(_address(self._rng.choice(near)))
+            far = self._far() if self.is_poller else []
+            if far:
+                await self.exchange(_address(self._rng.choice(far)))
+
+    async def _push(self) -> None:
+        await asyncio.sleep(SPREAD_DELAY_MS / 1000.0)
+        self._spreading = False
+        query = self._describe(with_latest=self.state.version > self._spread_version)
+        query = query._replace(addresses=sorted(self._spread_addresses))
+        self._spread_version = self.state.version
+        self._spread_addresses.clear()
+        near = self._near()
+        chosen = self._rng.sample(near, min(N_PUSHES, len(near)))
+        if self.is_poller:
+            far = self._far()
+            chosen += self._rng.sample(far, min(1, len(far)))
+        await asyncio.gather(
+            *(self._query(_address(member), query) for member in chosen)
+        )
+
+    async def _query(self, peer: PeerAddress, query: ConfigQuery) -> ConfigReply | None:
+        answer = await self._control.call(
+            peer.host, peer.control_port, EXCHANGE, query, QUERY_TIMEOUT_MS
+        )
+        return None if isinstance(answer, Err) else answer.ok_value
+
+    def _describe(self, with_latest: bool = False) -> ConfigQuery:
+        own = self.identity
+        return ConfigQuery(
+            own.address.host,
+            own.address.control_port,
+            own.data_centre,
+            self.state.version,
+            self.directory.digest,
+            self.state.latest if with_latest else [],
+            [],
+        )
+
+    def _note_contact(self, data_centre: str) -> None:
+        if data_centre != self.identity.data_centre:
+            self.isolation.reached()
+
+    def _others(self) -> list[Member]:
+        own_id = self.identity.node_id
+        return [member for member in self._members() if member.id != own_id]
+
+    def _near(self) -> list[Member]:
+        own = self.identity.data_centre
+        return [member for member in self._others() if member.data_centre == own]
+
+    def _far(self) -> list[Member]:
+        own = self.identity.data_centre
+        return [member for member in self._others() if member.data_centre != own]
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        """Cancel what is under way."""
+        for task in list(self._tasks):
+            task.cancel()
+
+
+@asynccontextmanager
+async def running_config(
+    sync: ConfigSync, seeds: Collection[PeerAddress]
+) -> AsyncIterator[ConfigSync]:
+    """Boot, then poll and pull while the context is open."""
+    await sync.boot(seeds)
+    loops = [
+        asyncio.ensure_future(sync.run_polls()),
+        asyncio.ensure_future(sync.run_pulls()),
+    ]
+    try:
+        yield sync
+    finally:
+        for loop in loops:
+            loop.cancel()
+        sync.close()
+
+
+def _address(member: Member) -> PeerAddress:
+    return PeerAddress(member.host, member.control_port)
--- a/packages/node/ibisspoke_node/entry.py
+++ b/packages/node/ibisspoke_node/entry.py
@@ -142,6 +142,12 @@
     async def _run(self) -> None:
         accepted = self._accepted
         assert accepted is not None
+        if accepted.quota_name:
+            refusal = await self._entry.acceptance.acquire(accepted)
+            if refusal is not None:
+                self._refuse(refusal)
+                self._answer(to_answer(refusal, self._request_id))
+                return
         parts = self._parts
         request = Request(
             accepted.call,
@@ -156,9 +162,9 @@
         if isinstance(outcome, Ok):
             self._answer(outcome.ok_value)
             return
-        refusal = outcome.err_value.refusal
-        self._entry.metrics.count(f"refused.{refusal.kind.value}")
-        self._answer(to_answer(refusal, self._request_id))
+        ended = outcome.err_value.refusal
+        self._entry.metrics.count(f"refused.{ended.kind.value}")
+        self._answer(to_answer(ended, self._request_id))
 
     def _check_length(self, n_bytes: int) -> None:
         accepted = self._accepted
--- a/packages/node/ibisspoke_node/in_force.py
+++ b/packages/node/ibisspoke_node/in_force.py
@@ -1,5 +1,7 @@
 """The catalogue in force at this node."""
 
+from collections.abc import Callable
+
 from ibisspoke_policy.catalogue import EMPTY_CATALOGUE, Catalogue, RouteTable
 
 
@@ -9,6 +11,7 @@
     def __init__(self) -> None:
         self.catalogue = EMPTY_CATALOGUE
         self.routes = RouteTable({})
+        self._listeners: list[Callable[[Catalogue], None]] = []
 
     def __repr__(self) -> str:
         return f"InForce(version={self.catalogue.version})"
@@ -24,4 +27,10 @@
             return False
         self.routes = RouteTable(catalogue.calls_by_id)
         self.catalogue = catalogue
+        for listener in self._listeners:
+            listener(catalogue)
         return True
+
+    def subscribe(self, listener: Callable[[Catalogue], None]) -> None:
+        """Call ``listener`` with each version that comes into force."""
+        self._listeners.append(listener)
--- a/packages/node/ibisspoke_node/slot_holder.py
+++ b/packages/node/ibisspoke_node/slot_holder.py
@@ -183,7 +183,9 @@
         held = holding.held
         self._holdings_by_slot.pop(held.row.slot, None)
         levels = holding.ledger.levels(self._clock.now_ms())
-        row = self._next_row(held.row, weight)._replace(holder="", levels=levels)
+        row = self._next_row(held.row, weight)._replace(
+            holder="", holder_term=held.row.term + 1, levels=levels
+        )
         written = await self._store.write(row, [Check(row.key, held.version)])
         if isinstance(written, Ok):
             self._publish(row)
@@ -235,7 +237,7 @@
         for slot in self._slots:
             near = slot.data_centre == self.identity.data_centre
             if near and slot not in self._watch.rows_by_slot and not self._rank(slot):
-                row = SlotRow(slot, "", 1, new_nonce(), LEASE_MS, 0.0, {}, False)
+                row = SlotRow(slot, "", 1, 1, new_nonce(), LEASE_MS, 0.0, {}, False)
                 await self._store.create([row])
                 self.watch_soon()
 
@@ -290,9 +292,11 @@
         return [Check(other.row.key, other.version) for other in rows]
 
     def _next_row(self, row: SlotRow, weight: float) -> SlotRow:
+        renewed = row.holder == self.identity.address
         return row._replace(
             holder=self.identity.address,
             term=row.term + 1,
+            holder_term=row.holder_term if renewed else row.term + 1,
             nonce=new_nonce(),
             lease_ms=LEASE_MS,
             weight=weight,
@@ -310,5 +314,5 @@
 
     def _publish(self, row: SlotRow) -> None:
         host, _, port = row.holder.rpartition(":")
-        address = SlotAddress(row.slot, row.term, host, int(port or 0))
+        address = SlotAddress(row.slot, row.holder_term, host, int(port or 0))
         self.directory.merge([address])
--- a/packages/policy/ibisspoke_policy/quota.py
+++ b/packages/policy/ibisspoke_policy/quota.py
@@ -22,6 +22,9 @@
     def take(self, organisation: str, now_ms: float) -> QuotaDecision:
         """Spend one token of ``organisation``."""
 
+    async def acquire(self, organisation: str, deadline_ms: float) -> QuotaDecision:
+        """Ask other nodes for one token; only after a take that says so."""
+
 
 class TokenBucket:
     """Fill with ``rate_per_s`` up to ``burst``.
--- a/packages/policy/ibisspoke_policy/slot_directory.py
+++ b/packages/policy/ibisspoke_policy/slot_directory.py
@@ -13,7 +13,7 @@
 class SlotAddress(NamedTuple):
     """Where the holder of a slot answers.
 
-    :param term: term of the slot's row; the highest is the latest.
+    :param term: term in which the holder changed; the highest is the latest.
     :param host: IP number; empty when the slot is free.
     """
 
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self._addresses_by_slot: dict[SlotId, SlotAddress] = {}
+        self._changes: dict[SlotId, SlotAddress] = {}
         self._digest: str | None = None
 
     def __repr__(self) -> str:
@@ -58,11 +59,18 @@
             known = self._addresses_by_slot.get(address.slot)
             if known is None or known.term < address.term:
                 self._addresses_by_slot[address.slot] = address
+                self._changes[address.slot] = address
                 changed = True
         if changed:
             self._digest = None
         return changed
 
+    def take_changes(self) -> list[SlotAddress]:
+        """Return the addresses that changed since the last call."""
+        changes = list(self._changes.values())
+        self._changes.clear()
+        return changes
+
     def preferred(self, data_centre: str, name: str) -> list[SlotId]:
         """Return held slots, those of ``data_centre`` first.
 
--- a/packages/policy/ibisspoke_policy/slot_lease.py
+++ b/packages/policy/ibisspoke_policy/slot_lease.py
@@ -26,6 +26,7 @@
 
     :param holder: control address ``host:port``; empty when free.
     :param term: grows by one with each write.
+    :param holder_term: term in which the holder changed.
     :param nonce: unique for each write, to find a write whose answer was lost.
     :param weight: share of every rate; all rows together never exceed 1.
     :param levels: tokens left by the last holder, by organisation.
@@ -35,6 +36,7 @@
     slot: SlotId
     holder: str
     term: int
+    holder_term: int
     nonce: str
     lease_ms: float
     weight: float
@@ -161,7 +163,7 @@
     """Return free rows of equal weight for a fleet that has none yet."""
     slots = list(slots)
     return [
-        SlotRow(slot, "", 1, nonce, LEASE_MS, 1.0 / len(slots), {}, True)
+        SlotRow(slot, "", 1, 1, nonce, LEASE_MS, 1.0 / len(slots), {}, True)
         for slot in slots
     ]
 
--- a/packages/policy/ibisspoke_policy/static_split.py
+++ b/packages/policy/ibisspoke_policy/static_split.py
@@ -38,6 +38,10 @@
         wait_ms = min(MAX_RETRY_AFTER_MS, bucket.wait_ms(1.0, now_ms))
         return QuotaDecision(False, False, int(wait_ms) + 1)
 
+    async def acquire(self, organisation: str, deadline_ms: float) -> QuotaDecision:
+        """Refuse: no other node holds tokens for this one."""
+        return QuotaDecision(False, False, MAX_RETRY_AFTER_MS)
+
     def _bucket(self, entry: Organisation, now_ms: float) -> TokenBucket:
         share = 1.0 / max(1, self._n_nodes())
         rate, burst = entry.rate_per_s * share, max(1.0, entry.burst * share)
--- a/packages/policy/tests/test_slot_lease.py
+++ b/packages/policy/tests/test_slot_lease.py
@@ -27,7 +27,7 @@
 
 
 def _row(holder=HOLDER, term=1):
-    return SlotRow(SLOT, holder, term, "n", LEASE_MS, 0.5, {}, False)
+    return SlotRow(SLOT, holder, term, 1, "n", LEASE_MS, 0.5, {}, False)
 
 
 def test_a_row_survives_the_table():
