--- a/packages/policy/ibisspoke_policy/difference.py
+++ b/packages/policy/ibisspoke_policy/difference.py
@@ -86,11 +86,18 @@
     entry: EntryKind, before: Mapping[str, _Entry], after: Mapping[str, _Entry]
 ) -> list[Change]:
     changes: list[Change] = []
-    for id in sorted(before.keys() | after.keys()):
+    ids = before.keys() | after.keys()
+    for id in sorted(ids, key=lambda id: _order(id, after.get(id) or before[id])):
         changes.extend(_compare_entry(entry, id, before.get(id), after.get(id)))
     return changes
 
 
+def _order(id: str, entry: _Entry) -> tuple[str, ...]:
+    if isinstance(entry, Key):
+        return (entry.organisation, entry.label, id)
+    return (id,)
+
+
 def _compare_entry(
     entry: EntryKind, id: str, before: _Entry | None, after: _Entry | None
 ) -> list[Change]:
