--- a/packages/node/ibisspoke_node/in_force.py
+++ b/packages/node/ibisspoke_node/in_force.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 
 from ibisspoke_policy.catalogue import EMPTY_CATALOGUE, Catalogue, RouteTable
+from ibisspoke_policy.quota_messages import Limit
+from ibisspoke_policy.slot_lease import limits_of
 
 
 class InForce:
@@ -11,6 +13,7 @@
     def __init__(self) -> None:
         self.catalogue = EMPTY_CATALOGUE
         self.routes = RouteTable({})
+        self.limits: dict[str, Limit] = {}
         self._listeners: list[Callable[[Catalogue], None]] = []
 
     def __repr__(self) -> str:
@@ -26,6 +29,7 @@
         if catalogue.version <= self.catalogue.version:
             return False
         self.routes = RouteTable(catalogue.calls_by_id)
+        self.limits = limits_of(catalogue)
         self.catalogue = catalogue
         for listener in self._listeners:
             listener(catalogue)
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -17,6 +17,7 @@
 from ibisspoke_policy.member import Member, MemberState, MemberTable
 from ibisspoke_policy.member_index import Place
 from ibisspoke_policy.nearest_router import NearestRouter
+from ibisspoke_policy.quota import TokenSource
 from ibisspoke_policy.static_split import StaticSplit
 from ibisspoke_policy.table import Table
 
@@ -30,6 +31,12 @@
 from .link_pool import LinkPool
 from .messages import BufferBudget
 from .metrics import Metrics, StatsdSender
+from .organisations import (
+    Organisations,
+    PlatformStores,
+    running_organisations,
+    stores_of,
+)
 from .parents import ParentTable
 from .server_link import link_server
 from .settings import NodeSettings
@@ -55,6 +62,7 @@
 
     :param settings: checked settings.
     :param controller: admission at this node; an adaptive limit by default.
+    :param stores: the platform; without one, rates are split over the known nodes.
     """
 
     def __init__(
@@ -63,6 +71,7 @@
         clock: Clock,
         control: ControlClient,
         controller: AdmissionController | None = None,
+        stores: PlatformStores | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -93,16 +102,42 @@
             settings.id, self.router, self.links, self.handler, parents, keyed, clock
         )
         self.handler.forward = self.dispatcher.forward
-        tokens = StaticSplit(
-            lambda: self.in_force.catalogue.organisations_by_id,
-            lambda: len(self.members_by_id),
+        self.organisations = self._organisations(stores)
+        acceptance = Acceptance(
+            settings.id,
+            self.in_force,
+            self._token_source(),
+            signer,
+            clock,
+            self.organisations.isolation if self.organisations else None,
         )
-        acceptance = Acceptance(settings.id, self.in_force, tokens, signer, clock)
         self.entry = Entry(acceptance, self.dispatcher, self.budget, self.metrics)
 
     def __repr__(self) -> str:
         return f"Node({self.settings.id!r}, {self.ports})"
 
+    def _organisations(self, stores: PlatformStores | None) -> Organisations | None:
+        if stores is None:
+            return None
+        organisations = Organisations(
+            self.settings,
+            stores,
+            self.in_force,
+            self.control,
+            self.members_by_id,
+            self.clock,
+        )
+        organisations.register(self.service)
+        return organisations
+
+    def _token_source(self) -> TokenSource:
+        if self.organisations is not None:
+            return self.organisations.quota
+        return StaticSplit(
+            lambda: self.in_force.limits,
+            lambda: len(self.members_by_id),
+        )
+
     def own_member(self) -> Member:
         """Return this node as others see it."""
         settings = self.settings
@@ -170,11 +205,13 @@
     settings: NodeSettings,
     clock: Clock,
     controller: AdmissionController | None = None,
+    stores: PlatformStores | None = None,
 ) -> AsyncIterator[Node]:
     """Run a node while the context is open."""
     async with AsyncExitStack() as stack:
         control = await stack.enter_async_context(control_client(settings.secrets))
-        node = Node(settings, clock, control, controller)
+        stores = stores or stores_of(settings)
+        node = Node(settings, clock, control, controller, stores)
         await _listen(stack, node)
         node.members_by_id.put(settings.id, node.own_member())
         ticks = asyncio.ensure_future(node.run_ticks())
@@ -182,6 +219,9 @@
         stack.callback(node.executor.close)
         stack.callback(node.handler.close)
         stack.callback(node.links.close)
+        if node.organisations is not None:
+            node.organisations.bind(node.ports.control)
+            await stack.enter_async_context(running_organisations(node.organisations))
         logger.info("node started", extra={"node": settings.id, "pid": os.getpid()})
         yield node
 
--- /dev/null
+++ b/packages/node/ibisspoke_node/organisations.py
@@ -0,0 +1,128 @@
+"""Quota and configuration of one node, assembled."""
+
+import random
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+from ibisspoke_platform.config_reader import ConfigReader
+from ibisspoke_platform.http_store import HttpStore
+from ibisspoke_platform.store import ObjectStore, TableService
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.isolation import IsolationWatch
+from ibisspoke_policy.member import Member, MemberTable
+from ibisspoke_policy.slot_directory import SlotDirectory
+
+from .config_state import ConfigState
+from .config_sync import ConfigSync, PeerAddress, SyncIdentity, running_config
+from .control import ControlClient, ControlService
+from .in_force import InForce
+from .quota_service import QuotaService, running_quota
+from .settings import NodeSettings
+from .slot_holder import HolderIdentity, SlotHolder
+from .slot_store import SlotStore
+
+
+class PlatformStores(NamedTuple):
+    """The platform as a node uses it."""
+
+    table: TableService
+    objects: ObjectStore
+
+
+class Organisations:
+    """Keep the catalogue in force up to date and the rates exact.
+
+    :param members_by_id: the fleet as this node sees it.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        stores: PlatformStores,
+        in_force: InForce,
+        control: ControlClient,
+        members_by_id: MemberTable,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self._members_by_id = members_by_id
+        rng = random.Random()
+        directory = SlotDirectory()
+        self.isolation = IsolationWatch(clock)
+        holder = SlotHolder(
+            self._holder_identity(settings.control_port),
+            clock,
+            SlotStore(stores.table, clock, rng),
+            directory,
+            self._near_ids,
+        )
+        self.quota = QuotaService(holder, control, clock)
+        self.config = ConfigSync(
+            self._sync_identity(settings.control_port),
+            ConfigState(in_force),
+            ConfigReader(stores.table, stores.objects),
+            control,
+            self._present,
+            directory,
+            self.isolation,
+            clock,
+            rng,
+        )
+        in_force.subscribe(self.quota.configure)
+
+    def __repr__(self) -> str:
+        return f"Organisations({self.quota!r}, {self.config!r})"
+
+    def register(self, service: ControlService) -> None:
+        """Serve draws and configuration to other nodes."""
+        self.quota.register(service)
+        self.config.register(service)
+
+    def bind(self, control_port: int) -> None:
+        """Take in the control port, which only this process can hold."""
+        self.quota.holder.identity = self._holder_identity(control_port)
+        self.config.identity = self._sync_identity(control_port)
+
+    def _holder_identity(self, control_port: int) -> HolderIdentity:
+        settings = self.settings
+        return HolderIdentity(
+            settings.id, settings.data_centre, settings.host, control_port
+        )
+
+    def _sync_identity(self, control_port: int) -> SyncIdentity:
+        settings = self.settings
+        address = PeerAddress(settings.host, control_port)
+        return SyncIdentity(settings.id, settings.data_centre, address)
+
+    def _present(self) -> Sequence[Member]:
+        return self._members_by_id.where(_is_reachable)
+
+    def _near_ids(self) -> list[str]:
+        own = self.settings.data_centre
+        return [member.id for member in self._present() if member.data_centre == own]
+
+
+@asynccontextmanager
+async def running_organisations(services: Organisations) -> AsyncIterator[None]:
+    """Run configuration and quota; hand slots back at the end."""
+    seeds = [_peer(seed) for seed in services.settings.seeds]
+    async with running_config(services.config, seeds), running_quota(services.quota):
+        yield
+
+
+def stores_of(settings: NodeSettings) -> PlatformStores | None:
+    """Return the platform named in the settings, or None when none is named."""
+    if not settings.platform_url:
+        return None
+    store = HttpStore(settings.platform_url)
+    return PlatformStores(store, store)
+
+
+def _is_reachable(member: Member) -> bool:
+    return member.is_present and member.control_port > 0
+
+
+def _peer(seed: str) -> PeerAddress:
+    host, _, port = seed.rpartition(":")
+    return PeerAddress(host, int(port))
--- a/packages/policy/ibisspoke_policy/static_split.py
+++ b/packages/policy/ibisspoke_policy/static_split.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable, Mapping
 
-from .catalogue import Organisation
 from .quota import QuotaDecision, TokenBucket
+from .quota_messages import Limit
 
 MAX_RETRY_AFTER_MS = 60_000
 
@@ -11,16 +11,16 @@
 class StaticSplit:
     """Give every node the same share of each rate and burst.
 
-    :param organisations_by_id: returns the organisations in force.
+    :param limits: returns the limits in force by organisation.
     :param n_nodes: returns the number of nodes that share.
     """
 
     def __init__(
         self,
-        organisations_by_id: Callable[[], Mapping[str, Organisation]],
+        limits: Callable[[], Mapping[str, Limit]],
         n_nodes: Callable[[], int],
     ) -> None:
-        self._organisations_by_id = organisations_by_id
+        self._limits = limits
         self._n_nodes = n_nodes
         self._bucket_by_organisation: dict[str, TokenBucket] = {}
 
@@ -29,10 +29,10 @@
 
     def take(self, organisation: str, now_ms: float) -> QuotaDecision:
         """Spend one token of ``organisation``."""
-        entry = self._organisations_by_id().get(organisation)
-        if entry is None:
+        limit = self._limits().get(organisation)
+        if limit is None:
             return QuotaDecision(False, False, MAX_RETRY_AFTER_MS)
-        bucket = self._bucket(entry, now_ms)
+        bucket = self._bucket(organisation, limit, now_ms)
         if bucket.take(1.0, now_ms):
             return QuotaDecision(True, False, 0)
         wait_ms = min(MAX_RETRY_AFTER_MS, bucket.wait_ms(1.0, now_ms))
@@ -42,12 +42,12 @@
         """Refuse: no other node holds tokens for this one."""
         return QuotaDecision(False, False, MAX_RETRY_AFTER_MS)
 
-    def _bucket(self, entry: Organisation, now_ms: float) -> TokenBucket:
+    def _bucket(self, organisation: str, limit: Limit, now_ms: float) -> TokenBucket:
         share = 1.0 / max(1, self._n_nodes())
-        rate, burst = entry.rate_per_s * share, max(1.0, entry.burst * share)
-        bucket = self._bucket_by_organisation.get(entry.id)
+        rate, burst = limit.rate_per_s * share, max(1.0, limit.burst * share)
+        bucket = self._bucket_by_organisation.get(organisation)
         if bucket is None or (bucket.rate_per_s, bucket.burst) != (rate, burst):
             tokens = burst if bucket is None else bucket.tokens
             bucket = TokenBucket(rate, burst, now_ms, tokens)
-            self._bucket_by_organisation[entry.id] = bucket
+            self._bucket_by_organisation[organisation] = bucket
         return bucket
