--- a/packages/node/ibisspoke_node/in_force.py
+++ b/packages/node/ibisspoke_node/in_force.py
@@ -1,6 +1,10 @@
 """The catalogue in force at this node."""
 
+from collections.abc import Callable
+
 from ibisspoke_policy.catalogue import EMPTY_CATALOGUE, Catalogue, RouteTable
+from ibisspoke_policy.quota_messages import Limit
+from ibisspoke_policy.slot_lease import limits_of
 
 
 class InForce:
@@ -9,6 +13,8 @@
     def __init__(self) -> None:
         self.catalogue = EMPTY_CATALOGUE
         self.routes = RouteTable({})
+        self.limits: dict[str, Limit] = {}
+        self._listeners: list[Callable[[Catalogue], None]] = []
 
     def __repr__(self) -> str:
         return f"InForce(version={self.catalogue.version})"
@@ -23,5 +29,12 @@
         if catalogue.version <= self.catalogue.version:
             return False
         self.routes = RouteTable(catalogue.calls_by_id)
+        self.limits = limits_of(catalogue)
         self.catalogue = catalogue
+        for listener in self._listeners:
+            listener(catalogue)
         return True
+
+    def subscribe(self, listener: Callable[[Catalogue], None]) -> None:
+        """Call ``listener`` with each version that comes into force."""
+        self._listeners.append(listener)
