Run membership over sealed datagrams and drain nodes without cutting requests

Nodes find each other by seeds or by rows in the table. A stop tells the fleet first, keeps the entry open until the upstream's own requests have ended, and leaves only then.

--- a/packages/node/ibisspoke_node/entry.py
+++ b/packages/node/ibisspoke_node/entry.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -64,6 +64,8 @@
         self.metrics = metrics
         self.n_open = 0
         self.stopping = False
+        self._server: HTTPServer | None = None
+        self._idle = asyncio.Event()
 
     def __repr__(self) -> str:
         return f"Entry({self.n_open} open)"
@@ -74,6 +76,24 @@
         """Return the receiver of one request."""
         return _Exchange(self, request_conn)
 
+    def listens_on(self, server: HTTPServer) -> None:
+        """Stop ``server`` when this entry drains."""
+        self._server = server
+
+    async def drain(self, timeout_ms: float) -> None:
+        """Take no new connections and wait until the open requests have ended."""
+        self.stopping = True
+        if self._server is not None:
+            self._server.stop()
+        self.note_idle()
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._idle.wait(), timeout_ms / 1000.0)
+
+    def note_idle(self) -> None:
+        """Let a drain go on if no request is open."""
+        if self.stopping and not self.n_open:
+            self._idle.set()
+
 
 class _Exchange(HTTPMessageDelegate):
     """One request and its answer."""
@@ -215,6 +235,7 @@
         if self._open:
             self._open = False
             self._entry.n_open -= 1
+            self._entry.note_idle()
 
 
 @asynccontextmanager
@@ -234,6 +255,7 @@
     )
     sockets = bind_sockets(port, host)
     server.add_sockets(sockets)
+    entry.listens_on(server)
     try:
         yield int(sockets[0].getsockname()[1])
     finally:
--- /dev/null
+++ b/packages/node/ibisspoke_node/membership_service.py
@@ -0,0 +1,291 @@
+"""Membership of this node over real sockets."""
+
+import asyncio
+import logging
+import random
+from collections.abc import AsyncIterator, Coroutine
+from contextlib import asynccontextmanager, suppress
+from typing import Any, NamedTuple
+
+from ibisspoke_platform.store import TableService
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.link_budget import LinkTraffic
+from ibisspoke_policy.member import Member, MemberTable
+from ibisspoke_policy.membership import Membership
+from ibisspoke_policy.membership_messages import (
+    Action,
+    Changed,
+    Check,
+    MembershipMessage,
+    ReachChanged,
+    Reply,
+    Send,
+    Synchronise,
+)
+from ibisspoke_policy.nearest_router import NearestRouter
+from ibisspoke_policy.watch_plan import WatchPlan
+
+from .control import ControlClient, ControlService
+from .datagrams import Address, DatagramSocket, datagram_socket
+from .direct_check import check_directly, serve_checks
+from .member_rows import MemberRows
+from .view_exchange import ViewExchange
+
+TICK_MS = 100.0
+JOIN_RETRY_MS = 1_000.0
+MAX_JOIN_RETRY_MS = 10_000.0
+TABLE_PERIOD_MS = 60_000.0
+GOODBYE_MS = 200.0
+N_JOIN_PEERS = 3
+
+logger = logging.getLogger(__name__)
+
+
+class FleetAccess(NamedTuple):
+    """How this node finds and reaches others.
+
+    :param seeds: control addresses ``host:port``.
+    :param table: the platform's table service; None where there is none.
+    """
+
+    secrets: tuple[bytes, ...]
+    seeds: tuple[str, ...]
+    table: TableService | None = None
+
+
+class MembershipService:
+    """Run the membership policy: carry out its actions and feed it messages.
+
+    :param own: row of this node; its ports are announced once they are known.
+    :param members: the table to keep.
+    :param router: told which data centres are unreachable.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        members: MemberTable,
+        router: NearestRouter,
+        control: ControlClient,
+        access: FleetAccess,
+        clock: Clock,
+        plan: WatchPlan | None = None,
+    ) -> None:
+        self._rng = random.Random()
+        self.membership = Membership(own, members, self._rng, clock.now_ms(), plan=plan)
+        self._router = router
+        self._access = access
+        self._clock = clock
+        self._socket: DatagramSocket | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._exchange = ViewExchange(self.membership.view, self._merge, control)
+        self._rows = MemberRows(access.table) if access.table is not None else None
+        self._is_row_written = False
+        self._seeds = [_parse_seed(seed) for seed in access.seeds]
+        router.observe(self)
+
+    def __repr__(self) -> str:
+        return f"MembershipService({self.membership!r})"
+
+    @property
+    def own(self) -> Member:
+        """The row of this node."""
+        return self.membership.own
+
+    @property
+    def n_sent_bytes(self) -> int:
+        """Bytes of datagrams sent."""
+        return self._socket.n_sent_bytes if self._socket is not None else 0
+
+    @property
+    def n_received_bytes(self) -> int:
+        """Bytes of datagrams received."""
+        return self._socket.n_received_bytes if self._socket is not None else 0
+
+    def serve(self, service: ControlService) -> None:
+        """Answer checks and comparisons of other nodes; call before it listens."""
+        serve_checks(service, self.own.id)
+        self._exchange.serve(service)
+
+    def attach(self, socket: DatagramSocket, port: int) -> None:
+        """Send and receive messages by ``socket``."""
+        self._socket = socket
+        socket.listen(self.receive)
+        self.announce(membership_port=port)
+
+    def announce(self, **fields: Any) -> None:
+        """Change fields of the own row where they differ, and tell the fleet."""
+        own = self.own
+        if own._replace(**fields) != own:
+            self._do(self.membership.announce(self._clock.now_ms(), **fields))
+
+    def answered(self, member_id: str) -> None:
+        """Take an answer to a call as a sign of life."""
+        self.membership.note_life(member_id)
+
+    def unanswered(self, member_id: str) -> None:
+        """Check a member that left several calls without an answer."""
+        now_ms = self._clock.now_ms()
+        self._do(self.membership.connection_lost(member_id, now_ms))
+
+    def receive(self, message: MembershipMessage, source: Address) -> None:
+        """Take in a message."""
+        actions = self.membership.receive(message, self._clock.now_ms())
+        self._do(actions, source)
+
+    async def leave(self) -> None:
+        """Say goodbye; the fleet sends nothing here any more."""
+        self._do(self.membership.leave(self._clock.now_ms()))
+        if self._rows is not None:
+            with suppress(TimeoutError):
+                removing = self._rows.remove(self.own)
+                await asyncio.wait_for(removing, GOODBYE_MS / 1000.0)
+        await asyncio.sleep(GOODBYE_MS / 1000.0)
+
+    async def run_ticks(self) -> None:
+        """Run the policy each tick, until cancelled."""
+        while True:
+            self._do(self.membership.tick(self._clock.now_ms()))
+            await asyncio.sleep(TICK_MS / 1000.0)
+
+    async def run_joining(self) -> None:
+        """Find other nodes, at the start and whenever some cannot be reached."""
+        retry_ms = JOIN_RETRY_MS
+        while not await self._join():
+            await asyncio.sleep(retry_ms / 1000.0)
+            retry_ms = min(2.0 * retry_ms, MAX_JOIN_RETRY_MS)
+        while True:
+            period_ms = TABLE_PERIOD_MS * self._rng.uniform(0.75, 1.25)
+            await asyncio.sleep(period_ms / 1000.0)
+            await self._write_row()
+            if self._is_alone or self.membership.unreachable:
+                await self._join()
+
+    def stop(self) -> None:
+        """Cancel what is going on."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    @property
+    def _is_alone(self) -> bool:
+        return len(self.membership.view.members) < 2
+
+    async def _join(self) -> bool:
+        """Compare views with seeds or with nodes named in the table.
+
+        :returns: whether another node answered, or there is none to ask.
+        """
+        await self._write_row()
+        own_address = (self.own.host, self.own.control_port)
+        addresses = [seed for seed in self._seeds if seed != own_address]
+        if self._rows is not None:
+            rows = [row for row in await self._rows.read() if row.id != self.own.id]
+            some = self._rng.sample(rows, min(N_JOIN_PEERS, len(rows)))
+            addresses.extend((row.host, row.control_port) for row in some)
+        answered = [await self._exchange.exchange(*address) for address in addresses]
+        if any(answered):
+            self._do(self.membership.announce(self._clock.now_ms()))
+        return any(answered) or not addresses
+
+    async def _write_row(self) -> None:
+        if self._rows is not None and not self._is_row_written:
+            self._is_row_written = await self._rows.write(self.own)
+
+    def _merge(self, rows: list[Member]) -> None:
+        self._do(self.membership.merge(rows, self._clock.now_ms()))
+
+    def _do(self, actions: list[Action], source: Address | None = None) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(action)
+            elif isinstance(action, Reply):
+                if source is not None and self._socket is not None:
+                    self._socket.send(action.message, source)
+            elif isinstance(action, Check):
+                self._start(self._check(action.member_id))
+            elif isinstance(action, Synchronise):
+                self._start(self._synchronise(action.member_id))
+            else:
+                self._note(action)
+
+    def _send(self, action: Send) -> None:
+        member = self.membership.view.members.get(action.member_id)
+        if member is None or self._socket is None or not member.membership_port:
+            return
+        address = (member.host, member.membership_port)
+        n_bytes = self._socket.send(action.message, address)
+        if member.region != self.own.region:
+            now_ms = self._clock.now_ms()
+            self._router.budget.spend(LinkTraffic.CONTROL, n_bytes, now_ms)
+
+    def _note(self, action: Changed | ReachChanged) -> None:
+        if isinstance(action, ReachChanged):
+            self._router.set_unreachable(action.unreachable)
+            logger.warning(
+                "reach of data centres changed",
+                extra={"unreachable": sorted(action.unreachable)},
+            )
+            return
+        member = self.membership.view.members.get(action.member_id)
+        if member is not None and member.id != self.own.id:
+            logger.info(
+                "member changed",
+                extra={"member": member.id, "state": member.state.value},
+            )
+
+    async def _check(self, member_id: str) -> None:
+        member = self.membership.view.present(member_id)
+        if member is None:
+            return
+        started_ms = self._clock.now_ms()
+        evidence = await check_directly(member, self.own.id, self._access.secrets)
+        now_ms = self._clock.now_ms()
+        self._do(self.membership.checked(member_id, evidence, started_ms, now_ms))
+
+    async def _synchronise(self, member_id: str) -> None:
+        member = self.membership.view.present(member_id)
+        if member is not None:
+            await self._exchange.exchange(member.host, member.control_port)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(_log_failure)
+
+
+def _parse_seed(seed: str) -> Address:
+    host, _, port = seed.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"seed {seed!r} is no address; write it as host:port")
+    return host, int(port)
+
+
+def _log_failure(task: "asyncio.Task[None]") -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("membership failed", exc_info=task.exception())
+
+
+@asynccontextmanager
+async def running_membership(
+    service: MembershipService, secrets: tuple[bytes, ...], port: int
+) -> AsyncIterator[None]:
+    """Take part in the fleet while the context is open.
+
+    :param port: UDP port; 0 lets the kernel choose.
+    """
+    async with datagram_socket(secrets, service.own.host, port) as (socket, bound):
+        service.attach(socket, bound)
+        tasks = [
+            asyncio.ensure_future(service.run_ticks()),
+            asyncio.ensure_future(service.run_joining()),
+        ]
+        for task in tasks:
+            task.add_done_callback(_log_failure)
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            service.stop()
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -3,15 +3,18 @@
 import asyncio
 import logging
 import os
-from collections.abc import AsyncIterator
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import NamedTuple
 
+from ibisspoke_platform.store import TableService
 from ibisspoke_policy.admission import AdmissionController
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.context import ContextSigner
 from ibisspoke_policy.fixed_limit import FixedLimit
 from ibisspoke_policy.member import Member, MemberState, MemberTable
+from ibisspoke_policy.member_index import Place
 from ibisspoke_policy.nearest_router import NearestRouter
 from ibisspoke_policy.static_split import StaticSplit
 from ibisspoke_policy.table import Table
@@ -23,14 +26,16 @@
 from .executor import Announcement, Executor
 from .in_force import InForce
 from .link_pool import LinkPool
+from .membership_service import FleetAccess, MembershipService, running_membership
 from .messages import BufferBudget
 from .metrics import Metrics, StatsdSender
 from .server_link import link_server
 from .settings import NodeSettings
-from .status import StatusPage, status_server
+from .status import MembershipPage, StatusPage, status_server
 
 TICK_MS = 50
 METRICS_MS = 1_000
+DRAIN_NOTICE_MS = 1_000
 
 logger = logging.getLogger(__name__)
 
@@ -49,6 +54,7 @@
 
     :param settings: checked settings.
     :param controller: admission at this node; a fixed limit by default.
+    :param table: the platform's table service, to find other nodes.
     """
 
     def __init__(
@@ -57,6 +63,7 @@
         clock: Clock,
         control: ControlClient,
         controller: AdmissionController | None = None,
+        table: TableService | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -70,7 +77,21 @@
         signer = ContextSigner(settings.secrets)
         self.executor = Executor(controller or FixedLimit(), signer, clock)
         self.links = LinkPool(settings.secrets, self.budget, settings.id)
-        self.router = NearestRouter(self.own_member(), self.members_by_id)
+        place = Place(settings.id, settings.region, settings.data_centre)
+        self.router = NearestRouter(
+            self.members_by_id, place, random.Random(), clock.now_ms()
+        )
+        access = FleetAccess(settings.secrets, settings.seeds, table)
+        self.membership = MembershipService(
+            _starting_row(settings, int(clock.wall_ms())),
+            self.members_by_id,
+            self.router,
+            control,
+            access,
+            clock,
+        )
+        self.membership.serve(self.service)
+        self.stop_hooks: list[Callable[[], Awaitable[None]]] = []
         dispatcher = Dispatcher(
             settings.id, self.router, self.links, self.executor, clock
         )
@@ -86,28 +107,16 @@
 
     def own_member(self) -> Member:
         """Return this node as others see it."""
-        settings = self.settings
-        announced = self.executor.announcement
-        return Member(
-            settings.id,
-            0,
-            settings.region,
-            settings.data_centre,
-            settings.host,
-            self.ports.call,
-            self.ports.control,
-            self.ports.entry,
-            announced.service if announced else "",
-            announced.capacity.n_slots if announced else 0,
-            announced.capacity.draining if announced else False,
-            MemberState.ALIVE,
-            self.in_force.version,
-        )
+        return self.membership.own
 
     def announce(self, announcement: Announcement) -> None:
         """Take in what the upstream of this VM says of itself."""
         self.executor.announce(announcement)
-        self.members_by_id.put(self.settings.id, self.own_member())
+        self.membership.announce(
+            service=announcement.service,
+            n_slots=announcement.capacity.n_slots,
+            draining=announcement.capacity.draining or self.executor.stopping,
+        )
 
     def status(self) -> StatusPage:
         """Return the status page."""
@@ -124,10 +133,25 @@
             n_open_requests=self.entry.n_open,
             n_open_attempts=self.executor.n_open,
             n_members=len(self.members_by_id),
+            membership=self._membership_page(),
             counters=dict(self.metrics.totals_by_name),
             gauges=dict(self.metrics.gauges_by_name),
         )
 
+    def _membership_page(self) -> MembershipPage:
+        membership = self.membership.membership
+        n_bytes = self.router.budget.n_bytes_by_traffic
+        counts = membership.view.count_by_state()
+        return MembershipPage(
+            n_members_by_state={state.value: n for state, n in counts.items()},
+            unreachable_data_centres=sorted(membership.unreachable),
+            is_cut_off=membership.is_cut_off,
+            is_relay=membership.is_relay,
+            n_sent_bytes=self.membership.n_sent_bytes,
+            n_received_bytes=self.membership.n_received_bytes,
+            n_link_bytes_by_traffic={kind.value: n for kind, n in n_bytes.items()},
+        )
+
     async def run_ticks(self) -> None:
         """Run the systems each tick, until cancelled."""
         flushed_ms = self.clock.now_ms()
@@ -140,9 +164,22 @@
                 self.metrics.flush()
 
     async def drain(self) -> None:
-        """Stop taking work and wait for what is running."""
+        """Stop without cutting a request.
+
+        The fleet is told first; requests that still arrive are sent elsewhere. The
+        entry listens until the upstream's own requests, which may call deeper
+        through it, have ended.
+        """
+        started_ms = self.clock.now_ms()
+        self.membership.announce(draining=True)
         self.entry.stopping = True
         await self.executor.drain(self.settings.drain_timeout_ms)
+        told_ms = self.clock.now_ms() - started_ms
+        await asyncio.sleep(max(0.0, DRAIN_NOTICE_MS - told_ms) / 1000.0)
+        await self.entry.drain(self.settings.drain_timeout_ms)
+        for hook in self.stop_hooks:
+            await hook()
+        await self.membership.leave()
 
 
 @asynccontextmanager
@@ -150,13 +187,26 @@
     settings: NodeSettings,
     clock: Clock,
     controller: AdmissionController | None = None,
+    table: TableService | None = None,
 ) -> AsyncIterator[Node]:
-    """Run a node while the context is open."""
+    """Run a node while the context is open.
+
+    :param table: the platform's table service, to find other nodes.
+    """
     async with AsyncExitStack() as stack:
         control = await stack.enter_async_context(control_client(settings.secrets))
-        node = Node(settings, clock, control, controller)
+        node = Node(settings, clock, control, controller, table)
         await _listen(stack, node)
-        node.members_by_id.put(settings.id, node.own_member())
+        node.membership.announce(
+            call_port=node.ports.call,
+            control_port=node.ports.control,
+            entry_port=node.ports.entry,
+        )
+        await stack.enter_async_context(
+            running_membership(
+                node.membership, settings.secrets, settings.membership_port
+            )
+        )
         ticks = asyncio.ensure_future(node.run_ticks())
         stack.callback(ticks.cancel)
         stack.callback(node.executor.close)
@@ -165,6 +215,24 @@
         yield node
 
 
+def _starting_row(settings: NodeSettings, incarnation: int) -> Member:
+    return Member(
+        id=settings.id,
+        incarnation=incarnation,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        host=settings.host,
+        call_port=0,
+        control_port=0,
+        entry_port=0,
+        service="",
+        n_slots=0,
+        draining=False,
+        state=MemberState.ALIVE,
+        catalogue_version=0,
+    )
+
+
 async def _listen(stack: AsyncExitStack, node: Node) -> None:
     settings = node.settings
     call_port = await stack.enter_async_context(
--- a/packages/node/ibisspoke_node/settings.py
+++ b/packages/node/ibisspoke_node/settings.py
@@ -23,6 +23,7 @@
     entry_port: int
     call_port: int
     control_port: int
+    membership_port: int
     status_port: int
 
 
@@ -93,6 +94,7 @@
     entry_port: int = 0
     call_port: int = 0
     control_port: int = 0
+    membership_port: int = 0
     status_port: int = 0
     max_buffer_bytes: int = 67_108_864
     max_body_bytes: int = 10_485_760
--- a/packages/node/ibisspoke_node/status.py
+++ b/packages/node/ibisspoke_node/status.py
@@ -28,6 +28,18 @@
     cold: bool
 
 
+class MembershipPage(TypedDict, total=False):
+    """What the node knows of the fleet."""
+
+    n_members_by_state: dict[str, int]
+    unreachable_data_centres: list[str]
+    is_cut_off: bool
+    is_relay: bool
+    n_sent_bytes: int
+    n_received_bytes: int
+    n_link_bytes_by_traffic: dict[str, int]
+
+
 class StatusPage(TypedDict):
     """What ``GET /status`` shows."""
 
@@ -42,6 +54,7 @@
     n_open_requests: int
     n_open_attempts: int
     n_members: int
+    membership: MembershipPage
     counters: dict[str, int]
     gauges: dict[str, float]
 
--- a/packages/policy/ibisspoke_policy/nearest_router.py
+++ b/packages/policy/ibisspoke_policy/nearest_router.py
@@ -8,7 +8,7 @@
 from .load_estimate import LoadEstimate
 from .member import Member, MemberState, MemberTable
 from .member_index import Distance, MemberIndex, Place, Tiers
-from .routing import RouteQuery
+from .routing import CallObserver, RouteQuery
 
 N_RANDOM_CHOICES = 2
 
@@ -37,12 +37,17 @@
         self._members = members
         self._load_by_id: dict[str, LoadEstimate] = {}
         self._unreachable_data_centres: frozenset[str] = frozenset()
+        self._observer: CallObserver | None = None
         self.budget = LinkBudget(self._index.n_in_region, now_ms)
         members.subscribe(self._forget_gone)
 
     def __repr__(self) -> str:
         return f"NearestRouter({self._index!r})"
 
+    def observe(self, observer: CallObserver) -> None:
+        """Tell ``observer`` of answers, and of nodes that give none."""
+        self._observer = observer
+
     def set_unreachable(self, data_centres: frozenset[str]) -> None:
         """Send nothing to ``data_centres`` until told otherwise."""
         self._unreachable_data_centres = data_centres
@@ -85,9 +90,14 @@
 
     def done(self, member_id: str, level: AdmissionLevel | None, now_ms: float) -> None:
         """Count an attempt as ended and keep the level on its answer."""
-        load = self._load_by_id.get(member_id)
-        if load is not None:
-            load.done(level, now_ms)
+        load = self._load(member_id)
+        load.done(level, now_ms)
+        if self._observer is None:
+            return
+        if level is not None:
+            self._observer.answered(member_id)
+        elif load.is_held(now_ms):
+            self._observer.unanswered(member_id)
 
     def count_bytes(self, member_id: str, n_bytes: int, now_ms: float) -> None:
         """Count the bytes of a body sent to or received from a member."""
--- a/packages/policy/ibisspoke_policy/routing.py
+++ b/packages/policy/ibisspoke_policy/routing.py
@@ -35,3 +35,16 @@
 
     def done(self, member_id: str, level: AdmissionLevel | None, now_ms: float) -> None:
         """Count an attempt as ended and keep the level on its answer."""
+
+    def count_bytes(self, member_id: str, n_bytes: int, now_ms: float) -> None:
+        """Count the bytes of a body sent to or received from a member."""
+
+
+class CallObserver(Protocol):
+    """Learn from calls which members answer."""
+
+    def answered(self, member_id: str) -> None:
+        """Note that a member answered a call."""
+
+    def unanswered(self, member_id: str) -> None:
+        """Note that a member left several calls in a row without an answer."""
