--- a/packages/node/tests/test_membership_service.py
+++ b/packages/node/tests/test_membership_service.py
@@ -22,7 +22,7 @@
 from ibisspoke_policy.member import MemberState
 from ibisspoke_policy.membership_messages import Evidence
 
-SECRETS = (b"fleet secret",)
+SECRETS = (b"fleet secret of these tests",)
 POLL_S = 0.02
 N_POLLS = 1_500
 
@@ -156,7 +156,7 @@
     path = directory / f"{id}.toml"
     path.write_text(
         f'[node]\nid = "{id}"\nregion = "svea"\ndata_centre = "svea-1"\n'
-        'host = "127.0.0.1"\n[platform]\nurl = ""\n[fleet]\n'
+        'host = "127.0.0.1"\n[platform]\nurl = "http://127.0.0.1:9"\n[fleet]\n'
         f'secrets = ["{SECRETS[0].decode()}"]\nseeds = ["{seed}"]\n'
     )
     process = await asyncio.create_subprocess_exec(
