--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -237,8 +237,17 @@
         finally:
             level = _level(outcome)
             self._router.done(member.id, level, self._clock.now_ms())
+            self._count_bytes(member.id, job.body, outcome)
         return outcome
 
+    def _count_bytes(
+        self, member_id: str, body: bytes, outcome: Outcome | None
+    ) -> None:
+        n_bytes = len(body)
+        if isinstance(outcome, Ok):
+            n_bytes += len(outcome.ok_value.body)
+        self._router.count_bytes(member_id, n_bytes, self._clock.now_ms())
+
     async def _send(self, job: _Job, n_lent: int, member: Member) -> Outcome:
         ended: asyncio.Future[Outcome] = asyncio.Future()
 
