--- a/packages/policy/ibisspoke_policy/membership_messages.py
+++ b/packages/policy/ibisspoke_policy/membership_messages.py
@@ -5,7 +5,7 @@
 
 from .member import Member
 
-MAX_ROWS_PER_MESSAGE = 8
+MAX_ROWS_PER_MESSAGE = 10
 
 
 class MessageKind(IntEnum):
--- a/packages/policy/ibisspoke_policy/membership_times.py
+++ b/packages/policy/ibisspoke_policy/membership_times.py
@@ -41,5 +41,5 @@
     n_relays: int = 3
     n_far_relays: int = 2
     fan_out: int = 4
-    n_repeats: int = 3
+    n_repeats: int = 2
     n_sample: int = 8
