--- a/benchmarks/_membership_phases.py
+++ b/benchmarks/_membership_phases.py
@@ -3,8 +3,8 @@
 import asyncio
 import signal
 import sys
-from contextlib import asynccontextmanager
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
 from _worker_pool import Fleet, Worker
--- a/benchmarks/_membership_worker.py
+++ b/benchmarks/_membership_worker.py
@@ -14,6 +14,7 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
+from _membership_ways import make_plan
 from result import Err, Result
 
 from ibisspoke_node.control import ControlError, ControlErrorKind
@@ -24,8 +25,6 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_standins.upstream import UpstreamSettings, announce, running_upstream
 
-from _membership_ways import make_plan
-
 SECRETS = (b"fleet secret of this benchmark",)
 SERVICE = "bench"
 CATALOGUE = Catalogue(
