--- a/packages/policy/ibisspoke_policy/node_settings.py
+++ b/packages/policy/ibisspoke_policy/node_settings.py
@@ -12,7 +12,13 @@
 
 SECTIONS = ["node", "listen", "platform", "fleet", "limits", "metrics", "log"]
 REQUIRED_SECTIONS = ("node", "platform", "fleet")
-PORT_FIELDS = ("entry_port", "call_port", "control_port", "status_port")
+PORT_FIELDS = (
+    "entry_port",
+    "call_port",
+    "control_port",
+    "membership_port",
+    "status_port",
+)
 MAX_PORT = 65_535
 MIN_SECRET_CHARACTERS = 16
 MAX_SECRET_BYTES = 64
@@ -110,6 +116,7 @@
 
     :param secrets: fleet secrets; the first signs, all of them are accepted.
     :param seeds: control addresses of other nodes, ``host:port``.
+    :param membership_port: UDP port for membership; the others are TCP.
     :param max_buffer_bytes: request and answer bodies held at once.
     :param drain_timeout_ms: how long a stop waits for requests.
     """
