--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -168,13 +168,27 @@
             context.importance,
             context.request_id,
         )
-        if self.shedder.refuses(candidate, level, now_ms):
+        if self._sheds(candidate, level, context.n_hops > 0, now_ms):
             detail = "the services that the request needs are overloaded"
             return Err(Refused(overloaded(detail, SHED_RETRY_AFTER_MS)))
+        if context.n_hops:
+            level = 0.0
         passed = context._replace(admitted_level=max(context.admitted_level, level))
         admitted = job._replace(attempt=attempt._replace(context=passed))
         return await self._attempts(admitted, allowance)
 
+    def _sheds(
+        self, candidate: Candidate, level: float, is_nested: bool, now_ms: float
+    ) -> bool:
+        """Return whether to refuse a request at once.
+
+        Work has been done for a nested call: it is refused only when all of its
+        importance is shed, and takes its chance in the queue otherwise.
+        """
+        if is_nested and level < candidate.importance + 1:
+            return False
+        return self.shedder.refuses(candidate, level, now_ms)
+
     def _shed_level(self, attempt: Attempt, now_ms: float) -> float:
         """Return the level by what answers told and by what this node serves."""
         level = self.shedder.level(attempt.call_id, attempt.service, now_ms)
--- a/packages/policy/ibisspoke_policy/admission_queue.py
+++ b/packages/policy/ibisspoke_policy/admission_queue.py
@@ -1,16 +1,42 @@
-"""A short queue of attempts: by importance, work done, and share of organisations."""
+"""A short queue of attempts: by importance, then by fair share of organisations."""
 
 from .admission import Ticket
 from .catalogue import Importance
 from .fair_share import FairShare
 
-Rank = tuple[Importance, bool]
+
+class _Line:
+    """What one organisation has waiting at one importance."""
+
+    def __init__(self) -> None:
+        self._fresh: dict[int, None] = {}
+        self._nested: dict[int, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._fresh) + len(self._nested)
+
+    def add(self, ticket: Ticket) -> None:
+        ids = self._nested if ticket.n_hops else self._fresh
+        ids[ticket.attempt_id] = None
+
+    def discard(self, attempt_id: int) -> None:
+        self._fresh.pop(attempt_id, None)
+        self._nested.pop(attempt_id, None)
+
+    def best(self, newest_first: bool) -> int:
+        """Return the attempt to start, one with work done for it if there is."""
+        ids = self._nested or self._fresh
+        return next(reversed(ids)) if newest_first else next(iter(ids))
+
+    def least(self) -> int:
+        """Return the oldest attempt, one without work done for it if there is."""
+        return next(iter(self._fresh or self._nested))
 
 
 class AdmissionQueue:
     """Hold waiting attempts; the most important of the least served goes first.
 
-    Among equally important ones, those that earlier hops have worked for go first.
+    Of one organisation, attempts that earlier hops have worked for go first.
 
     :param shares: recent use of the upstream by organisation.
     """
@@ -18,10 +44,8 @@
     def __init__(self, shares: FairShare) -> None:
         self._shares = shares
         self._ticket_by_id: dict[int, Ticket] = {}
-        self._ids_by_rank: dict[Rank, dict[str, dict[int, None]]] = {
-            (importance, is_nested): {}
-            for importance in sorted(Importance, reverse=True)
-            for is_nested in (True, False)
+        self._lines_by_class: dict[Importance, dict[str, _Line]] = {
+            importance: {} for importance in sorted(Importance, reverse=True)
         }
 
     def __repr__(self) -> str:
@@ -36,19 +60,19 @@
     def push(self, ticket: Ticket) -> None:
         """Add ``ticket`` as the newest of its organisation and importance."""
         self._ticket_by_id[ticket.attempt_id] = ticket
-        by_organisation = self._ids_by_rank[_rank(ticket)]
-        by_organisation.setdefault(ticket.organisation, {})[ticket.attempt_id] = None
+        lines = self._lines_by_class[ticket.importance]
+        lines.setdefault(ticket.organisation, _Line()).add(ticket)
 
     def remove(self, attempt_id: int) -> Ticket | None:
         """Take out the attempt, or return None if it does not wait."""
         ticket = self._ticket_by_id.pop(attempt_id, None)
         if ticket is None:
             return None
-        by_organisation = self._ids_by_rank[_rank(ticket)]
-        ids = by_organisation[ticket.organisation]
-        del ids[attempt_id]
-        if not ids:
-            del by_organisation[ticket.organisation]
+        lines = self._lines_by_class[ticket.importance]
+        line = lines[ticket.organisation]
+        line.discard(attempt_id)
+        if not len(line):
+            del lines[ticket.organisation]
         return ticket
 
     def pop(self, newest_first: bool) -> Ticket | None:
@@ -56,24 +80,21 @@
 
         :param newest_first: whether the newest of an organisation goes first.
         """
-        for by_organisation in self._ids_by_rank.values():
-            if by_organisation:
-                organisation = min(by_organisation, key=self._shares.use)
-                ids = by_organisation[organisation]
-                return self.remove(_last(ids) if newest_first else _first(ids))
+        for lines in self._lines_by_class.values():
+            if lines:
+                organisation = min(lines, key=self._shares.use)
+                return self.remove(lines[organisation].best(newest_first))
         return None
 
     def evict(self) -> Ticket | None:
         """Take out the attempt that is worth least.
 
-        :returns: the oldest of the organisation that waits with the most, among
-            those of the lowest importance, preferably of those that no work has
-            been done for at an earlier hop.
+        :returns: of the lowest importance, and there of the organisation that waits
+            with the most.
         """
-        for by_organisation in reversed(self._ids_by_rank.values()):
-            if by_organisation:
-                organisation = self._heaviest(by_organisation)
-                return self.remove(_first(by_organisation[organisation]))
+        for lines in reversed(self._lines_by_class.values()):
+            if lines:
+                return self.remove(lines[self._heaviest(lines)].least())
         return None
 
     def expire(self, finish_by_ms: float) -> list[Ticket]:
@@ -92,20 +113,5 @@
             self.remove(ticket.attempt_id)
         return tickets
 
-    def _heaviest(self, by_organisation: dict[str, dict[int, None]]) -> str:
-        return max(
-            by_organisation,
-            key=lambda name: (len(by_organisation[name]), self._shares.use(name)),
-        )
-
-
-def _rank(ticket: Ticket) -> Rank:
-    return ticket.importance, ticket.n_hops > 0
-
-
-def _first(ids: dict[int, None]) -> int:
-    return next(iter(ids))
-
-
-def _last(ids: dict[int, None]) -> int:
-    return next(reversed(ids))
+    def _heaviest(self, lines: dict[str, _Line]) -> str:
+        return max(lines, key=lambda name: (len(lines[name]), self._shares.use(name)))
