--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import os
+import random
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import NamedTuple
@@ -14,6 +15,7 @@
 from ibisspoke_policy.early_shedding import ChainLevels, EarlyShedder
 from ibisspoke_policy.idempotency import ClaimSettings
 from ibisspoke_policy.member import Member, MemberState, MemberTable
+from ibisspoke_policy.member_index import Place
 from ibisspoke_policy.nearest_router import NearestRouter
 from ibisspoke_policy.static_split import StaticSplit
 from ibisspoke_policy.table import Table
@@ -84,7 +86,10 @@
             settings.id, self.executor, keyed, claim_settings, clock
         )
         self.links = LinkPool(settings.secrets, self.budget, settings.id)
-        self.router = NearestRouter(self.own_member(), self.members_by_id)
+        place = Place(settings.id, settings.region, settings.data_centre)
+        self.router = NearestRouter(
+            self.members_by_id, place, random.Random(), clock.now_ms()
+        )
         self.dispatcher = Dispatcher(
             settings.id,
             self.router,
@@ -96,11 +101,11 @@
             clock,
         )
         self.handler.forward = self.dispatcher.forward
-        wallet = StaticSplit(
+        tokens = StaticSplit(
             lambda: self.in_force.catalogue.organisations_by_id,
             lambda: len(self.members_by_id),
         )
-        acceptance = Acceptance(settings.id, self.in_force, wallet, signer, clock)
+        acceptance = Acceptance(settings.id, self.in_force, tokens, signer, clock)
         self.entry = Entry(acceptance, self.dispatcher, self.budget, self.metrics)
 
     def __repr__(self) -> str:
