--- a/packages/policy/ibisspoke_policy/early_shedding.py
+++ b/packages/policy/ibisspoke_policy/early_shedding.py
@@ -14,7 +14,7 @@
 from .shed_level import MAX_SHED
 
 LEVEL_FRESH_MS = 300.0
-LEVEL_FADE_PER_MS = 1.0 / 1_000.0
+LEVEL_FADE_PER_MS = 3.0 / 1_000.0
 TIME_CONSTANT_MS = 150.0
 MIN_GAIN = 0.2
 SHARE_GAIN = 0.05
--- a/packages/policy/ibisspoke_policy/shed_level.py
+++ b/packages/policy/ibisspoke_policy/shed_level.py
@@ -11,7 +11,7 @@
 MAX_SHED = float(len(Importance))
 MIN_ADMITTED_SHARE = 0.05
 TIME_CONSTANT_MS = 400.0
-RISE_MS = 150.0
+RISE_MS = 60.0
 ONSET_MS = 300.0
 FORGET_MS = 3_000.0
 DRAIN_MS = 400.0
