--- a/benchmarks/_overload_driver.py
+++ b/benchmarks/_overload_driver.py
@@ -355,9 +355,7 @@
         "max_runs_per_request": {
             service: max(n_runs.values(), default=0) for service, n_runs in runs.items()
         },
-        "doubled": sum(
-            n > 1 for number, n in runs["back"].items() if "order" in number
-        ),
+        "doubled": sum(n_runs > 1 for n_runs in orders),
         "false_not_run": sum(
             r.says_not_run and any(r.number in n for n in runs.values())
             for r in records
--- a/packages/policy/ibisspoke_policy/shed_level.py
+++ b/packages/policy/ibisspoke_policy/shed_level.py
@@ -13,6 +13,7 @@
 TIME_CONSTANT_MS = 400.0
 RISE_MS = 60.0
 ONSET_MS = 300.0
+LATE_FACTOR = 2.0
 FORGET_MS = 3_000.0
 DRAIN_MS = 400.0
 CORRECTION_MIN = 0.6
@@ -75,7 +76,7 @@
         :param target_ms: the delay to keep while shedding.
         """
         self._shedding_ms = self._shedding_ms + elapsed_ms if self._level else 0.0
-        self._estimate(elapsed_ms, delay_ms > target_ms)
+        self._estimate(elapsed_ms, delay_ms > LATE_FACTOR * target_ms)
         correction = 1.0 - (delay_ms - target_ms) / DRAIN_MS
         correction = min(CORRECTION_MAX, max(CORRECTION_MIN, correction))
         demand = sum(self._demand_by_class.values())
