--- a/benchmarks/_overload_driver.py
+++ b/benchmarks/_overload_driver.py
@@ -87,8 +87,11 @@
 
 
 @asynccontextmanager
-async def running_servers(site: Site, mode: Mode) -> AsyncIterator[Processes]:
+async def running_servers(
+    site: Site, mode: Mode, traces: Path | None
+) -> AsyncIterator[Processes]:
     program = str(Path(__file__).with_name("_overload_server.py"))
+    options = ["--traces", str(traces)] if traces is not None else []
     servers = Processes([])
     try:
         for index in range(N_SERVERS):
@@ -98,6 +101,7 @@
                 site.name,
                 mode,
                 str(index),
+                *options,
                 stdin=asyncio.subprocess.PIPE,
                 stdout=asyncio.subprocess.PIPE,
                 limit=2**26,
@@ -289,12 +293,12 @@
 
 
 async def run(
-    site: Site, mode: Mode, plan: Plan, triggers: list[str]
+    site: Site, mode: Mode, plan: Plan, triggers: list[str], traces: Path | None
 ) -> dict[str, Any]:
     """Run one trigger after the other and return the measures by trigger."""
     spans: dict[str, Span] = {}
     async with AsyncExitStack() as stack:
-        servers = await stack.enter_async_context(running_servers(site, mode))
+        servers = await stack.enter_async_context(running_servers(site, mode, traces))
         callers = Callers(site, mode, servers, seed=11)
         calm_per_s = CALM_SHARE * site.capacity_per_s
         await asyncio.sleep(SKEW_S)
@@ -423,10 +427,12 @@
         "triggers", nargs="+", choices=["surge", "greedy", "slow", "hang"]
     )
     parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--traces", type=Path, help="write admission traces here")
     arguments = parser.parse_args()
     plan = Plan(1.5, 3.0, 1.5, 3.0) if arguments.quick else Plan(3.0, 10.0, 3.0, 10.0)
     site = SITE_BY_NAME[arguments.site]
-    result = asyncio.run(run(site, Mode(arguments.mode), plan, arguments.triggers))
+    mode = Mode(arguments.mode)
+    result = asyncio.run(run(site, mode, plan, arguments.triggers, arguments.traces))
     print(json.dumps(result))
 
 
--- a/benchmarks/_overload_server.py
+++ b/benchmarks/_overload_server.py
@@ -10,6 +10,7 @@
 import logging
 import sys
 from contextlib import AsyncExitStack
+from pathlib import Path
 from typing import Any
 
 from _overload_site import (
@@ -28,10 +29,12 @@
 from ibisspoke_node.node import Node, running_node
 from ibisspoke_node.settings import NodeSettings
 from ibisspoke_node.upstream_client import UpstreamClient, UpstreamRequest
-from ibisspoke_policy.admission import Capacity
+from ibisspoke_policy.admission import AdmissionController, Capacity
+from ibisspoke_policy.admission_controller import UpstreamAdmissionController
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.fixed_limit import FixedLimit
 from ibisspoke_policy.member import Member
+from ibisspoke_policy.trace import TracedController, make_header
 from ibisspoke_standins.chain_upstream import (
     NUMBER_HEADER,
     ChainSettings,
@@ -45,7 +48,8 @@
 class Server:
     """The nodes and upstreams of this process, by service."""
 
-    def __init__(self, site: Site, mode: Mode, index: int) -> None:
+    def __init__(self, site: Site, mode: Mode, index: int, traces: Path | None) -> None:
+        self.traces = traces
         self.site = site
         self.mode = mode
         self.index = index
@@ -89,13 +93,29 @@
             "",
             (b"benchmark secret",),
         )
-        controller = FixedLimit() if self.mode is Mode.FIXED_LIMIT else None
+        controller = self._controller(stack, service, clock)
         node = await stack.enter_async_context(
             running_node(settings, clock, controller)
         )
         node.in_force.adopt(CATALOGUE)
         return node
 
+    def _controller(
+        self, stack: AsyncExitStack, service: str, clock: Clock
+    ) -> AdmissionController:
+        if self.mode is Mode.FIXED_LIMIT:
+            return FixedLimit()
+        created_ms = clock.now_ms()
+        controller = UpstreamAdmissionController(now_ms=created_ms)
+        if self.traces is None:
+            return controller
+        path = self.traces / f"{self.site.name}-{service}{self.index}.jsonl"
+        file = stack.enter_context(path.open("wb"))
+        header = make_header("gradient", created_ms)
+        return TracedController(
+            controller, header, lambda line: file.write(line + b"\n")
+        )
+
     def _deeper(self, service: str, following: str | None) -> Any:
         if following is None:
             return None
@@ -157,14 +177,13 @@
         return {}
 
 
-async def serve(site: Site, mode: Mode, index: int) -> None:
+async def serve(server: Server) -> None:
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader(limit=2**24)
     await loop.connect_read_pipe(
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
     )
     async with AsyncExitStack() as stack:
-        server = Server(site, mode, index)
         await server.start(stack)
         print(json.dumps(server.ports()), flush=True)
         gc.freeze()
@@ -177,10 +196,12 @@
     parser.add_argument("site", choices=sorted(SITE_BY_NAME))
     parser.add_argument("mode", choices=list(Mode))
     parser.add_argument("index", type=int)
+    parser.add_argument("--traces", type=Path)
     arguments = parser.parse_args()
     logging.disable(logging.WARNING)
     site = SITE_BY_NAME[arguments.site]
-    asyncio.run(serve(site, Mode(arguments.mode), arguments.index))
+    mode = Mode(arguments.mode)
+    asyncio.run(serve(Server(site, mode, arguments.index, arguments.traces)))
 
 
 if __name__ == "__main__":
--- a/packages/policy/ibisspoke_policy/admission_controller.py
+++ b/packages/policy/ibisspoke_policy/admission_controller.py
@@ -248,7 +248,7 @@
         hanging = self._hanging(now_ms)
         if self._monitor.state is not ProgressState.RUNNING:
             return self._abort(hanging)
-        if not self._monitor.is_stuck(len(hanging), now_ms):
+        if not self._monitor.is_stuck(len(hanging), self._limit.value, now_ms):
             return []
         self._monitor.stop(now_ms)
         self._limit.restart()
--- a/packages/policy/ibisspoke_policy/stuck_upstream.py
+++ b/packages/policy/ibisspoke_policy/stuck_upstream.py
@@ -5,7 +5,8 @@
 HANG_FACTOR = 8.0
 HANG_MIN_MS = 1_000.0
 HANG_MAX_MS = 4_000.0
-MIN_HANGING = 3
+MIN_NEEDED = 2
+MAX_NEEDED = 3
 PROBE_FIRST_MS = 200.0
 PROBE_MAX_MS = 1_000.0
 MAX_PROBES = 4
@@ -60,13 +61,17 @@
         """Note an attempt that got no answer within its deadline."""
         self._n_cut_off += 1
 
-    def is_stuck(self, n_hanging: int, now_ms: float) -> bool:
-        """Return whether a running upstream has stopped making progress."""
+    def is_stuck(self, n_hanging: int, limit: int, now_ms: float) -> bool:
+        """Return whether a running upstream has stopped making progress.
+
+        :param limit: attempts that it may hold at once.
+        """
         if self.state is not ProgressState.RUNNING:
             return False
         if now_ms - self._progress_ms < self.hang_ms:
             return False
-        return n_hanging + self._n_cut_off >= MIN_HANGING
+        n_needed = min(MAX_NEEDED, max(MIN_NEEDED, limit))
+        return n_hanging + self._n_cut_off >= n_needed
 
     def stop(self, now_ms: float) -> None:
         """Take the upstream as stuck; the first probe is due after a short wait."""
