--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -12,7 +12,7 @@
 from ibisspoke_policy.admission_controller import UpstreamAdmissionController
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.context import ContextSigner
-from ibisspoke_policy.early_shedding import ChainLevels
+from ibisspoke_policy.early_shedding import ChainLevels, EarlyShedder
 from ibisspoke_policy.idempotency import ClaimSettings
 from ibisspoke_policy.member import Member, MemberState, MemberTable
 from ibisspoke_policy.member_index import Place
@@ -85,7 +85,8 @@
         self.members_by_id: MemberTable = Table("members")
         self.ports = Ports(0, 0, 0, 0)
         signer = ContextSigner(settings.secrets)
-        parents = ParentTable(settings.id, ChainLevels())
+        shedder = EarlyShedder()
+        parents = ParentTable(settings.id, ChainLevels(shedder))
         self.controller = controller or UpstreamAdmissionController(
             now_ms=clock.now_ms()
         )
@@ -114,7 +115,14 @@
         self.membership.serve(self.service)
         self.stop_hooks: list[Callable[[], Awaitable[None]]] = []
         self.dispatcher = Dispatcher(
-            settings.id, self.router, self.links, self.handler, parents, keyed, clock
+            settings.id,
+            self.router,
+            self.links,
+            self.handler,
+            parents,
+            keyed,
+            shedder,
+            clock,
         )
         self.handler.forward = self.dispatcher.forward
         self.organisations = self._organisations(stores)
