--- a/benchmarks/call_overhead.py
+++ b/benchmarks/call_overhead.py
@@ -37,6 +37,7 @@
 BLOCK_S = 0.5
 SEED = 7
 N_CONNECTIONS = 16
+TIMER_ERROR_S = 0.0015
 
 
 class Target(NamedTuple):
@@ -137,26 +138,17 @@
     calls = []
     due = time.perf_counter()
     end = due + BLOCK_S
-    for number in itertools.count():
-        due += arrivals.expovariate(rate_per_s)
-        if due >= end:
-            break
+    while due < end:
         wait_s = due - time.perf_counter()
         if wait_s > 0:
-            await _sleep_until(due)
-        calls.append(asyncio.ensure_future(_timed(bench, path, number, due, body)))
+            await asyncio.sleep(max(0.0, wait_s - TIMER_ERROR_S))
+            continue
+        calls.append(asyncio.ensure_future(_timed(bench, path, len(calls), due, body)))
+        due += arrivals.expovariate(rate_per_s)
     for elapsed_us in await asyncio.gather(*calls):
         histogram.record_value(elapsed_us)
 
 
-async def _sleep_until(due: float) -> None:
-    coarse_s = due - time.perf_counter() - 0.0015
-    if coarse_s > 0:
-        await asyncio.sleep(coarse_s)
-    while time.perf_counter() < due:
-        await asyncio.sleep(0)
-
-
 async def _timed(bench: Bench, path: str, number: int, due: float, body: bytes) -> int:
     started = time.perf_counter()
     await bench.call(path, number, 1, body)
--- a/packages/node/ibisspoke_node/entry.py
+++ b/packages/node/ibisspoke_node/entry.py
@@ -1,13 +1,13 @@
 """HTTP server for callers."""
 
-import asyncio
 import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from result import Err, Ok
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -17,23 +17,29 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
+from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind
 
 from .acceptance import Acceptance, Accepted
 from .dispatch import Dispatcher, Request
 from .eager_task import EagerTask
+from .head_writer import BODILESS, keep_nodelay, write_answer
 from .headers import IDEMPOTENCY_HEADER, to_upstream
 from .messages import Answer, BufferBudget
 from .metrics import Metrics
 from .problem import to_answer
 
 _REASON_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
+REQUEST_ID_HEADER = "Ibisspoke-Request-Id"
+NO_START_LINE = RequestStartLine("", "", "")
+NO_HEADERS = HTTPHeaders()
 MAX_DISCARDED_BYTES = 65_536
-IDLE_TIMEOUT_S = 75
-BODY_TIMEOUT_S = 60
+IDLE_TIMEOUT_MS = 75_000
+BODY_TIMEOUT_MS = 60_000
+SWEEP_MS = 1_000
 
 logger = logging.getLogger(__name__)
 
@@ -50,6 +56,7 @@
 
     :param acceptance: decides which requests may run.
     :param dispatcher: runs them.
+    :param clock: for the time that a request may take to arrive.
     """
 
     def __init__(
@@ -58,7 +65,11 @@
         dispatcher: Dispatcher,
         budget: BufferBudget,
         metrics: Metrics,
+        clock: Clock,
     ) -> None:
+        self._clock = clock
+        self._exchange_by_connection: dict[object, _Exchange] = {}
+        self._next_sweep_ms = 0.0
         self.acceptance = acceptance
         self.dispatcher = dispatcher
         self.budget = budget
@@ -69,22 +80,47 @@
     def __repr__(self) -> str:
         return f"Entry({self.n_open} open)"
 
+    @property
+    def now_ms(self) -> float:
+        """Monotonic time."""
+        return self._clock.now_ms()
+
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the receiver of one request."""
-        return _Exchange(self, request_conn)
+        assert isinstance(request_conn, HTTP1Connection)
+        exchange = _Exchange(self, request_conn, self._clock.now_ms())
+        self._exchange_by_connection[server_conn] = exchange
+        return exchange
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection."""
+        self._exchange_by_connection.pop(server_conn, None)
+
+    def tick(self) -> None:
+        """Close connections on which no request arrives in time."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_sweep_ms:
+            return
+        self._next_sweep_ms = now_ms + SWEEP_MS
+        for exchange in list(self._exchange_by_connection.values()):
+            exchange.expire(now_ms)
 
 
 class _Exchange(HTTPMessageDelegate):
     """One request and its answer."""
 
-    def __init__(self, entry: Entry, connection: HTTPConnection) -> None:
+    def __init__(
+        self, entry: Entry, connection: HTTP1Connection, now_ms: float
+    ) -> None:
         self._entry = entry
+        self._expires_ms: float | None = now_ms + IDLE_TIMEOUT_MS
         self._connection = connection
         self._accepted: Accepted | None = None
         self._refusal: Refusal | None = None
-        self._headers = HTTPHeaders()
+        self._start_line = NO_START_LINE
+        self._headers = NO_HEADERS
         self._parts: list[bytes] = []
         self._n_bytes = 0
         self._request_id = ""
@@ -99,7 +135,9 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         self._open = True
+        self._expires_ms = self._entry.now_ms + BODY_TIMEOUT_MS
         self._entry.n_open += 1
+        self._start_line = start_line
         self._headers = headers
         checked = self._entry.acceptance.check(
             start_line.method, start_line.path, headers
@@ -129,17 +167,24 @@
         self._parts.append(chunk)
 
     def finish(self) -> None:
+        self._expires_ms = None
         if self._answered:
             return
         if self._refusal is not None:
             self._answer(to_answer(self._refusal, self._request_id))
             return
-        self._connection.set_close_callback(self._caller_left)  # type: ignore[attr-defined]
+        self._connection.set_close_callback(self._caller_left)
         self._task = EagerTask(self._run())
 
     def on_connection_close(self) -> None:
         self._end()
 
+    def expire(self, now_ms: float) -> None:
+        """Close the connection if the request did not arrive in time."""
+        if self._expires_ms is not None and now_ms >= self._expires_ms:
+            self._entry.metrics.count("caller_slow")
+            self._connection.close()
+
     async def _run(self) -> None:
         accepted = self._accepted
         assert accepted is not None
@@ -180,23 +225,24 @@
 
     def _answer(self, answer: Answer) -> None:
         self._answered = True
-        headers = HTTPHeaders()
-        for name, value in answer.headers:
-            headers.add(name, value)
-        if answer.status not in (204, 304):
-            headers["Content-Length"] = str(len(answer.body))
-        headers["Ibisspoke-Request-Id"] = self._request_id
+        headers = [*answer.headers, (REQUEST_ID_HEADER, self._request_id)]
+        if answer.status not in BODILESS:
+            headers.append(("Content-Length", str(len(answer.body))))
         if self._entry.stopping:
-            headers["Connection"] = "close"
+            headers.append(("Connection", "close"))
         reason = answer.reason or _REASON_BY_STATUS.get(answer.status, "Unknown")
         start_line = ResponseStartLine("HTTP/1.1", answer.status, reason)
         self._entry.metrics.count(f"answered.{answer.status // 100}xx")
         try:
-            written = self._connection.write_headers(start_line, headers, answer.body)
-            written.add_done_callback(_ignore_closed)
+            write_answer(
+                self._connection, self._start_line, start_line, headers, answer.body
+            )
             self._connection.finish()
         except StreamClosedError:
             pass
+        except ValueError:
+            logger.exception("answer with a malformed header")
+            self._connection.close()
         finally:
             self._end()
 
@@ -218,6 +264,12 @@
             self._entry.n_open -= 1
 
 
+class _Server(HTTPServer):
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        keep_nodelay(stream)
+        super().handle_stream(stream, address)
+
+
 @asynccontextmanager
 async def entry_server(
     entry: Entry, limits: EntryLimits, host: str, port: int
@@ -226,13 +278,12 @@
 
     :returns: the port in use, also where ``port`` is 0.
     """
-    server = HTTPServer(
+    server = _Server(
         entry,
         max_body_size=limits.max_body_bytes,
         max_header_size=limits.max_header_bytes,
-        idle_connection_timeout=IDLE_TIMEOUT_S,
-        body_timeout=BODY_TIMEOUT_S,
     )
+    server.conn_params.header_timeout = None
     sockets = bind_sockets(port, host)
     server.add_sockets(sockets)
     try:
@@ -242,11 +293,6 @@
         await server.close_all_connections()
 
 
-def _ignore_closed(written: "asyncio.Future[None]") -> None:
-    if not written.cancelled():
-        written.exception()
-
-
 def _body_too_large(max_bytes: int) -> Refusal:
     return Refusal(
         RefusalKind.BODY_TOO_LARGE,
--- a/packages/node/ibisspoke_node/frames.py
+++ b/packages/node/ibisspoke_node/frames.py
@@ -38,6 +38,9 @@
     PONG = 10
 
 
+_KIND_BY_VALUE = {kind.value: kind for kind in FrameKind}
+
+
 class Frame(NamedTuple):
     """One received frame."""
 
@@ -161,7 +164,7 @@
 
 
 def _kind(value: int) -> FrameKind:
-    try:
-        return FrameKind(value)
-    except ValueError:
-        raise FrameError(f"unknown frame kind {value}") from None
+    kind = _KIND_BY_VALUE.get(value)
+    if kind is None:
+        raise FrameError(f"unknown frame kind {value}")
+    return kind
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -79,7 +79,7 @@
             lambda: len(self.members_by_id),
         )
         acceptance = Acceptance(settings.id, self.in_force, wallet, signer, clock)
-        self.entry = Entry(acceptance, dispatcher, self.budget, self.metrics)
+        self.entry = Entry(acceptance, dispatcher, self.budget, self.metrics, clock)
 
     def __repr__(self) -> str:
         return f"Node({self.settings.id!r}, {self.ports})"
@@ -134,6 +134,7 @@
         while True:
             await asyncio.sleep(TICK_MS / 1000.0)
             self.executor.tick()
+            self.entry.tick()
             now_ms = self.clock.now_ms()
             if now_ms - flushed_ms >= METRICS_MS:
                 flushed_ms = now_ms
--- a/packages/node/ibisspoke_node/upstream_client.py
+++ b/packages/node/ibisspoke_node/upstream_client.py
@@ -15,6 +15,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from .head_writer import keep_nodelay, write_request
 from .messages import Header
 
 CONNECT_TIMEOUT_MS = 1_000
@@ -141,7 +142,7 @@
         try:
             headers = self._headers(request)
             start_line = RequestStartLine(request.method, request.target, "HTTP/1.1")
-            connection.write_headers(start_line, headers, request.body)
+            write_request(connection, start_line, headers, request.body)
             connection.finish()
             reusable = await connection.read_response(reader) and not reader.closes
         except (StreamClosedError, OSError) as error:
@@ -167,16 +168,15 @@
     async def _connect(self) -> IOStream:
         connecting = self._tcp.connect(self.host, self.port)
         stream = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_MS / 1000.0)
-        stream.set_nodelay(True)
+        keep_nodelay(stream)
         return stream
 
-    def _headers(self, request: UpstreamRequest) -> HTTPHeaders:
-        headers = HTTPHeaders()
-        for name, value in request.headers:
-            headers.add(name, value)
-        headers["Host"] = self._host_header
-        headers["Content-Length"] = str(len(request.body))
-        return headers
+    def _headers(self, request: UpstreamRequest) -> list[Header]:
+        return [
+            ("Host", self._host_header),
+            *request.headers,
+            ("Content-Length", str(len(request.body))),
+        ]
 
 
 def _parameters(request: UpstreamRequest) -> HTTP1ConnectionParameters:
--- a/packages/node/tests/test_eager_task.py
+++ b/packages/node/tests/test_eager_task.py
@@ -83,8 +83,9 @@
         seen.append("went on")
 
     task = EagerTask(run())
-    while not task.done():
+    for _ in range(10):
         await asyncio.sleep(0)
+    assert task.done()
     assert seen == ["timeout", "went on"]
     assert task.cancelling() == 0
 
