Keep sockets registered between messages and do less a frame

tornado takes a socket out of the selector and puts it back around each message with a body. LazyIOLoop leaves it in until it becomes readable with nobody listening. Header filters and connection parameters are looked up, and frames are split without a copy of the buffer.

--- a/benchmarks/_node_process.py
+++ b/benchmarks/_node_process.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ibisspoke_node.lazy_io_loop import LazyIOLoop
 from ibisspoke_node.main import GC_THRESHOLD
 from ibisspoke_node.node import Node, running_node
 from ibisspoke_node.settings import load_settings
@@ -35,6 +36,7 @@
 
 
 async def _run(paths: list[Path]) -> None:
+    LazyIOLoop()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
--- a/packages/node/ibisspoke_node/frames.py
+++ b/packages/node/ibisspoke_node/frames.py
@@ -142,27 +142,33 @@
 
         :raises FrameError: when the bytes are no frames.
         """
-        buffer = self._buffer
-        buffer += data
-        frames = []
-        start = 0
-        while len(buffer) - start >= HEADER.size:
-            n_bytes, kind, stream_id, crc = HEADER.unpack_from(buffer, start)
-            if n_bytes > MAX_PAYLOAD_BYTES:
-                raise FrameError(f"payload of {n_bytes} bytes is too long")
-            end = start + HEADER.size + n_bytes
-            if len(buffer) < end:
-                break
-            payload = bytes(buffer[start + HEADER.size : end])
-            if zlib.crc32(payload) != crc:
-                raise FrameError("checksum does not match")
-            frames.append(Frame(_kind(kind), stream_id, payload))
-            start = end
-        if start:
-            del buffer[:start]
+        if self._buffer:
+            self._buffer += data
+            data = bytes(self._buffer)
+        frames, end = _split(data)
+        self._buffer = bytearray(memoryview(data)[end:])
         return frames
 
 
+def _split(data: bytes) -> tuple[list[Frame], int]:
+    frames = []
+    start = 0
+    n_data = len(data)
+    while n_data - start >= HEADER.size:
+        n_bytes, kind, stream_id, crc = HEADER.unpack_from(data, start)
+        if n_bytes > MAX_PAYLOAD_BYTES:
+            raise FrameError(f"payload of {n_bytes} bytes is too long")
+        end = start + HEADER.size + n_bytes
+        if n_data < end:
+            break
+        payload = data[start + HEADER.size : end]
+        if zlib.crc32(payload) != crc:
+            raise FrameError("checksum does not match")
+        frames.append(Frame(_kind(kind), stream_id, payload))
+        start = end
+    return frames, start
+
+
 def _kind(value: int) -> FrameKind:
     kind = _KIND_BY_VALUE.get(value)
     if kind is None:
--- a/packages/node/ibisspoke_node/headers.py
+++ b/packages/node/ibisspoke_node/headers.py
@@ -1,6 +1,7 @@
 """Which HTTP headers pass from callers to upstreams and back."""
 
 from collections.abc import Iterable
+from functools import lru_cache
 
 from .messages import Header
 
@@ -26,21 +27,28 @@
         "upgrade",
     }
 )
+MAX_KNOWN_NAMES = 512
 SECRET = frozenset({"authorization", "cookie", "x-api-key"})
 
 
 def to_upstream(headers: Iterable[Header]) -> list[Header]:
     """Return the headers of a request without keys and internal headers."""
-    return [
-        (name, value)
-        for name, value in headers
-        if _passes(name.lower()) and name.lower() not in SECRET
-    ]
+    return [header for header in headers if _passes_up(header[0])]
 
 
 def to_caller(headers: Iterable[Header]) -> list[Header]:
     """Return the headers of an answer without internal headers."""
-    return [(name, value) for name, value in headers if _passes(name.lower())]
+    return [header for header in headers if _passes_down(header[0])]
+
+
+@lru_cache(maxsize=MAX_KNOWN_NAMES)
+def _passes_up(name: str) -> bool:
+    return _passes(name.lower()) and name.lower() not in SECRET
+
+
+@lru_cache(maxsize=MAX_KNOWN_NAMES)
+def _passes_down(name: str) -> bool:
+    return _passes(name.lower())
 
 
 def _passes(lower_name: str) -> bool:
--- a/packages/node/ibisspoke_node/main.py
+++ b/packages/node/ibisspoke_node/main.py
@@ -14,6 +14,7 @@
 
 from ibisspoke_policy.clock import Clock
 
+from .lazy_io_loop import LazyIOLoop
 from .node import running_node
 from .settings import NodeSettings, load_settings
 
@@ -44,6 +45,7 @@
 
 
 async def _run(settings: NodeSettings) -> None:
+    LazyIOLoop()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/node/ibisspoke_node/upstream_client.py
+++ b/packages/node/ibisspoke_node/upstream_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from functools import lru_cache
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -20,6 +21,7 @@
 
 CONNECT_TIMEOUT_MS = 1_000
 MAX_HEADER_BYTES = 65_536
+MAX_KNOWN_LIMITS = 64
 
 
 class UpstreamRequest(NamedTuple):
@@ -136,7 +138,9 @@
     async def _exchange(
         self, stream: IOStream, request: UpstreamRequest
     ) -> Result[UpstreamAnswer, UpstreamFailure]:
-        connection = HTTP1Connection(stream, True, _parameters(request))
+        connection = HTTP1Connection(
+            stream, True, _parameters(request.max_answer_bytes)
+        )
         reader = _AnswerReader(stream, request.max_answer_bytes)
         reusable = False
         try:
@@ -179,11 +183,12 @@
         ]
 
 
-def _parameters(request: UpstreamRequest) -> HTTP1ConnectionParameters:
+@lru_cache(maxsize=MAX_KNOWN_LIMITS)
+def _parameters(max_answer_bytes: int) -> HTTP1ConnectionParameters:
     return HTTP1ConnectionParameters(
         no_keep_alive=False,
         max_header_size=MAX_HEADER_BYTES,
-        max_body_size=request.max_answer_bytes,
+        max_body_size=max_answer_bytes,
         decompress=False,
     )
 
