--- a/packages/node/ibisspoke_node/frames.py
+++ b/packages/node/ibisspoke_node/frames.py
@@ -72,6 +72,7 @@
     headers: list[Header]
     level: AdmissionLevel | None
     n_body_bytes: int
+    n_retries_unused: int = 0
 
 
 class RefusalHead(NamedTuple):
@@ -79,6 +80,7 @@
 
     refusal: Refusal
     level: AdmissionLevel | None
+    n_retries_unused: int = 0
 
 
 class FrameError(Exception):
--- a/packages/node/tests/test_eager_task.py
+++ b/packages/node/tests/test_eager_task.py
@@ -7,6 +7,8 @@
 
 from ibisspoke_node.eager_task import EagerTask
 
+MAX_TURNS = 10
+
 
 async def test_first_step_runs_before_the_constructor_returns():
     steps = []
@@ -83,7 +85,7 @@
         seen.append("went on")
 
     task = EagerTask(run())
-    for _ in range(10):
+    for _ in range(MAX_TURNS):
         await asyncio.sleep(0)
     assert task.done()
     assert seen == ["timeout", "went on"]
