Serve the status page without tornado.web and bound what the node imports

Importing tornado.web costs 1.7 MB of a budget of 32 MB. The page is answered from a plain request callback; a test names what the program may not import.

--- a/packages/node/ibisspoke_node/status.py
+++ b/packages/node/ibisspoke_node/status.py
@@ -2,12 +2,13 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from typing import Any, TypedDict
+from http import HTTPStatus
+from typing import NamedTuple, TypedDict
 
 import msgspec
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.netutil import bind_sockets
-from tornado.web import Application, RequestHandler
 
 from ibisspoke_policy.admission import Capacity
 
@@ -46,23 +47,65 @@
     gauges: dict[str, float]
 
 
+REMEDY = "see docs/INTERFACE.md, Upstreams"
 REQUIRED = ("service", "host", "port", "n_slots", "n_connections")
 
 
-class _AnnounceHandler(RequestHandler):
-    def initialize(self, announce: Callable[[Announcement], None]) -> None:
+class _Reply(NamedTuple):
+    """What a request to the page is answered with."""
+
+    status: HTTPStatus
+    body: bytes = b""
+
+
+class _Page:
+    """Answer the requests to the page.
+
+    :param announce: takes what the upstream says of itself.
+    :param describe: returns what the page shows.
+    """
+
+    def __init__(
+        self,
+        announce: Callable[[Announcement], None],
+        describe: Callable[[], StatusPage],
+    ) -> None:
         self._announce = announce
+        self._describe = describe
 
-    def post(self) -> None:
+    def serve(self, request: HTTPServerRequest) -> None:
+        """Answer one request."""
+        reply = self._reply(request)
+        headers = HTTPHeaders({"Content-Type": "application/json"})
+        if reply.status is not HTTPStatus.NO_CONTENT:
+            headers["Content-Length"] = str(len(reply.body))
+        start_line = ResponseStartLine(
+            "HTTP/1.1", reply.status.value, reply.status.phrase
+        )
+        connection = request.connection
+        assert connection is not None
+        connection.write_headers(start_line, headers, reply.body)
+        connection.finish()
+
+    def _reply(self, request: HTTPServerRequest) -> _Reply:
+        asked = (request.method, request.path)
+        if asked == ("GET", "/status"):
+            return _Reply(HTTPStatus.OK, msgspec.json.encode(self._describe()))
+        if asked == ("POST", "/announce"):
+            return self._take_announcement(request.body)
+        detail = f"there is no {request.method} {request.path}"
+        remedy = "ask for GET /status or POST /announce"
+        return _problem(HTTPStatus.NOT_FOUND, detail, remedy)
+
+    def _take_announcement(self, data: bytes) -> _Reply:
         try:
-            body = msgspec.json.decode(self.request.body, type=AnnouncementBody)
+            body = msgspec.json.decode(data, type=AnnouncementBody)
         except msgspec.DecodeError as error:
-            self._refuse(str(error))
-            return
+            return _problem(HTTPStatus.BAD_REQUEST, str(error), REMEDY)
         missing = [name for name in REQUIRED if name not in body]
         if missing:
-            self._refuse(f"missing {', '.join(missing)}")
-            return
+            detail = f"missing {', '.join(missing)}"
+            return _problem(HTTPStatus.BAD_REQUEST, detail, REMEDY)
         capacity = Capacity(
             body["n_slots"],
             body["n_connections"],
@@ -72,20 +115,11 @@
         self._announce(
             Announcement(body["service"], body["host"], body["port"], capacity)
         )
-        self.set_status(204)
-
-    def _refuse(self, detail: str) -> None:
-        self.set_status(400)
-        self.finish({"detail": detail, "remedy": "see docs/INTERFACE.md, Upstreams"})
+        return _Reply(HTTPStatus.NO_CONTENT)
 
 
-class _StatusHandler(RequestHandler):
-    def initialize(self, describe: Callable[[], StatusPage]) -> None:
-        self._describe = describe
-
-    def get(self) -> None:
-        self.set_header("Content-Type", "application/json")
-        self.finish(msgspec.json.encode(self._describe()))
+def _problem(status: HTTPStatus, detail: str, remedy: str) -> _Reply:
+    return _Reply(status, msgspec.json.encode({"detail": detail, "remedy": remedy}))
 
 
 @asynccontextmanager
@@ -98,11 +132,8 @@
 
     :returns: the port in use, also where ``port`` is 0.
     """
-    routes: list[Any] = [
-        ("/announce", _AnnounceHandler, {"announce": announce}),
-        ("/status", _StatusHandler, {"describe": describe}),
-    ]
-    server = HTTPServer(Application(routes), max_body_size=MAX_BODY_BYTES)
+    page = _Page(announce, describe)
+    server = HTTPServer(page.serve, max_body_size=MAX_BODY_BYTES)
     sockets = bind_sockets(port, "127.0.0.1")
     server.add_sockets(sockets)
     try:
--- /dev/null
+++ b/packages/node/tests/test_imports.py
@@ -0,0 +1,35 @@
+"""What the node's program imports, since its memory is bounded."""
+
+import subprocess
+import sys
+
+import pytest
+
+FORBIDDEN = [
+    "typer",
+    "rich",
+    "click",
+    "google.protobuf",
+    "tornado.web",
+    "tornado.curl_httpclient",
+    "ibisspoke_standins",
+    "ibisspoke_ctl",
+]
+PROGRAM = "import sys, ibisspoke_node.main; print('\\n'.join(sys.modules))"
+
+
+@pytest.fixture(scope="module")
+def modules() -> set[str]:
+    done = subprocess.run(
+        [sys.executable, "-c", PROGRAM], capture_output=True, text=True, check=True
+    )
+    return set(done.stdout.split())
+
+
+def test_program_is_imported(modules):
+    assert "ibisspoke_node.main" in modules
+
+
+@pytest.mark.parametrize("name", FORBIDDEN)
+def test_node_does_not_import(modules, name):
+    assert name not in modules
