--- a/benchmarks/_harness.py
+++ b/benchmarks/_harness.py
@@ -120,9 +120,10 @@
 
 @contextmanager
 def child(script: str, *arguments: str) -> Iterator[Child]:
-    """Run ``script`` of this directory while the context is open."""
+    """Run ``script`` of this directory, or a module after ``-m``, and stop it."""
+    program = [script] if script == "-m" else [str(HERE / script)]
     process = subprocess.Popen(
-        [sys.executable, str(HERE / script), *arguments],
+        [sys.executable, *program, *arguments],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
@@ -174,6 +175,23 @@
         yield fleet
 
 
+@contextmanager
+def node_settings(spec: NodeSpec) -> Iterator[str]:
+    """Own a settings file; give its path."""
+    with tempfile.TemporaryDirectory() as folder:
+        yield _write_settings(Path(folder), spec, {})
+
+
+def mechanism_bytes(fleet: Fleet) -> dict[str, int]:
+    """Return the bytes that all nodes sent and received so far, by mechanism."""
+    totals = {"membership": 0}
+    for node_id in fleet.nodes_by_id:
+        page = fleet.status(node_id).get("membership", {})
+        totals["membership"] += page.get("n_sent_bytes", 0)
+        totals["membership"] += page.get("n_received_bytes", 0)
+    return totals
+
+
 def feed(fleet: Fleet, members: Sequence[Member], catalogue: Catalogue) -> None:
     """Give every node its members and catalogue."""
     command = {
--- /dev/null
+++ b/benchmarks/control_cost.py
@@ -0,0 +1,316 @@
+"""Memory, processor time and bytes of a node: idle, by state held, and under load.
+
+The last line printed is JSON; see README.md for its keys.
+"""
+
+import argparse
+import asyncio
+import gc
+import json
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from _caller import Caller, CallerAnswer
+from _harness import (
+    KEY,
+    Fleet,
+    NodeSpec,
+    benchmark_catalogue,
+    child,
+    feed,
+    machine,
+    mechanism_bytes,
+    node_settings,
+    running_fleet,
+    usage_of,
+)
+
+from ibisspoke_policy.catalogue import Catalogue, Key, Organisation
+from ibisspoke_policy.member import Member, MemberState
+
+KEY_HEADER = {"Authorization": f"Bearer {KEY}"}
+TARGETS = {"rss_mb": 32.0, "control_cpu_percent": 1.9, "control_bytes_per_s": 10_000}
+UPLOAD_BYTES = 8_388_608
+BUFFER_BYTES = 67_108_864
+N_NODES_PER_PROCESS = 16
+SETTLE_S = 4.0
+RETRY_S = 0.2
+
+
+class Plan(NamedTuple):
+    """How much is measured.
+
+    :param idle_s: how long idle nodes are watched.
+    :param n_nodes: sizes of fleets without calls.
+    :param soak_s: length of the soak; 0 leaves it out.
+    """
+
+    idle_s: float
+    n_nodes: tuple[int, ...]
+    load_s: float
+    soak_s: float
+
+
+QUICK = Plan(4.0, (16, 64), 3.0, 0.0)
+FULL = Plan(20.0, (16, 64, 256), 10.0, 0.0)
+
+
+def measure_idle(plan: Plan) -> dict[str, float]:
+    """Watch the program ``ibisspoke-node`` alone, as it is installed."""
+    with node_settings(NodeSpec("node-a")) as path:
+        with child("-m", "ibisspoke_node.main", path) as node:
+            time.sleep(1.0)
+            before = usage_of(node.pid)
+            time.sleep(plan.idle_s)
+            after = usage_of(node.pid)
+    cpu_percent = (after.cpu_s - before.cpu_s) / plan.idle_s * 100
+    return {
+        "rss_mb": round(after.rss_mb, 2),
+        "pss_mb": round(after.pss_mb, 2),
+        "peak_rss_mb": round(after.peak_rss_mb, 2),
+        "cpu_percent": round(cpu_percent, 3),
+    }
+
+
+def measure_slopes() -> dict[str, float]:
+    """Return memory by member, organisation with a key, and call in the catalogue."""
+    calls = [f"service-{number}" for number in range(2_000)]
+    steps: list[tuple[str, int, list[Member], Catalogue]] = [
+        ("kb_per_member", 6_600, _members(6_600), benchmark_catalogue(["alpha"], 2)),
+        ("kb_per_organisation", 4_000, [], _with_organisations(4_000, 2)),
+        ("kb_per_catalogue_call", 2_000, [], benchmark_catalogue(calls, 2)),
+    ]
+    slopes = {}
+    for name, n_items, members, catalogue in steps:
+        with running_fleet([NodeSpec("node-a")], benchmark_catalogue(["a"])) as fleet:
+            before = usage_of(fleet.pids()[0]).rss_mb
+            feed(fleet, members, catalogue)
+            time.sleep(0.5)
+            after = usage_of(fleet.pids()[0]).rss_mb
+        slopes[name] = round((after - before) * 1024 / n_items, 3)
+    return slopes
+
+
+def _members(n_members: int) -> list[Member]:
+    return [
+        Member(
+            f"node-{number}",
+            1_700_000_000_000 + number,
+            f"region-{number % 2}",
+            f"data-centre-{number % 5}",
+            f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}",
+            7_001,
+            7_002,
+            7_003,
+            f"service-{number % 370}",
+            50,
+            False,
+            MemberState.ALIVE,
+            1,
+        )
+        for number in range(n_members)
+    ]
+
+
+def _with_organisations(n_organisations: int, version: int) -> Catalogue:
+    catalogue = benchmark_catalogue(["alpha"], version)
+    for number in range(n_organisations):
+        name = f"organisation-{number}"
+        digest = f"{number:064x}"
+        catalogue.organisations_by_id[name] = Organisation(name, 100.0, 50.0)
+        catalogue.keys_by_digest[digest] = Key(digest, name, "first", 0)
+    return catalogue
+
+
+async def _post(fleet: Fleet, target: str, body: bytes, caller: Caller) -> CallerAnswer:
+    return await caller.post(target, KEY_HEADER, body)
+
+
+async def _slow_callers(fleet: Fleet, n_callers: int) -> dict[str, float]:
+    """Hold many calls open and read the memory meanwhile."""
+    caller = Caller(fleet.url_port("node-a"))
+    pid = fleet.pids()[0]
+    await _post(fleet, "/alpha/hops/1/", b"x" * 512, caller)
+    before = usage_of(pid).rss_mb
+    calls = [
+        asyncio.ensure_future(
+            _post(fleet, "/alpha/hops/1/?sleep_ms=6000", b"x" * 512, caller)
+        )
+        for _ in range(n_callers)
+    ]
+    await asyncio.sleep(4.0)
+    n_open = fleet.status("node-a")["n_open_requests"]
+    during = usage_of(pid).rss_mb
+    answers = await asyncio.gather(*calls)
+    n_ok = sum(answer.status == 200 for answer in answers)
+    return {
+        "n_callers": n_callers,
+        "n_open": n_open,
+        "n_answered": n_ok,
+        "n_refused": len(answers) - n_ok,
+        "kb_per_open_call": round((during - before) * 1024 / max(1, n_open), 2),
+        "peak_rss_mb": round(usage_of(pid).peak_rss_mb, 1),
+    }
+
+
+async def _uploads(fleet: Fleet, n_uploads: int) -> dict[str, float]:
+    """Send large bodies at once; those above the byte budget are refused."""
+    caller = Caller(fleet.url_port("node-a"))
+    body = b"x" * UPLOAD_BYTES
+    answers = await asyncio.gather(
+        *(_post(fleet, "/alpha/hops/1/", body, caller) for _ in range(n_uploads))
+    )
+    n_ok = sum(answer.status == 200 and answer.body == body for answer in answers)
+    usage = usage_of(fleet.pids()[0])
+    return {
+        "n_uploads": n_uploads,
+        "n_whole": n_ok,
+        "n_refused": sum(answer.status != 200 for answer in answers),
+        "budget_mb": BUFFER_BYTES / 1_048_576,
+        "peak_rss_mb": round(usage.peak_rss_mb, 1),
+        "rss_after_mb": round(usage.rss_mb, 1),
+    }
+
+
+async def _throughput(fleet: Fleet, load_s: float, n_callers: int) -> dict[str, Any]:
+    """Call as fast as one node answers."""
+    pid = fleet.pids()[0]
+    caller = Caller(fleet.url_port("node-a"))
+    n_by_status: dict[int, int] = {}
+    before = usage_of(pid).cpu_s
+    started = time.perf_counter()
+
+    async def call_on() -> None:
+        while time.perf_counter() - started < load_s:
+            answer = await _post(fleet, "/alpha/hops/1/", b"x" * 512, caller)
+            n_by_status[answer.status] = n_by_status.get(answer.status, 0) + 1
+
+    await asyncio.gather(*(call_on() for _ in range(n_callers)))
+    elapsed_s = time.perf_counter() - started
+    cpu_s = usage_of(pid).cpu_s - before
+    n_calls = sum(n_by_status.values())
+    return {
+        "n_callers": n_callers,
+        "calls_per_s": round(n_calls / elapsed_s),
+        "n_by_status": n_by_status,
+        "cpu_ms_per_call": round(cpu_s / n_calls * 1000, 3),
+        "cpu_percent": round(cpu_s / elapsed_s * 100, 1),
+    }
+
+
+async def _soak(fleet: Fleet, soak_s: float, rate_per_s: float) -> dict[str, Any]:
+    """Call at a steady rate and watch the memory."""
+    pid = fleet.pids()[0]
+    caller = Caller(fleet.url_port("node-a"))
+    rss_mb_by_second: dict[int, float] = {}
+    n_failed = 0
+    started = time.perf_counter()
+    n_calls = 0
+    while (elapsed_s := time.perf_counter() - started) < soak_s:
+        while n_calls < elapsed_s * rate_per_s:
+            answer = await _post(fleet, "/alpha/hops/1/", b"x" * 512, caller)
+            n_failed += answer.status != 200
+            n_calls += 1
+        if int(elapsed_s) % 10 == 0:
+            rss_mb_by_second[int(elapsed_s)] = round(usage_of(pid).rss_mb, 2)
+        await asyncio.sleep(0.02)
+    return {
+        "soak_s": soak_s,
+        "n_calls": n_calls,
+        "n_failed": n_failed,
+        "rss_mb_by_second": rss_mb_by_second,
+    }
+
+
+def measure_load(plan: Plan) -> dict[str, Any]:
+    """Return open calls, uploads, throughput and the soak, each on a fresh node."""
+    parts: dict[str, Callable[[Fleet], Any]] = {
+        "slow_callers": lambda fleet: _slow_callers(fleet, 1_000),
+        "uploads": lambda fleet: _uploads(fleet, 24),
+        "throughput": lambda fleet: _throughput(fleet, plan.load_s, 16),
+    }
+    if plan.soak_s:
+        parts["soak"] = lambda fleet: _soak(fleet, plan.soak_s, 130.0)
+    results = {}
+    settings = {"limits": {"max_buffer_bytes": BUFFER_BYTES}}
+    for name, run in parts.items():
+        catalogue = benchmark_catalogue(["alpha"])
+        specs = [NodeSpec("node-a", "alpha")]
+        with running_fleet(specs, catalogue, settings=settings) as fleet:
+            results[name] = asyncio.run(run(fleet))
+        print(name, json.dumps(results[name]), flush=True)
+    return results
+
+
+def measure_fleet(n_nodes: int, plan: Plan) -> dict[str, Any]:
+    """Watch a fleet without calls: what its nodes spend on control."""
+    specs = [
+        NodeSpec(f"node-{number}", "", f"r{number % 2}", f"dc-{number % 4}")
+        for number in range(n_nodes)
+    ]
+    started = time.perf_counter()
+    catalogue = benchmark_catalogue(["alpha"])
+    with running_fleet(specs, catalogue, N_NODES_PER_PROCESS) as fleet:
+        time.sleep(SETTLE_S)
+        pids = fleet.pids()
+        settled_s = time.perf_counter() - started
+        cpu_before = sum(usage_of(pid).cpu_s for pid in pids)
+        bytes_before = mechanism_bytes(fleet)
+        time.sleep(plan.idle_s)
+        cpu_s = sum(usage_of(pid).cpu_s for pid in pids) - cpu_before
+        bytes_after = mechanism_bytes(fleet)
+        n_members = fleet.status(specs[-1].id)["n_members"]
+    per_node = 1.0 / n_nodes / plan.idle_s
+    return {
+        "n_nodes": n_nodes,
+        "n_members_seen": n_members,
+        "settled_s": round(settled_s, 1),
+        "cpu_percent_per_node": round(cpu_s * per_node * 100, 3),
+        "bytes_per_s_per_node": {
+            name: round((n - bytes_before.get(name, 0)) * per_node, 1)
+            for name, n in bytes_after.items()
+        },
+    }
+
+
+def report(plan: Plan) -> dict[str, Any]:
+    """Run every part and return the JSON of one run."""
+    idle = measure_idle(plan)
+    print("idle", json.dumps(idle), flush=True)
+    slopes = measure_slopes()
+    print("slopes", json.dumps(slopes), flush=True)
+    load = measure_load(plan)
+    fleets = []
+    for n_nodes in plan.n_nodes:
+        fleets.append(measure_fleet(n_nodes, plan))
+        print("fleet", json.dumps(fleets[-1]), flush=True)
+    largest = fleets[-1]
+    return {
+        "benchmark": "control_cost",
+        "targets": TARGETS,
+        "rss_mb": idle["rss_mb"],
+        "control_cpu_percent": largest["cpu_percent_per_node"],
+        "control_bytes_per_s": sum(largest["bytes_per_s_per_node"].values()),
+        "idle": idle,
+        "slopes": slopes,
+        **load,
+        "fleets": fleets,
+        "machine": machine(),
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="under a minute")
+    parser.add_argument("--soak", action="store_true", help="add ten minutes of calls")
+    arguments = parser.parse_args()
+    gc.freeze()
+    plan = QUICK if arguments.quick else FULL
+    if arguments.soak:
+        plan = plan._replace(soak_s=600.0)
+    print(json.dumps(report(plan)))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/node/tests/test_status.py
+++ b/packages/node/tests/test_status.py
@@ -41,7 +41,11 @@
 
 @pytest.mark.parametrize(
     ("body", "detail"),
-    [("{", "truncated"), ('{"service": "a"}', "missing host"), ('{"port": "x"}', "port")],
+    [
+        ("{", "truncated"),
+        ('{"service": "a"}', "missing host"),
+        ('{"port": "x"}', "port"),
+    ],
 )
 async def test_bad_announcement_names_the_remedy(body, detail):
     response, announced = await _ask("/announce", method="POST", body=body)
