--- a/benchmarks/call_overhead.py
+++ b/benchmarks/call_overhead.py
@@ -27,8 +27,8 @@
 )
 from hdrh.histogram import HdrHistogram
 
+from ibisspoke_node.buffer_budget import BufferBudget
 from ibisspoke_node.client_link import ClientLink
-from ibisspoke_node.messages import BufferBudget
 
 SPECS = [NodeSpec("node-a", "alpha"), NodeSpec("node-b", "beta")]
 PATHS = ("direct", "one_node", "two_nodes")
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -35,7 +35,8 @@
 BUFFER_BYTES = 67_108_864
 N_NODES_PER_PROCESS = 16
 SETTLE_S = 4.0
-RETRY_S = 0.2
+DRIP_S = 4.0
+DRIP_STEP_S = 0.005
 
 
 class Plan(NamedTuple):
@@ -127,33 +128,49 @@
     return await caller.post(target, KEY_HEADER, body)
 
 
+async def _drip(port: int, ends_s: float) -> int:
+    """Send the body of one call in small parts; return the status."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    head = "POST /alpha/hops/1/ HTTP/1.1\r\nHost: h\r\n"
+    head += f"Authorization: Bearer {KEY}\r\nContent-Length: 4096\r\n\r\n"
+    writer.write(head.encode())
+    for _ in range(7):
+        writer.write(b"x" * 512)
+        await asyncio.sleep(ends_s / 7)
+    writer.write(b"x" * 512)
+    status = int((await reader.readuntil(b"\r\n"))[9:12])
+    writer.close()
+    return status
+
+
 async def _slow_callers(fleet: Fleet, n_callers: int) -> dict[str, float]:
-    """Hold many calls open and read the memory meanwhile."""
-    caller = Caller(fleet.url_port("node-a"))
+    """Let many callers send slowly and read the memory meanwhile."""
+    port = fleet.url_port("node-a")
     pid = fleet.pids()[0]
-    await _post(fleet, "/alpha/hops/1/", b"x" * 512, caller)
+    await _post(fleet, "/alpha/hops/1/", b"x" * 512, Caller(port))
     before = usage_of(pid).rss_mb
     calls = [
-        asyncio.ensure_future(
-            _post(fleet, "/alpha/hops/1/?sleep_ms=6000", b"x" * 512, caller)
-        )
-        for _ in range(n_callers)
+        asyncio.ensure_future(_drip(port, DRIP_S + number * DRIP_STEP_S))
+        for number in range(n_callers)
     ]
-    await asyncio.sleep(4.0)
-    n_open = fleet.status("node-a")["n_open_requests"]
+    await asyncio.sleep(DRIP_S - 1.0)
+    n_open = await asyncio.to_thread(_n_open, fleet)
     during = usage_of(pid).rss_mb
-    answers = await asyncio.gather(*calls)
-    n_ok = sum(answer.status == 200 for answer in answers)
+    n_ok = sum(status == 200 for status in await asyncio.gather(*calls))
     return {
         "n_callers": n_callers,
         "n_open": n_open,
         "n_answered": n_ok,
-        "n_refused": len(answers) - n_ok,
+        "n_refused": n_callers - n_ok,
         "kb_per_open_call": round((during - before) * 1024 / max(1, n_open), 2),
         "peak_rss_mb": round(usage_of(pid).peak_rss_mb, 1),
     }
 
 
+def _n_open(fleet: Fleet) -> int:
+    return int(fleet.status("node-a")["n_open_requests"])
+
+
 async def _uploads(fleet: Fleet, n_uploads: int) -> dict[str, float]:
     """Send large bodies at once; those above the byte budget are refused."""
     caller = Caller(fleet.url_port("node-a"))
--- a/packages/node/ibisspoke_node/_link_protocol.py
+++ b/packages/node/ibisspoke_node/_link_protocol.py
@@ -7,6 +7,7 @@
 
 from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind
 
+from .buffer_budget import BufferBudget
 from .frames import (
     CHUNK_BYTES,
     Frame,
@@ -16,7 +17,6 @@
     Proof,
     encode_frame,
 )
-from .messages import BufferBudget
 
 MAC_BYTES = 32
 NONCE_BYTES = 16
@@ -103,11 +103,12 @@
         if self._transport is not None and not self.closed:
             self._transport.write(encode_frame(kind, stream_id, payload))
 
-    def send_body(self, stream_id: int, body: bytes) -> None:
+    def send_body(self, stream_id: int, body: bytes) -> asyncio.Task[None]:
         """Write the rest of a body as the peer takes it."""
         sender = asyncio.ensure_future(self._send_parts(stream_id, body))
         self._senders.add(sender)
         sender.add_done_callback(self._senders.discard)
+        return sender
 
     async def _send_parts(self, stream_id: int, body: bytes) -> None:
         for start in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
--- a/packages/node/ibisspoke_node/client_link.py
+++ b/packages/node/ibisspoke_node/client_link.py
@@ -18,6 +18,7 @@
     mac,
     out_of_memory,
 )
+from .buffer_budget import BufferBudget
 from .frames import (
     ANSWER_HEAD,
     CALL_HEAD,
@@ -31,7 +32,7 @@
     FrameKind,
     Proof,
 )
-from .messages import Answer, Attempt, BufferBudget, Done, Outcome, Refused
+from .messages import Answer, Attempt, Done, Outcome, Refused
 
 QUIET_TICKS = 20
 SILENT_TICKS = 8
@@ -83,7 +84,7 @@
         for pong in self._pong_by_stream.values():
             pong.cancel()
         for arriving in self._arriving_by_stream.values():
-            self._budget.release(arriving.assembly.n_bytes)
+            self._budget.answers.release(arriving.assembly.n_bytes)
         self._arriving_by_stream.clear()
         done_by_stream, self._done_by_stream = self._done_by_stream, {}
         for done in done_by_stream.values():
@@ -106,7 +107,7 @@
             self.send(FrameKind.CANCEL, stream_id)
         arriving = self._arriving_by_stream.pop(stream_id, None)
         if arriving is not None:
-            self._budget.release(arriving.assembly.n_bytes)
+            self._budget.answers.release(arriving.assembly.n_bytes)
 
     async def ping(self, timeout_ms: float) -> bool:
         """Return whether the peer answers within ``timeout_ms``."""
@@ -182,7 +183,7 @@
         if head.n_body_bytes == len(first):
             self._answer(frame.stream_id, head, first)
             return
-        if not self._budget.reserve(head.n_body_bytes):
+        if not self._budget.answers.reserve(head.n_body_bytes):
             refused = Refused(out_of_memory(Ran.UNKNOWN), head.level)
             self._end(frame.stream_id, Err(refused))
             return
@@ -196,7 +197,7 @@
         arriving.assembly.add(frame.payload)
         if arriving.assembly.complete:
             del self._arriving_by_stream[frame.stream_id]
-            self._budget.release(arriving.assembly.n_bytes)
+            self._budget.answers.release(arriving.assembly.n_bytes)
             self._answer(frame.stream_id, arriving.head, arriving.assembly.body)
 
     def _answer(self, stream_id: int, head: AnswerHead, body: bytes) -> None:
--- a/packages/node/ibisspoke_node/entry.py
+++ b/packages/node/ibisspoke_node/entry.py
@@ -24,11 +24,12 @@
 from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind
 
 from .acceptance import Acceptance, Accepted
+from .buffer_budget import BufferBudget
 from .dispatch import Dispatcher, Request
 from .eager_task import EagerTask
 from .head_writer import BODILESS, keep_nodelay, write_answer
 from .headers import IDEMPOTENCY_HEADER, to_upstream
-from .messages import Answer, BufferBudget
+from .messages import Answer
 from .metrics import Metrics
 from .problem import to_answer
 
@@ -40,6 +41,7 @@
 IDLE_TIMEOUT_MS = 75_000
 BODY_TIMEOUT_MS = 60_000
 SWEEP_MS = 1_000
+LISTEN_BACKLOG = 4_096
 
 logger = logging.getLogger(__name__)
 
@@ -90,13 +92,16 @@
     ) -> HTTPMessageDelegate:
         """Return the receiver of one request."""
         assert isinstance(request_conn, HTTP1Connection)
+        self.on_close(server_conn)
         exchange = _Exchange(self, request_conn, self._clock.now_ms())
         self._exchange_by_connection[server_conn] = exchange
         return exchange
 
     def on_close(self, server_conn: object) -> None:
-        """Forget a connection."""
-        self._exchange_by_connection.pop(server_conn, None)
+        """Forget the exchange that a connection carried."""
+        exchange = self._exchange_by_connection.pop(server_conn, None)
+        if exchange is not None:
+            exchange.written()
 
     def tick(self) -> None:
         """Close connections on which no request arrives in time."""
@@ -126,6 +131,7 @@
         self._request_id = ""
         self._task: EagerTask | None = None
         self._answered = False
+        self._n_answer_bytes = 0
         self._open = False
 
     def headers_received(
@@ -185,17 +191,22 @@
             self._entry.metrics.count("caller_slow")
             self._connection.close()
 
+    def written(self) -> None:
+        """Give the bytes of the answer back; the caller has it or has left."""
+        self._entry.budget.answers.release(self._n_answer_bytes)
+        self._n_answer_bytes = 0
+
     async def _run(self) -> None:
         accepted = self._accepted
         assert accepted is not None
-        parts = self._parts
+        body = self._take_body()
         request = Request(
             accepted.call,
             accepted.context,
             accepted.target,
             to_upstream(self._headers.get_all()),
             self._headers.get(IDEMPOTENCY_HEADER, ""),
-            parts[0] if len(parts) == 1 else b"".join(parts),
+            body,
             accepted.deadline_ms,
         )
         outcome = await self._entry.dispatcher.run(request)
@@ -206,6 +217,10 @@
         self._entry.metrics.count(f"refused.{refusal.kind.value}")
         self._answer(to_answer(refusal, self._request_id))
 
+    def _take_body(self) -> bytes:
+        parts, self._parts = self._parts, []
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
     def _check_length(self, n_bytes: int) -> None:
         accepted = self._accepted
         if accepted is None or n_bytes <= accepted.call.max_body_bytes:
@@ -225,6 +240,9 @@
 
     def _answer(self, answer: Answer) -> None:
         self._answered = True
+        self._n_answer_bytes = len(answer.body)
+        self._entry.budget.answers.hold(self._n_answer_bytes)
+        self._expires_ms = self._entry.now_ms + BODY_TIMEOUT_MS
         headers = [*answer.headers, (REQUEST_ID_HEADER, self._request_id)]
         if answer.status not in BODILESS:
             headers.append(("Content-Length", str(len(answer.body))))
@@ -284,7 +302,7 @@
         max_header_size=limits.max_header_bytes,
     )
     server.conn_params.header_timeout = None
-    sockets = bind_sockets(port, host)
+    sockets = bind_sockets(port, host, backlog=LISTEN_BACKLOG)
     server.add_sockets(sockets)
     try:
         yield int(sockets[0].getsockname()[1])
--- a/packages/node/ibisspoke_node/executor.py
+++ b/packages/node/ibisspoke_node/executor.py
@@ -32,6 +32,7 @@
 from ibisspoke_policy.table import Table
 
 from . import messages
+from .buffer_budget import BufferBudget
 from .eager_task import EagerTask
 from .headers import (
     ATTEMPT_HEADER,
@@ -78,6 +79,7 @@
 
     :param controller: decides what starts and what is refused.
     :param parents: told of every attempt that the upstream holds.
+    :param answers: bounds the bytes of answers read from the upstream.
     """
 
     def __init__(
@@ -86,7 +88,9 @@
         parents: ParentTable,
         signer: ContextSigner,
         clock: Clock,
+        answers: BufferBudget,
     ) -> None:
+        self._answers = answers
         self._controller = controller
         self._parents = parents
         parents.on_nested = self._nested
@@ -125,7 +129,7 @@
             if client is not None:
                 client.close()
             self._client = UpstreamClient(
-                announcement.host, announcement.port, self._clock
+                announcement.host, announcement.port, self._clock, self._answers
             )
         self._announcement = announcement
         now_ms = self._clock.now_ms()
--- a/packages/node/ibisspoke_node/head_writer.py
+++ b/packages/node/ibisspoke_node/head_writer.py
@@ -14,6 +14,7 @@
 from .messages import Header
 
 BODILESS = (204, 304)
+MAX_JOINED_BYTES = 65_536
 
 
 def write_request(
@@ -30,7 +31,7 @@
         connection.write_headers(start_line, _collect(headers), body)
         return
     first = f"{start_line.method} {start_line.path} HTTP/1.1"
-    connection.write(_encode(first, headers) + body)
+    _write(connection, _encode(first, headers), body)
 
 
 def write_answer(
@@ -49,7 +50,7 @@
         connection.write_headers(start_line, _collect(headers), body)
         return
     first = f"HTTP/1.1 {start_line.code} {start_line.reason}"
-    connection.write(_encode(first, headers) + body)
+    _write(connection, _encode(first, headers), body)
 
 
 def keep_nodelay(stream: IOStream) -> None:
@@ -58,6 +59,14 @@
     stream.set_nodelay = _unchanged  # type: ignore[method-assign]
 
 
+def _write(connection: HTTP1Connection, head: bytes, body: bytes) -> None:
+    if len(body) <= MAX_JOINED_BYTES:
+        connection.write(head + body)
+        return
+    connection.write(head)
+    connection.write(body)
+
+
 def _encode(first: str, headers: Sequence[Header]) -> bytes:
     lines = [first]
     for name, value in headers:
--- a/packages/node/ibisspoke_node/link_pool.py
+++ b/packages/node/ibisspoke_node/link_pool.py
@@ -3,9 +3,9 @@
 import asyncio
 import logging
 
+from .buffer_budget import BufferBudget
 from .client_link import ClientLink
 from .frames import FrameError
-from .messages import BufferBudget
 
 CONNECT_TIMEOUT_MS = 1_000
 PING_TIMEOUT_MS = 250
--- a/packages/node/ibisspoke_node/messages.py
+++ b/packages/node/ibisspoke_node/messages.py
@@ -62,28 +62,3 @@
 
 Outcome = Result[Answer, Refused]
 Done = Callable[[Outcome], None]
-
-
-class BufferBudget:
-    """Bound the bytes of bodies that this process holds.
-
-    :param max_bytes: the bound.
-    """
-
-    def __init__(self, max_bytes: int) -> None:
-        self.max_bytes = max_bytes
-        self.n_bytes = 0
-
-    def __repr__(self) -> str:
-        return f"BufferBudget({self.n_bytes} of {self.max_bytes} bytes)"
-
-    def reserve(self, n_bytes: int) -> bool:
-        """Take ``n_bytes`` if they fit."""
-        if self.n_bytes + n_bytes > self.max_bytes:
-            return False
-        self.n_bytes += n_bytes
-        return True
-
-    def release(self, n_bytes: int) -> None:
-        """Give ``n_bytes`` back."""
-        self.n_bytes -= n_bytes
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -21,6 +21,7 @@
 from ibisspoke_policy.table import Table
 
 from .acceptance import Acceptance
+from .buffer_budget import BufferBudget
 from .claims import ClaimingHandler, KeyedServices
 from .control import ControlClient, ControlService, control_client, control_server
 from .dispatch import Dispatcher
@@ -28,7 +29,6 @@
 from .executor import Announcement, Executor
 from .in_force import InForce
 from .link_pool import LinkPool
-from .messages import BufferBudget
 from .metrics import Metrics, StatsdSender
 from .parents import ParentTable
 from .server_link import link_server
@@ -70,7 +70,9 @@
         self.service = ControlService()
         self.metrics = Metrics(_statsd(settings))
         self.in_force = InForce()
-        self.budget = BufferBudget(settings.max_buffer_bytes)
+        self.budget = BufferBudget(
+            settings.max_buffer_bytes, BufferBudget(settings.max_buffer_bytes)
+        )
         self.members_by_id: MemberTable = Table("members")
         self.ports = Ports(0, 0, 0, 0)
         signer = ContextSigner(settings.secrets)
@@ -78,7 +80,9 @@
         self.controller = controller or UpstreamAdmissionController(
             now_ms=clock.now_ms()
         )
-        self.executor = Executor(self.controller, parents, signer, clock)
+        self.executor = Executor(
+            self.controller, parents, signer, clock, self.budget.answers
+        )
         claim_settings = ClaimSettings()
         keyed = KeyedServices(self.members_by_id, claim_settings.horizon_ms)
         self.handler = ClaimingHandler(
--- a/packages/node/ibisspoke_node/server_link.py
+++ b/packages/node/ibisspoke_node/server_link.py
@@ -19,6 +19,7 @@
     out_of_memory,
     proven_secret,
 )
+from .buffer_budget import BufferBudget
 from .frames import (
     ANSWER_HEAD,
     CALL_HEAD,
@@ -31,7 +32,9 @@
     FrameKind,
     RefusalHead,
 )
-from .messages import Attempt, BufferBudget, Done, Outcome, Refused
+from .messages import Attempt, Done, Outcome, Refused
+
+LISTEN_BACKLOG = 4_096
 
 
 class AttemptHandler(Protocol):
@@ -188,7 +191,11 @@
         payload = ANSWER_HEAD.encode(answer_head, answer.body[:CHUNK_BYTES])
         self.send(FrameKind.ANSWER, stream_id, payload)
         if len(answer.body) > CHUNK_BYTES:
-            self.send_body(stream_id, answer.body)
+            n_bytes = len(answer.body)
+            answers = self._budget.answers
+            answers.hold(n_bytes)
+            sender = self.send_body(stream_id, answer.body)
+            sender.add_done_callback(lambda _: answers.release(n_bytes))
 
 
 @asynccontextmanager
@@ -211,7 +218,7 @@
         return link
 
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(make, host, port)
+    server = await loop.create_server(make, host, port, backlog=LISTEN_BACKLOG)
     try:
         yield int(server.sockets[0].getsockname()[1])
     finally:
--- a/packages/node/ibisspoke_node/upstream_client.py
+++ b/packages/node/ibisspoke_node/upstream_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Awaitable
 from functools import lru_cache
 from typing import NamedTuple
 
@@ -19,6 +20,7 @@
 
 from ibisspoke_policy.clock import Clock
 
+from .buffer_budget import BufferBudget
 from .head_writer import keep_nodelay, write_request
 from .headers import ATTEMPT_HEADER
 from .messages import Header
@@ -27,6 +29,7 @@
 MAX_HEADER_BYTES = 65_536
 MAX_KNOWN_LIMITS = 64
 PROVEN_MS = 1_000.0
+SMALL_BYTES = 65_536
 
 
 class UpstreamRequest(NamedTuple):
@@ -68,8 +71,10 @@
 class _AnswerReader(HTTPMessageDelegate):
     """Collect one answer."""
 
-    def __init__(self, stream: IOStream, max_bytes: int) -> None:
+    def __init__(self, stream: IOStream, max_bytes: int, budget: BufferBudget) -> None:
         self._stream = stream
+        self._budget = budget
+        self._n_held = 0
         self.closes = False
         self.delimited = False
         self.start_line: ResponseStartLine | None = None
@@ -82,12 +87,21 @@
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
-    ) -> None:
+    ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
         self.start_line = start_line
         self.headers = list(headers.get_all())
         self.closes = headers.get("Connection", "").lower() == "close"
         self.delimited = _is_delimited(start_line.code, headers)
+        length = headers.get("Content-Length", "")
+        n_bytes = int(length) if length.isascii() and length.isdigit() else 0
+        if SMALL_BYTES < n_bytes <= self._max_bytes:
+            return self._wait_for(n_bytes)
+        return None
+
+    async def _wait_for(self, n_bytes: int) -> None:
+        await self._budget.wait_for(n_bytes)
+        self._n_held = n_bytes
 
     def data_received(self, chunk: bytes) -> None:
         self._n_bytes += len(chunk)
@@ -95,8 +109,16 @@
             self.too_large = True
             self._stream.close()
             return
+        if self._n_bytes > self._n_held:
+            self._budget.hold(self._n_bytes - self._n_held)
+            self._n_held = self._n_bytes
         self._parts.append(chunk)
 
+    def release(self) -> None:
+        """Give the bytes back; who takes the body over counts them anew."""
+        self._budget.release(self._n_held)
+        self._n_held = 0
+
     def finish(self) -> None:
         self.finished = True
 
@@ -127,9 +149,13 @@
     """Send requests to one upstream over kept connections.
 
     :param host: IP number of the upstream.
+    :param answers: bounds the bytes of answers that are being read.
     """
 
-    def __init__(self, host: str, port: int, clock: Clock) -> None:
+    def __init__(
+        self, host: str, port: int, clock: Clock, answers: BufferBudget
+    ) -> None:
+        self._answers = answers
         self.host = host
         self.port = port
         self._clock = clock
@@ -166,7 +192,7 @@
         connection = HTTP1Connection(
             stream, True, _parameters(request.max_answer_bytes)
         )
-        reader = _AnswerReader(stream, request.max_answer_bytes)
+        reader = _AnswerReader(stream, request.max_answer_bytes, self._answers)
         reusable = False
         try:
             headers = self._headers(request)
@@ -177,6 +203,7 @@
         except (StreamClosedError, OSError) as error:
             return Err(UpstreamFailure(True, reader.too_large, str(error)))
         finally:
+            reader.release()
             if not (reusable and reader.whole):
                 stream.close()
         if reader.answers_another(request.attempt_id):
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -1,5 +1,6 @@
 """Calls from a caller through two nodes to an upstream, in one process."""
 
+import asyncio
 import json
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -8,6 +9,7 @@
 import pytest
 from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
+from ibisspoke_node.entry import BODY_TIMEOUT_MS
 from ibisspoke_node.node import Node, running_node
 from ibisspoke_node.settings import NodeSettings
 from ibisspoke_policy.catalogue import (
@@ -118,6 +120,30 @@
         assert (response.code, response.body == body) == (200, True)
         assert fleet.entry.budget.n_bytes == 0
         assert fleet.executing.budget.n_bytes == 0
+        assert fleet.executing.budget.answers.n_bytes == 0
+        assert fleet.entry.budget.answers.n_bytes in (0, len(body))
+
+
+async def test_answer_that_nobody_reads_is_dropped_in_time():
+    async with running_fleet() as fleet:
+        body = b"x" * 8_000_000
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", fleet.entry.ports.entry, limit=1_000
+        )
+        head = (
+            f"POST /ordering/orders HTTP/1.1\r\nHost: h\r\n"
+            f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        await reader.readexactly(10)
+        answers = fleet.entry.budget.answers
+        assert answers.n_bytes == len(body)
+        for exchange in list(fleet.entry.entry._exchange_by_connection.values()):
+            exchange.expire(fleet.entry.clock.now_ms() + BODY_TIMEOUT_MS)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert answers.n_bytes == 0
+        writer.close()
 
 
 @pytest.mark.parametrize(
