--- a/packages/node/ibisspoke_node/main.py
+++ b/packages/node/ibisspoke_node/main.py
@@ -1,6 +1,5 @@
 """The ``ibisspoke-node`` program."""
 
-import argparse
 import asyncio
 import gc
 import json
@@ -20,16 +19,16 @@
 
 EXIT_BAD_SETTINGS = 2
 GC_THRESHOLD = 50_000
+USAGE = "usage: ibisspoke-node SETTINGS.toml"
 
 logger = logging.getLogger(__name__)
 
 
 def main() -> None:
     """Run a node until SIGTERM."""
-    parser = argparse.ArgumentParser(prog="ibisspoke-node", description=__doc__)
-    parser.add_argument("settings", type=Path, help="settings of the node, in TOML")
-    arguments = parser.parse_args()
-    loaded = load_settings(arguments.settings)
+    if len(sys.argv) != 2 or sys.argv[1].startswith("-"):
+        sys.exit(USAGE)
+    loaded = load_settings(Path(sys.argv[1]))
     if isinstance(loaded, Err):
         for fault in loaded.err_value:
             print(fault, file=sys.stderr)
--- a/packages/node/tests/test_imports.py
+++ b/packages/node/tests/test_imports.py
@@ -6,6 +6,7 @@
 import pytest
 
 FORBIDDEN = [
+    "argparse",
     "typer",
     "rich",
     "click",
@@ -33,3 +34,13 @@
 @pytest.mark.parametrize("name", FORBIDDEN)
 def test_node_does_not_import(modules, name):
     assert name not in modules
+
+
+def test_program_without_settings_tells_its_usage():
+    done = subprocess.run(
+        [sys.executable, "-m", "ibisspoke_node.main", "--help"],
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode != 0
+    assert "usage: ibisspoke-node SETTINGS.toml" in done.stderr
