Never say not_run after an attempt whose outcome is unknown

Cause: a retry that was refused replaced the unknown outcome of the attempt before it, so a request that may have run was answered with not_run. A key whose owner cannot be reached was answered alike. Change: the outcomes of all attempts are combined; a key that was not delivered to its owner leaves open what became of it. Conclusion: not_run is said only if no attempt may have run.

--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -24,6 +24,7 @@
 from .link_pool import LinkPool
 from .messages import Attempt, Header, Outcome, Refused
 from .outcomes import (
+    combined,
     is_out,
     may_ask_again,
     outcome_level,
@@ -208,10 +209,11 @@
             if member is None:
                 return outcome or Err(Refused(_nobody(job)))
             n_lent = allowance.lend()
-            outcome = await self._attempt(job, n_lent, member)
-            allowance.give_back(n_lent, unused(outcome, n_lent))
+            latest = await self._attempt(job, n_lent, member)
+            allowance.give_back(n_lent, unused(latest, n_lent))
+            outcome = combined(outcome, latest)
             tried = (*progress.tried, member.id)
-            following = self._following(job, outcome, allowance, progress)
+            following = self._following(job, latest, allowance, progress)
             if following is None:
                 self._report(job.attempt, outcome)
                 return outcome
@@ -306,7 +308,7 @@
         if link is None or (link.is_quiet and not job.attempt.idempotent):
             link = await self._links.proven_link(member.host, member.call_port)
         if link is None:
-            return Err(Refused(unreachable(member)))
+            return Err(Refused(_undelivered(job, unreachable(member))))
         stream_id = link.call(self._prepare(job, n_lent), job.body, done)
         return await self._wait(job, ended, link, stream_id)
 
@@ -357,12 +359,16 @@
 
 
 def _late(job: _Job) -> Refusal:
-    ran = Ran.UNKNOWN if is_keyed(job.attempt) else Ran.NOT_RUN
-    return deadline_exceeded(ran, "the deadline passed before any attempt")
+    detail = "the deadline passed before any attempt"
+    return _undelivered(job, deadline_exceeded(Ran.NOT_RUN, detail))
 
 
 def _nobody(job: _Job) -> Refusal:
-    refusal = no_upstream(job.attempt.service)
+    return _undelivered(job, no_upstream(job.attempt.service))
+
+
+def _undelivered(job: _Job, refusal: Refusal) -> Refusal:
+    """Leave open what became of a key whose owner was not asked."""
     if is_keyed(job.attempt):
         return refusal._replace(ran=Ran.UNKNOWN)
     return refusal
--- a/packages/node/ibisspoke_node/outcomes.py
+++ b/packages/node/ibisspoke_node/outcomes.py
@@ -26,6 +26,20 @@
     return Err(outcome.err_value._replace(n_retries_unused=n_unused))
 
 
+def combined(earlier: Outcome | None, latest: Outcome) -> Outcome:
+    """Return the latest outcome, which is no proof that an earlier attempt did not run.
+
+    :param earlier: what the attempts before it came to; None before the first.
+    """
+    if not (isinstance(earlier, Err) and isinstance(latest, Err)):
+        return latest
+    if earlier.err_value.refusal.ran is Ran.NOT_RUN:
+        return latest
+    refused = latest.err_value
+    refusal = refused.refusal._replace(ran=Ran.UNKNOWN)
+    return Err(refused._replace(refusal=refusal))
+
+
 def may_ask_again(refused: Refused) -> bool:
     """Return whether the owner of the key did not say what became of it."""
     is_unknown = refused.refusal.kind is RefusalKind.OUTCOME_UNKNOWN
--- /dev/null
+++ b/packages/node/tests/test_dispatch.py
@@ -0,0 +1,142 @@
+"""What a caller is told after several attempts, with nodes that are fakes."""
+
+import pytest
+from result import Err, Ok
+
+from ibisspoke_node.claims import KeyedServices
+from ibisspoke_node.dispatch import Dispatcher, Request
+from ibisspoke_node.messages import Answer, Refused
+from ibisspoke_node.parents import ParentTable
+from ibisspoke_policy.admission import AdmissionLevel
+from ibisspoke_policy.catalogue import Call, Importance
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.context import RequestContext
+from ibisspoke_policy.early_shedding import ChainLevels, EarlyShedder
+from ibisspoke_policy.member import Member, MemberState
+from ibisspoke_policy.refusal import Ran, outcome_unknown, overloaded
+from ibisspoke_policy.table import Table
+
+FULL = AdmissionLevel(1.0, 0, 0, 100)
+UNKNOWN = Err(Refused(outcome_unknown("the connection broke"), FULL))
+NOT_RUN = Err(Refused(overloaded("no slot", 100), FULL))
+ANSWER = Ok(Answer(200, "OK", [], b"ok", FULL))
+
+
+class ScriptedRouter:
+    """Choose this node until the script of outcomes ends."""
+
+    def __init__(self, outcomes):
+        self.outcomes = list(outcomes)
+
+    def choose(self, query, now_ms):
+        return make_member("n0") if self.outcomes else None
+
+    def sent(self, member_id, now_ms):
+        pass
+
+    def done(self, member_id, level, now_ms):
+        pass
+
+    def count_bytes(self, member_id, n_bytes, now_ms):
+        pass
+
+    def submit(self, attempt, body, done):
+        done(self.outcomes.pop(0))
+        return 1
+
+    def cancel(self, attempt_id):
+        pass
+
+
+class UnreachableLinks:
+    """Reach no node."""
+
+    def open_link(self, host, port):
+        return None
+
+    async def proven_link(self, host, port):
+        return None
+
+
+def make_member(node_id):
+    return Member(
+        id=node_id,
+        incarnation=1,
+        region="svealand",
+        data_centre="svealand-1",
+        host="127.0.0.1",
+        call_port=1,
+        control_port=1,
+        entry_port=1,
+        service="ordering",
+        n_slots=1,
+        draining=False,
+        state=MemberState.ALIVE,
+        catalogue_version=0,
+    )
+
+
+def make_request(clock, idempotent, key=""):
+    call = Call(
+        "ordering.look",
+        "ordering",
+        "GET" if idempotent else "POST",
+        "/orders",
+        "orders",
+        Importance.NORMAL,
+        idempotent,
+    )
+    context = RequestContext("r1", "svea", Importance.NORMAL, 0.0, 0.0, 3, 0, "")
+    return Request(call, context, "/orders", [], key, b"", clock.now_ms() + 60_000)
+
+
+async def run(outcomes, idempotent, key="", members=("n0",)):
+    clock = Clock()
+    members_by_id = Table("members")
+    for node_id in members:
+        members_by_id.put(node_id, make_member(node_id))
+    router = ScriptedRouter(outcomes)
+    shedder = EarlyShedder()
+    dispatcher = Dispatcher(
+        "n0",
+        router,
+        UnreachableLinks(),
+        router,
+        ParentTable("n0", ChainLevels(shedder)),
+        KeyedServices(members_by_id, 30_000.0),
+        shedder,
+        clock,
+    )
+    return await dispatcher.run(make_request(clock, idempotent, key))
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "ran"),
+    [
+        ([NOT_RUN], Ran.NOT_RUN),
+        ([UNKNOWN], Ran.UNKNOWN),
+        ([UNKNOWN, NOT_RUN], Ran.UNKNOWN),
+        ([UNKNOWN, NOT_RUN, NOT_RUN], Ran.UNKNOWN),
+        ([NOT_RUN, UNKNOWN], Ran.UNKNOWN),
+        ([NOT_RUN, NOT_RUN], Ran.NOT_RUN),
+    ],
+)
+async def test_refusal_tells_what_all_attempts_together_leave_open(outcomes, ran):
+    outcome = await run(outcomes, idempotent=True)
+    assert outcome.err_value.refusal.ran is ran
+
+
+async def test_answer_after_an_unknown_attempt_is_passed_on():
+    assert await run([UNKNOWN, ANSWER], idempotent=True) == ANSWER
+
+
+async def test_order_is_not_sent_again_after_an_unknown_attempt():
+    outcome = await run([UNKNOWN, ANSWER], idempotent=False)
+    assert outcome.err_value.refusal.ran is Ran.UNKNOWN
+
+
+async def test_key_whose_owner_cannot_be_reached_leaves_open_what_became_of_it():
+    outcome = await run([], idempotent=False, key="k1", members=("n1",))
+    refusal = outcome.err_value.refusal
+    assert refusal.ran is Ran.UNKNOWN
+    assert refusal.may_retry
