Let a small limit grow back, and estimate demand from enough arrivals

A limit between 1.4 and 2 was never in full use, as only whole attempts start, so it stayed at 1 of 2 after an upstream had been slow. Reproduced by a test.

--- a/packages/policy/ibisspoke_policy/adaptive_limit.py
+++ b/packages/policy/ibisspoke_policy/adaptive_limit.py
@@ -182,7 +182,7 @@
         self._grow(window)
 
     def _grow(self, window: _Window) -> None:
-        if window.n_in_flight_max >= USED_SHARE_TO_GROW * self._limit:
+        if window.n_in_flight_max >= USED_SHARE_TO_GROW * self.value:
             self._set(self._limit + max(1.0, math.sqrt(self._limit)))
 
     def _shrink(self, factor: float, window: _Window) -> None:
--- a/packages/policy/ibisspoke_policy/shed_level.py
+++ b/packages/policy/ibisspoke_policy/shed_level.py
@@ -12,6 +12,7 @@
 MIN_ADMITTED_SHARE = 0.05
 TIME_CONSTANT_MS = 400.0
 RISE_MS = 60.0
+N_RISE = 3.0
 ONSET_MS = 300.0
 LATE_FACTOR = 2.0
 FORGET_MS = 3_000.0
@@ -76,7 +77,9 @@
         :param target_ms: the delay to keep while shedding.
         """
         self._shedding_ms = self._shedding_ms + elapsed_ms if self._level else 0.0
-        self._estimate(elapsed_ms, delay_ms > LATE_FACTOR * target_ms)
+        is_onset = self._shedding_ms < ONSET_MS and delay_ms > LATE_FACTOR * target_ms
+        rise_ms = max(RISE_MS, N_RISE / capacity_per_ms) if is_onset else None
+        self._estimate(elapsed_ms, rise_ms)
         correction = 1.0 - (delay_ms - target_ms) / DRAIN_MS
         correction = min(CORRECTION_MAX, max(CORRECTION_MIN, correction))
         demand = sum(self._demand_by_class.values())
@@ -97,19 +100,17 @@
             left -= demand
         return 0.0
 
-    def _estimate(self, elapsed_ms: float, is_late: bool) -> None:
-        """Update the demand of each class.
+    def _estimate(self, elapsed_ms: float, rise_ms: float | None) -> None:
+        """Update the demand of each class; one that is shed whole is kept longer.
 
-        The onset of an overload is followed fast; the demand of a class that is
-        shed whole is kept longer.
+        :param rise_ms: time constant of a rise at the onset of an overload.
         """
-        is_onset = is_late and self._shedding_ms < ONSET_MS
         for importance, arrived in self._arrived_by_class.items():
             demand = self._demand_by_class[importance]
             is_shed = not arrived and self._level >= importance + 1
             time_constant_ms = FORGET_MS if is_shed else TIME_CONSTANT_MS
-            if is_onset and arrived > demand * elapsed_ms:
-                time_constant_ms = RISE_MS
+            if rise_ms is not None and arrived > demand * elapsed_ms:
+                time_constant_ms = rise_ms
             gain = 1.0 - math.exp(-elapsed_ms / time_constant_ms)
             demand += gain * (arrived / elapsed_ms - demand)
             self._demand_by_class[importance] = demand
--- a/packages/policy/tests/test_admission_controller.py
+++ b/packages/policy/tests/test_admission_controller.py
@@ -222,3 +222,12 @@
     assert isinstance(event, Refused)
     assert controller.announce(CAPACITY, 1.0) == []
     assert controller.offer(ticket, 2.0) == [Started(1)]
+
+
+def test_small_limit_grows_back_after_the_upstream_pushed_back():
+    upstream = make_upstream(capacity=Capacity(2, 20))
+    while upstream.controller.limit > 1:
+        upstream.finish(upstream.offer(), Ending(False, shed=True))
+        upstream.advance(60.0)
+    upstream.load(200.0, 2_000.0)
+    assert upstream.controller.limit == 2
