--- a/packages/node/tests/test_overload_faults.py
+++ b/packages/node/tests/test_overload_faults.py
@@ -10,6 +10,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from ibisspoke_node.buffer_budget import BufferBudget
 from ibisspoke_node.executor import Announcement
 from ibisspoke_node.headers import CONTEXT_HEADER
 from ibisspoke_node.node import Node, running_node
@@ -39,6 +40,7 @@
 )
 
 HOST = "127.0.0.1"
+MAX_ANSWER_BYTES = 16_777_216
 MAX_RETRIES = 3
 CHAIN = ("front", "middle", "back")
 
@@ -113,7 +115,9 @@
         state = ChainState(ChainSettings(service, 4, service_ms))
         port = await self._stack.enter_async_context(running_chain_upstream(state))
         node.announce(Announcement(service, HOST, port, Capacity(4, 40)))
-        entry = UpstreamClient(HOST, node.ports.entry, self._clock)
+        entry = UpstreamClient(
+            HOST, node.ports.entry, self._clock, BufferBudget(MAX_ANSWER_BYTES)
+        )
         server = Server(node, state, entry)
         if service != CHAIN[-1]:
             following = CHAIN[CHAIN.index(service) + 1]
