Follow key owners from the start, and fence paused and cut-off owners

Cause: owners were read at the first keyed call only, so a change just before it went unnoticed; a node that was paused or cut off went on owning its keys while others had taken them over; and an unreachable owner gave a refusal as not run. Change: owners are read each tick, pauses and isolation make new keys unknown.

--- a/packages/node/ibisspoke_node/claims.py
+++ b/packages/node/ibisspoke_node/claims.py
@@ -17,13 +17,14 @@
     KeyOwners,
     Verdict,
 )
-from ibisspoke_policy.member import Member, MemberState, MemberTable
+from ibisspoke_policy.member import Member, MemberTable
 from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind, outcome_unknown
 
 from .executor import Executor
 from .messages import Answer, Attempt, Done, Outcome, Refused
 
 REFRESH_MS = 250.0
+PAUSE_MS = 2_000.0
 DIGEST_BYTES = 16
 
 Forward = Callable[[Attempt, bytes, float], Awaitable[Outcome]]
@@ -62,7 +63,7 @@
             return seen.owners
         owners = seen.owners if seen is not None else KeyOwners(self._horizon_ms)
         members = self._members_by_id.where(
-            lambda member: member.service == service and _is_present(member)
+            lambda member: member.service == service and member.is_present
         )
         owners.update(frozenset(member.id for member in members), now_ms)
         self._seen_by_service[service] = _Seen(owners, now_ms)
@@ -80,7 +81,8 @@
 class ClaimingHandler:
     """Take attempts in; hold those with a key to one execution.
 
-    :param forward: runs an attempt on another node when this one does not take it.
+    ``forward`` runs an attempt on another node when this one does not take it, and
+    ``is_cut_off`` tells whether others may have taken this node for dead.
     """
 
     def __init__(
@@ -93,6 +95,8 @@
     ) -> None:
         self.claims = ClaimTable[Answer](clock.elapsed_ms(), clock.wall_ms(), settings)
         self.forward: Forward | None = None
+        self.is_cut_off: Callable[[], bool] = lambda: False
+        self._ticked_ms = clock.elapsed_ms()
         self._node_id = node_id
         self._executor = executor
         self._keyed = keyed
@@ -137,6 +141,13 @@
         if key is not None:
             self._waiters_by_key.get(key, {}).pop(attempt_id, None)
 
+    def tick(self) -> None:
+        """Notice a pause of this process, and follow the members of the service."""
+        self._notice_pause()
+        announced = self._executor.announcement
+        if announced is not None:
+            self._keyed.owners(announced.service, self._clock.now_ms())
+
     def close(self) -> None:
         """Stop forwarding."""
         for forward in self._forwards:
@@ -145,6 +156,10 @@
     def _decide(self, attempt: Attempt, body: bytes, key: str) -> Decision[Answer]:
         if len(attempt.idempotency_key) > MAX_KEY_LENGTH:
             return Decision(Verdict.REFUSE, refusal=_key_too_long())
+        self._notice_pause()
+        if self.is_cut_off():
+            detail = "the node that knows this idempotency key is cut off from others"
+            return Decision(Verdict.REFUSE, refusal=outcome_unknown(detail))
         owners = self._keyed.owners(attempt.service, self._clock.now_ms())
         if owners.owner(key) != self._node_id:
             detail = "nodes differ on who knows this idempotency key"
@@ -154,6 +169,12 @@
         digest = _digest(attempt, body)
         return self.claims.claim(key, digest, moved_ms, self._clock.elapsed_ms())
 
+    def _notice_pause(self) -> None:
+        now_ms = self._clock.elapsed_ms()
+        if now_ms - self._ticked_ms > PAUSE_MS:
+            self.claims.distrust(now_ms)
+        self._ticked_ms = now_ms
+
     def _start(self, key: str, attempt: Attempt, body: bytes) -> None:
         deadline_ms = self._clock.now_ms() + attempt.remaining_ms
         run = _Run(attempt._replace(idempotency_key=""), body, deadline_ms)
@@ -203,10 +224,6 @@
     return f"{attempt.context.organisation}/{attempt.idempotency_key}"
 
 
-def _is_present(member: Member) -> bool:
-    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
-
-
 def _may_go_elsewhere(outcome: Outcome) -> bool:
     if isinstance(outcome, Ok):
         return False
--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -306,7 +306,10 @@
         if link is None or (link.is_quiet and not job.attempt.idempotent):
             link = await self._links.proven_link(member.host, member.call_port)
         if link is None:
-            return Err(Refused(unreachable(member)))
+            refusal = unreachable(member)
+            if is_keyed(job.attempt):
+                refusal = refusal._replace(ran=Ran.UNKNOWN)
+            return Err(Refused(refusal))
         stream_id = link.call(self._prepare(job, n_lent), job.body, done)
         return await self._wait(job, ended, link, stream_id)
 
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -129,6 +129,7 @@
             clock,
         )
         self.handler.forward = self.dispatcher.forward
+        self.handler.is_cut_off = lambda: self.membership.membership.is_cut_off
         self.organisations = self._organisations(stores)
         acceptance = Acceptance(
             settings.id,
@@ -220,6 +221,7 @@
         while True:
             await asyncio.sleep(TICK_MS / 1000.0)
             self.executor.tick()
+            self.handler.tick()
             self.entry.tick()
             self.links.tick()
             now_ms = self.clock.now_ms()
--- a/packages/policy/ibisspoke_policy/idempotency.py
+++ b/packages/policy/ibisspoke_policy/idempotency.py
@@ -4,11 +4,11 @@
 answers "unknown" while it cannot know, because it is new or the key moved to it.
 """
 
-import hashlib
 from enum import Enum
 from typing import Generic, NamedTuple, TypeVar
 
 from .refusal import Ran, Refusal, RefusalKind, outcome_unknown
+from .rendezvous import score
 from .table import Table
 
 UUID_TEXT_LENGTH = 36
@@ -121,6 +121,13 @@
         self._claim_by_key.put(key, Claim(digest, ClaimState.RUNNING, now_ms))
         return Decision(Verdict.RUN)
 
+    def distrust(self, now_ms: float) -> None:
+        """Take keys issued before ``now_ms`` as possibly known to another owner.
+
+        For a node that was paused: others may have acted in its place.
+        """
+        self._started_ms = max(self._started_ms, now_ms)
+
     def answered(self, key: str, answer: A, n_bytes: int) -> None:
         """Keep the answer of the first request, if it fits."""
         claim = self._claim_by_key.get(key)
@@ -195,24 +202,18 @@
         self._horizon_ms = horizon_ms
         self._joined_ms_by_id: dict[str, float] = {}
         self._departures: list[_Departure] = []
-        self._is_first = True
 
     def __repr__(self) -> str:
         return f"KeyOwners({len(self._joined_ms_by_id)} nodes)"
 
     def update(self, node_ids: frozenset[str], now_ms: float) -> None:
-        """Take in the nodes that serve at present.
-
-        The nodes of the first view are taken as settled.
-        """
-        joined_ms = float("-inf") if self._is_first else now_ms
-        self._is_first = self._is_first and not node_ids
+        """Take in the nodes that serve at present."""
         for node_id in list(self._joined_ms_by_id):
             if node_id not in node_ids:
                 del self._joined_ms_by_id[node_id]
                 self._departures.append(_Departure(node_id, now_ms))
         for node_id in node_ids:
-            self._joined_ms_by_id.setdefault(node_id, joined_ms)
+            self._joined_ms_by_id.setdefault(node_id, now_ms)
         self._departures = [
             departure
             for departure in self._departures
@@ -241,8 +242,8 @@
 
 
 def rendezvous(key: str, node_ids: frozenset[str]) -> str | None:
-    """Return the node with the highest digest of ``key`` and its id."""
-    return max(node_ids, key=lambda node_id: _weight(key, node_id), default=None)
+    """Return the node that is preferred for ``key``, or None when there is none."""
+    return max(node_ids, key=lambda name: (score(key, name), name), default=None)
 
 
 def issued_wall_ms(key: str) -> int | None:
@@ -255,11 +256,6 @@
         return None
 
 
-def _weight(key: str, node_id: str) -> bytes:
-    text = f"{node_id}/{key}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
-
-
 def _decide_repeat(claim: Claim[A], digest: bytes) -> Decision[A]:
     if claim.digest != digest:
         return Decision(Verdict.REFUSE, refusal=_other_request())
--- a/packages/policy/tests/test_idempotency.py
+++ b/packages/policy/tests/test_idempotency.py
@@ -116,6 +116,14 @@
     assert issued_wall_ms("order-7") is None
 
 
+def test_paused_owner_distrusts_what_it_does_not_know():
+    table = settled()
+    table.claim("svea/old", b"d", NEVER, 0.0)
+    table.distrust(5_000.0)
+    assert table.claim("svea/old", b"d", NEVER, 5_001.0).verdict is Verdict.JOIN
+    assert table.claim("svea/new", b"d", NEVER, 5_001.0).refusal.ran is Ran.UNKNOWN
+
+
 def test_only_keys_that_moved_are_marked():
     owners = KeyOwners(HORIZON_MS)
     owners.update(frozenset({"n1", "n2", "n3"}), 0.0)
@@ -123,7 +131,7 @@
     owners.update(frozenset({"n1", "n2", "n4"}), 100.0)
     for key, owner in before.items():
         moved = owners.owner(key) != owner
-        assert (owners.moved_ms(key, 101.0) == 100.0) == moved
+        assert owners.moved_ms(key, 101.0) == (100.0 if moved else 0.0)
     assert owners.moved_ms("k1", 100.0 + HORIZON_MS) == NEVER
 
 
