--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -17,15 +17,13 @@
     no_upstream,
     overloaded,
 )
-from ibisspoke_policy.retry import N_REDIRECTS, Allowance, RetryBudgets, classify
+from ibisspoke_policy.retry import Allowance
 from ibisspoke_policy.routing import RouteQuery, Router
 
 from .claims import KeyedServices, is_keyed, scoped_key
 from .link_pool import LinkPool
 from .messages import Attempt, Header, Outcome, Refused
 from .outcomes import (
-    is_out,
-    may_ask_again,
     outcome_level,
     parent_ended,
     unreachable,
@@ -33,6 +31,7 @@
     with_unused,
 )
 from .parents import Parent, ParentTable
+from .retry_rules import Job, Progress, RetryRules
 from .server_link import AttemptHandler
 
 SHED_RETRY_AFTER_MS = 500
@@ -53,21 +52,6 @@
     deadline_ms: float
 
 
-class _Job(NamedTuple):
-    """What is sent, once or more often."""
-
-    attempt: Attempt
-    body: bytes
-    deadline_ms: float
-
-
-class _Progress(NamedTuple):
-    """What was tried so far for one job."""
-
-    tried: tuple[str, ...] = ()
-    n_redirects: int = 0
-
-
 class Canceller(Protocol):
     """Stop an attempt that nobody waits for."""
 
@@ -104,14 +88,14 @@
         self._keyed = keyed
         self._clock = clock
         self.shedder = shedder
-        self.budgets = RetryBudgets()
+        self._rules = RetryRules(clock)
 
     def __repr__(self) -> str:
         return f"Dispatcher({self._node_id!r})"
 
     async def run(self, request: Request) -> Outcome:
         """Return the answer to ``request``, or why there is none."""
-        job = _Job(self._describe(request), request.body, request.deadline_ms)
+        job = Job(self._describe(request), request.body, request.deadline_ms)
         attempt_id = request.context.attempt_id
         if not attempt_id:
             allowance = Allowance(request.context.retries_left)
@@ -127,14 +111,14 @@
         self, attempt: Attempt, body: bytes, deadline_ms: float
     ) -> Outcome:
         """Run an attempt that this node does not take on another one."""
-        progress = _Progress((self._node_id,), 1)
+        progress = Progress((self._node_id,), 1)
         allowance = Allowance(attempt.context.retries_left)
         outcome = await self._attempts(
-            _Job(attempt, body, deadline_ms), allowance, progress
+            Job(attempt, body, deadline_ms), allowance, progress
         )
         return with_unused(outcome, allowance.n_left)
 
-    async def _run_nested(self, job: _Job, parent: Parent) -> Outcome:
+    async def _run_nested(self, job: Job, parent: Parent) -> Outcome:
         task = asyncio.current_task()
         assert task is not None
         attempt = job.attempt
@@ -154,7 +138,7 @@
             parent.n_failed_nested += 1
         return outcome
 
-    async def _run(self, job: _Job, allowance: Allowance) -> Outcome:
+    async def _run(self, job: Job, allowance: Allowance) -> Outcome:
         attempt = job.attempt
         if is_keyed(attempt):
             return await self._attempts(job, allowance)
@@ -196,9 +180,9 @@
         return max(level, chain)
 
     async def _attempts(
-        self, job: _Job, allowance: Allowance, progress: _Progress | None = None
+        self, job: Job, allowance: Allowance, progress: Progress | None = None
     ) -> Outcome:
-        progress = progress or _Progress()
+        progress = progress or Progress()
         outcome: Outcome | None = None
         while True:
             now_ms = self._clock.now_ms()
@@ -211,52 +195,13 @@
             outcome = await self._attempt(job, n_lent, member)
             allowance.give_back(n_lent, unused(outcome, n_lent))
             tried = (*progress.tried, member.id)
-            following = self._following(job, outcome, allowance, progress)
+            following = self._rules.following(job, outcome, allowance, progress)
             if following is None:
                 self._report(job.attempt, outcome)
                 return outcome
             progress = following._replace(tried=tried)
 
-    def _following(
-        self, job: _Job, outcome: Outcome, allowance: Allowance, progress: _Progress
-    ) -> _Progress | None:
-        """Return what to count if another attempt may follow, or None."""
-        service = job.attempt.service
-        now_ms = self._clock.now_ms()
-        if isinstance(outcome, Ok):
-            if outcome.ok_value.status < 500:
-                self.budgets.succeeded(service, now_ms)
-            return None
-        refused = outcome.err_value
-        if is_keyed(job.attempt):
-            return progress if may_ask_again(refused) and allowance.spend() else None
-        kind = classify(refused.refusal, job.attempt.idempotent)
-        if not kind.retry:
-            return None
-        if not kind.is_redirect:
-            may = self._may_retry(service, allowance, now_ms)
-            return progress if may else None
-        if progress.n_redirects >= N_REDIRECTS:
-            return None
-        if not is_out(refused.level) and not self._may_crowd(job, refused):
-            return None
-        return progress._replace(n_redirects=progress.n_redirects + 1)
-
-    def _may_retry(self, service: str, allowance: Allowance, now_ms: float) -> bool:
-        return (
-            allowance.n_left > 0
-            and self.budgets.spend(service, now_ms)
-            and allowance.spend()
-        )
-
-    def _may_crowd(self, job: _Job, refused: Refused) -> bool:
-        """Return whether to try another node though this one is merely full."""
-        level = refused.level
-        if level is not None and level.shed > job.attempt.context.importance:
-            return False
-        return self.budgets.spend(job.attempt.service, self._clock.now_ms())
-
-    def _choose(self, job: _Job, progress: _Progress, now_ms: float) -> Member | None:
+    def _choose(self, job: Job, progress: Progress, now_ms: float) -> Member | None:
         attempt = job.attempt
         if is_keyed(attempt):
             key = scoped_key(attempt)
@@ -272,7 +217,7 @@
             member = self._router.choose(query._replace(excluded=()), now_ms)
         return member
 
-    async def _attempt(self, job: _Job, n_lent: int, member: Member) -> Outcome:
+    async def _attempt(self, job: Job, n_lent: int, member: Member) -> Outcome:
         self._router.sent(member.id, self._clock.now_ms())
         outcome: Outcome | None = None
         try:
@@ -291,7 +236,7 @@
             n_bytes += len(outcome.ok_value.body)
         self._router.count_bytes(member_id, n_bytes, self._clock.now_ms())
 
-    async def _send(self, job: _Job, n_lent: int, member: Member) -> Outcome:
+    async def _send(self, job: Job, n_lent: int, member: Member) -> Outcome:
         ended: asyncio.Future[Outcome] = asyncio.Future()
 
         def done(outcome: Outcome) -> None:
@@ -315,7 +260,7 @@
 
     async def _wait(
         self,
-        job: _Job,
+        job: Job,
         ended: asyncio.Future[Outcome],
         canceller: Canceller,
         attempt_id: int,
@@ -338,7 +283,7 @@
             now_ms = self._clock.now_ms()
             self.shedder.report(attempt.call_id, attempt.service, level, now_ms)
 
-    def _prepare(self, job: _Job, n_lent: int) -> Attempt:
+    def _prepare(self, job: Job, n_lent: int) -> Attempt:
         context = job.attempt.context._replace(retries_left=n_lent)
         remaining_ms = job.deadline_ms - self._clock.now_ms()
         return job.attempt._replace(context=context, remaining_ms=remaining_ms)
@@ -359,12 +304,12 @@
         )
 
 
-def _late(job: _Job) -> Refusal:
+def _late(job: Job) -> Refusal:
     ran = Ran.UNKNOWN if is_keyed(job.attempt) else Ran.NOT_RUN
     return deadline_exceeded(ran, "the deadline passed before any attempt")
 
 
-def _nobody(job: _Job) -> Refusal:
+def _nobody(job: Job) -> Refusal:
     refusal = no_upstream(job.attempt.service)
     if is_keyed(job.attempt):
         return refusal._replace(ran=Ran.UNKNOWN)
--- a/packages/node/ibisspoke_node/executor.py
+++ b/packages/node/ibisspoke_node/executor.py
@@ -37,21 +37,18 @@
 from .headers import (
     ATTEMPT_HEADER,
     CONTEXT_HEADER,
-    NOT_RUN_HEADER,
     TIMEOUT_HEADER,
     to_caller,
 )
 from .messages import Answer, Attempt, Done, Outcome
+from .outcomes import UPSTREAM_RETRY_AFTER_MS, upstream_failed, was_shed
 from .parents import ParentTable
 from .upstream_client import (
     UpstreamAnswer,
     UpstreamClient,
-    UpstreamFailure,
     UpstreamRequest,
 )
 
-UPSTREAM_RETRY_AFTER_MS = 1_000
-
 logger = logging.getLogger(__name__)
 
 
@@ -277,12 +274,14 @@
         if isinstance(result, Err):
             failure = result.err_value
             ending = Ending(succeeded=False, timed_out=not failure.sent)
-            self._finish(opened, ending, Err(messages.Refused(_failure(failure))))
+            self._finish(
+                opened, ending, Err(messages.Refused(upstream_failed(failure)))
+            )
             return
         self._answered(opened, result.ok_value)
 
     def _answered(self, opened: OpenAttempt, answer: UpstreamAnswer) -> None:
-        if _was_shed(answer):
+        if was_shed(answer):
             refusal = overloaded(
                 "the upstream shed the request", UPSTREAM_RETRY_AFTER_MS
             )
@@ -330,28 +329,3 @@
             attempt.idempotent,
             attempt_id,
         )
-
-
-def _was_shed(answer: UpstreamAnswer) -> bool:
-    if answer.status != 503:
-        return False
-    return any(name.lower() == NOT_RUN_HEADER.lower() for name, _ in answer.headers)
-
-
-def _failure(failure: UpstreamFailure) -> Refusal:
-    if failure.too_large:
-        return Refusal(
-            RefusalKind.ANSWER_TOO_LARGE,
-            Ran.UNKNOWN,
-            "the answer is larger than the call allows",
-            "raise max_answer_bytes of the call in the catalogue",
-        )
-    if failure.sent:
-        return outcome_unknown(f"the upstream gave no whole answer: {failure.detail}")
-    return Refusal(
-        RefusalKind.UPSTREAM_FAILED,
-        Ran.NOT_RUN,
-        f"the upstream was not reached: {failure.detail}",
-        "retry after the time given; check that the upstream runs",
-        UPSTREAM_RETRY_AFTER_MS,
-    )
--- a/packages/node/ibisspoke_node/outcomes.py
+++ b/packages/node/ibisspoke_node/outcomes.py
@@ -1,12 +1,22 @@
-"""What outcomes of attempts tell the dispatcher."""
+"""What outcomes of attempts tell, and the refusals made of them."""
 
 from result import Err, Ok
 
 from ibisspoke_policy.admission import AdmissionLevel
 from ibisspoke_policy.member import Member
-from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind, overloaded
-
+from ibisspoke_policy.refusal import (
+    Ran,
+    Refusal,
+    RefusalKind,
+    outcome_unknown,
+    overloaded,
+)
+
+from .headers import NOT_RUN_HEADER
 from .messages import Answer, Outcome, Refused
+from .upstream_client import UpstreamAnswer, UpstreamFailure
+
+UPSTREAM_RETRY_AFTER_MS = 1_000
 
 
 def unused(outcome: Outcome, n_lent: int) -> int:
@@ -60,3 +70,30 @@
         "the request that this call belongs to has ended",
         "stop working for a request when its caller has left",
     )
+
+
+def was_shed(answer: UpstreamAnswer) -> bool:
+    """Return whether the upstream refused a request without running it."""
+    if answer.status != 503:
+        return False
+    return any(name.lower() == NOT_RUN_HEADER.lower() for name, _ in answer.headers)
+
+
+def upstream_failed(failure: UpstreamFailure) -> Refusal:
+    """Return the refusal of a request without a whole answer."""
+    if failure.too_large:
+        return Refusal(
+            RefusalKind.ANSWER_TOO_LARGE,
+            Ran.UNKNOWN,
+            "the answer is larger than the call allows",
+            "raise max_answer_bytes of the call in the catalogue",
+        )
+    if failure.sent:
+        return outcome_unknown(f"the upstream gave no whole answer: {failure.detail}")
+    return Refusal(
+        RefusalKind.UPSTREAM_FAILED,
+        Ran.NOT_RUN,
+        f"the upstream was not reached: {failure.detail}",
+        "retry after the time given; check that the upstream runs",
+        UPSTREAM_RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/packages/node/ibisspoke_node/retry_rules.py
@@ -0,0 +1,77 @@
+"""Whether another attempt may follow, and what it counts as."""
+
+from typing import NamedTuple
+
+from result import Ok
+
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.retry import N_REDIRECTS, Allowance, RetryBudgets, classify
+
+from .claims import is_keyed
+from .messages import Attempt, Outcome, Refused
+from .outcomes import is_out, may_ask_again
+
+
+class Job(NamedTuple):
+    """What is sent, once or more often."""
+
+    attempt: Attempt
+    body: bytes
+    deadline_ms: float
+
+
+class Progress(NamedTuple):
+    """What was tried so far for one job."""
+
+    tried: tuple[str, ...] = ()
+    n_redirects: int = 0
+
+
+class RetryRules:
+    """Bound what follows a refused attempt."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._budgets = RetryBudgets()
+
+    def __repr__(self) -> str:
+        return f"RetryRules({self._budgets!r})"
+
+    def following(
+        self, job: Job, outcome: Outcome, allowance: Allowance, progress: Progress
+    ) -> Progress | None:
+        """Return what to count if another attempt may follow, or None."""
+        service = job.attempt.service
+        now_ms = self._clock.now_ms()
+        if isinstance(outcome, Ok):
+            if outcome.ok_value.status < 500:
+                self._budgets.succeeded(service, now_ms)
+            return None
+        refused = outcome.err_value
+        if is_keyed(job.attempt):
+            return progress if may_ask_again(refused) and allowance.spend() else None
+        kind = classify(refused.refusal, job.attempt.idempotent)
+        if not kind.retry:
+            return None
+        if not kind.is_redirect:
+            may = self._may_retry(service, allowance, now_ms)
+            return progress if may else None
+        if progress.n_redirects >= N_REDIRECTS:
+            return None
+        if not is_out(refused.level) and not self._may_crowd(job, refused):
+            return None
+        return progress._replace(n_redirects=progress.n_redirects + 1)
+
+    def _may_retry(self, service: str, allowance: Allowance, now_ms: float) -> bool:
+        return (
+            allowance.n_left > 0
+            and self._budgets.spend(service, now_ms)
+            and allowance.spend()
+        )
+
+    def _may_crowd(self, job: Job, refused: Refused) -> bool:
+        """Return whether to try another node though this one is merely full."""
+        level = refused.level
+        if level is not None and level.shed > job.attempt.context.importance:
+            return False
+        return self._budgets.spend(job.attempt.service, self._clock.now_ms())
