--- a/packages/ctl/ibisspoke_ctl/history.py
+++ b/packages/ctl/ibisspoke_ctl/history.py
@@ -1,11 +1,12 @@
 """The ``history`` and ``audit`` commands."""
 
-from typing import Annotated
+from typing import Annotated, TypedDict
 
 import typer
 from result import Err
 
 from ibisspoke_platform.config_records import AuditRecord
+from ibisspoke_policy.difference import Change
 
 from .exit_code import ExitCode
 from .output import fail, format_wall, print_json, print_table
@@ -33,7 +34,7 @@
         if isinstance(records, Err):
             return fail(records.err_value)
         if as_json:
-            print_json({"versions": records.ok_value})
+            print_json({"versions": [_fields(r) for r in records.ok_value]})
             return ExitCode.OK
         print_table(
             ("version", "when", "who", "changes", "why"),
@@ -59,7 +60,7 @@
         if isinstance(record, Err):
             return fail(record.err_value)
         if as_json:
-            print_json(record.ok_value)
+            print_json(_fields(record.ok_value))
         else:
             _print_record(record.ok_value)
         return ExitCode.OK
@@ -67,13 +68,39 @@
     run(platform, command)
 
 
+class AuditFields(TypedDict):
+    """An audit record as JSON shows it."""
+
+    version: int
+    wall_ms: int
+    who: str
+    why: str
+    operation_id: str
+    digest: str
+    n_changes: int
+    changes: list[Change]
+
+
+def _fields(record: AuditRecord) -> AuditFields:
+    return AuditFields(
+        version=record.version,
+        wall_ms=record.wall_ms,
+        who=record.who,
+        why=record.why,
+        operation_id=record.made.operation_id,
+        digest=record.made.digest,
+        n_changes=record.n_changes,
+        changes=record.changes,
+    )
+
+
 def _print_record(record: AuditRecord) -> None:
     typer.echo(f"version    {record.version}")
     typer.echo(f"when       {format_wall(record.wall_ms)}")
     typer.echo(f"who        {record.who}")
     typer.echo(f"why        {record.why}")
-    typer.echo(f"operation  {record.operation_id}")
-    typer.echo(f"digest     {record.digest}")
+    typer.echo(f"operation  {record.made.operation_id}")
+    typer.echo(f"digest     {record.made.digest}")
     for change in record.changes:
         typer.echo(f"  {change}")
     n_left_out = record.n_changes - len(record.changes)
--- a/packages/node/ibisspoke_node/config_state.py
+++ b/packages/node/ibisspoke_node/config_state.py
@@ -39,6 +39,11 @@
         """Version in force."""
         return self._in_force.version
 
+    @property
+    def catalogue(self) -> Catalogue:
+        """Catalogue in force."""
+        return self._in_force.catalogue
+
     @property
     def latest(self) -> list[CatalogueDelta]:
         """The difference adopted last."""
--- a/packages/node/ibisspoke_node/config_sync.py
+++ b/packages/node/ibisspoke_node/config_sync.py
@@ -64,9 +64,9 @@
         """Return the current version."""
 
     async def read_snapshot(
-        self, current: CurrentVersion
+        self, current: CurrentVersion, known: Catalogue
     ) -> Result[Catalogue, StoreError]:
-        """Return the catalogue of a version after checking its digest."""
+        """Return the catalogue of a version, led on from ``known`` where it can."""
 
 
 class ConfigCaller(Protocol):
@@ -162,7 +162,9 @@
         self.isolation.reached()
         if current.ok_value.version <= self.state.version:
             return True
-        snapshot = await self._reader.read_snapshot(current.ok_value)
+        snapshot = await self._reader.read_snapshot(
+            current.ok_value, self.state.catalogue
+        )
         if isinstance(snapshot, Ok):
             self.state.adopt(snapshot.ok_value)
             self.spread()
--- a/packages/platform/ibisspoke_platform/config_reader.py
+++ b/packages/platform/ibisspoke_platform/config_reader.py
@@ -4,6 +4,11 @@
 from result import Err, Ok, Result
 
 from ibisspoke_policy.catalogue import EMPTY_CATALOGUE, Catalogue, decode_catalogue
+from ibisspoke_policy.catalogue_delta import (
+    CatalogueDelta,
+    apply_delta,
+    digest_snapshot,
+)
 
 from .config_records import (
     AUDIT_PAGE_ROWS,
@@ -14,10 +19,11 @@
     CurrentVersion,
     InForceRecord,
     OperationRecord,
+    StoredChange,
     audit_key,
     audit_page_prefix,
+    change_name,
     decode_record,
-    digest_snapshot,
     operation_key,
     snapshot_name,
     unreadable,
@@ -42,14 +48,34 @@
         return row.and_then(decode_current)
 
     async def read_snapshot(
-        self, current: CurrentVersion
+        self, current: CurrentVersion, known: Catalogue = EMPTY_CATALOGUE
     ) -> Result[Catalogue, StoreError]:
-        """Return the catalogue of a version after checking its digest."""
+        """Return the catalogue of a version after checking its digest.
+
+        :param known: a catalogue at hand; from the version before, or from that of
+            the latest whole snapshot, one small object leads on.
+        """
         if current.version == 0:
             return Ok(EMPTY_CATALOGUE)
-        name = snapshot_name(current.version, current.digest)
+        if current.is_base:
+            return await self._read_base(current)
+        name = change_name(current.version, current.digest)
         data = await self._objects.get(name)
-        return data.and_then(lambda found: decode_snapshot(found, current))
+        if isinstance(data, Err):
+            return data
+        change = decode_record(data.ok_value, StoredChange, name)
+        if isinstance(change, Err):
+            return change
+        if known.version == current.version - 1:
+            stepped = _apply(known, change.ok_value.step, current)
+            if isinstance(stepped, Ok):
+                return stepped
+        base: Result[Catalogue, StoreError] = Ok(known)
+        if known.version != current.base_version:
+            base = await self._read_base(current)
+        return base.and_then(
+            lambda found: _apply(found, change.ok_value.since_base, current)
+        )
 
     async def read_current(self) -> Result[Catalogue, StoreError]:
         """Return the catalogue in force."""
@@ -80,10 +106,7 @@
         audit = await self.read_audit(version)
         if isinstance(audit, Err):
             return audit
-        record = audit.ok_value
-        return await self.read_snapshot(
-            CurrentVersion(version, record.digest, record.operation_id)
-        )
+        return await self.read_snapshot(audit.ok_value.made)
 
     async def find_operation(
         self, operation_id: str
@@ -135,6 +158,18 @@
             last = last // AUDIT_PAGE_ROWS * AUDIT_PAGE_ROWS - 1
         return Ok(records[:n_records])
 
+    async def _read_base(
+        self, current: CurrentVersion
+    ) -> Result[Catalogue, StoreError]:
+        """Return the catalogue of the latest whole snapshot."""
+        name = snapshot_name(current.base_version, current.base_digest)
+        data = await self._objects.get(name)
+        return data.and_then(
+            lambda found: _decode_snapshot(
+                found, current.base_version, current.base_digest
+            )
+        )
+
     async def _audit_page(self, version: int) -> Result[list[AuditRecord], StoreError]:
         rows = await self._table.scan(audit_page_prefix(version))
         if isinstance(rows, Err):
@@ -148,24 +183,32 @@
         return Ok(records)
 
 
-def decode_snapshot(
-    data: bytes, current: CurrentVersion
+def decode_current(row: TableRow) -> Result[CurrentVersion, StoreError]:
+    """Return the current version in its row; an absent row is version 0."""
+    if row.version == 0:
+        return Ok(NO_VERSION)
+    return decode_record(row.value, CurrentVersion, row.key)
+
+
+def _decode_snapshot(
+    data: bytes, version: int, digest: str
 ) -> Result[Catalogue, StoreError]:
-    """Return the catalogue in ``data`` if it is the snapshot of ``current``."""
-    name = snapshot_name(current.version, current.digest)
-    if digest_snapshot(data) != current.digest:
+    name = snapshot_name(version, digest)
+    if digest_snapshot(data) != digest:
         return Err(unreadable(name, "its digest differs from that of its version"))
     try:
         catalogue = decode_catalogue(data)
     except msgspec.DecodeError as error:
         return Err(unreadable(name, str(error)))
-    if catalogue.version != current.version:
+    if catalogue.version != version:
         return Err(unreadable(name, f"it holds version {catalogue.version}"))
     return Ok(catalogue)
 
 
-def decode_current(row: TableRow) -> Result[CurrentVersion, StoreError]:
-    """Return the current version in its row; an absent row is version 0."""
-    if row.version == 0:
-        return Ok(NO_VERSION)
-    return decode_record(row.value, CurrentVersion, row.key)
+def _apply(
+    old: Catalogue, delta: CatalogueDelta, current: CurrentVersion
+) -> Result[Catalogue, StoreError]:
+    name = change_name(current.version, current.digest)
+    if (delta.to_version, delta.digest) != (current.version, current.digest):
+        return Err(unreadable(name, "it leads to another version"))
+    return apply_delta(old, delta).map_err(lambda reason: unreadable(name, reason))
--- a/packages/platform/ibisspoke_platform/config_records.py
+++ b/packages/platform/ibisspoke_platform/config_records.py
@@ -1,15 +1,16 @@
 """Rows and objects in which the configuration is kept on the platform.
 
-The current version is one row. Each version has one immutable snapshot in the
-object store, one audit row, and one row by the id of the operation that made it.
+The current version is one row. Each version has one immutable object, an audit row,
+and a row by the id of the operation that made it. The object is a whole snapshot for
+some versions, and for those after it what has changed since.
 """
 
-import hashlib
 from typing import NamedTuple, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
 
+from ibisspoke_policy.catalogue_delta import CatalogueDelta
 from ibisspoke_policy.difference import Change
 
 from .store import StoreError, StoreErrorKind
@@ -18,12 +19,14 @@
 AUDIT_PREFIX = "config/audit/"
 OPERATION_PREFIX = "config/operation/"
 SNAPSHOT_PREFIX = "config/snapshot/"
+CHANGE_PREFIX = "config/change/"
 IN_FORCE_PREFIX = "config/in_force/"
 N_VERSION_DIGITS = 12
 N_PAGE_DIGITS = 2
 AUDIT_PAGE_ROWS = 10**N_PAGE_DIGITS
 MAX_RECORDED_CHANGES = 100
-DIGEST_BYTES = 32
+SNAPSHOT_INTERVAL = 64
+MAX_CHANGE_SHARE = 0.25
 
 T = TypeVar("T")
 
@@ -34,33 +37,56 @@
     :param version: 0 when nothing was ever applied.
     :param digest: hexadecimal BLAKE2b digest of its snapshot.
     :param operation_id: the operation that made it.
+    :param base_version: the latest version with a whole snapshot.
+    :param base_digest: digest of that snapshot.
     """
 
     version: int
     digest: str
     operation_id: str
+    base_version: int
+    base_digest: str
 
+    @property
+    def is_base(self) -> bool:
+        """Whether this version has a whole snapshot."""
+        return self.base_version == self.version
 
-NO_VERSION = CurrentVersion(0, "", "")
+
+NO_VERSION = CurrentVersion(0, "", "", 0, "")
+
+
+class StoredChange(NamedTuple):
+    """Object of a version without a whole snapshot.
+
+    :param step: leads from the version before.
+    :param since_base: leads from the version of the latest whole snapshot.
+    """
+
+    step: CatalogueDelta
+    since_base: CatalogueDelta
 
 
 class AuditRecord(NamedTuple):
     """Who made a version, when, why, and what differed.
 
-    :param digest: digest of the snapshot of this version.
-    :param changes: the first of the changes; the snapshots hold all of them.
+    :param made: the version as it was made current.
+    :param changes: the first of the changes; the objects hold all of them.
     :param n_changes: how many changes there were.
     """
 
-    version: int
-    digest: str
-    operation_id: str
+    made: CurrentVersion
     who: str
     wall_ms: int
     why: str
     changes: list[Change]
     n_changes: int
 
+    @property
+    def version(self) -> int:
+        """The version that was made."""
+        return self.made.version
+
 
 class OperationRecord(NamedTuple):
     """The version that an operation made."""
@@ -109,9 +135,9 @@
     return f"{SNAPSHOT_PREFIX}{version:0{N_VERSION_DIGITS}d}-{digest}"
 
 
-def digest_snapshot(data: bytes) -> str:
-    """Return the digest by which a snapshot is checked."""
-    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+def change_name(version: int, digest: str) -> str:
+    """Return the name of the object of a version without a snapshot."""
+    return f"{CHANGE_PREFIX}{version:0{N_VERSION_DIGITS}d}-{digest}"
 
 
 def decode_record(data: bytes, kind: type[T], key: str) -> Result[T, StoreError]:
--- a/packages/platform/ibisspoke_platform/config_store.py
+++ b/packages/platform/ibisspoke_platform/config_store.py
@@ -9,18 +9,22 @@
 from result import Err, Ok, Result
 
 from ibisspoke_policy.catalogue import Catalogue, encode_catalogue
+from ibisspoke_policy.catalogue_delta import delta_between, digest_snapshot
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.difference import Change, difference
 
 from .config_reader import ConfigReader, decode_current
 from .config_records import (
     CURRENT_KEY,
+    MAX_CHANGE_SHARE,
     MAX_RECORDED_CHANGES,
+    SNAPSHOT_INTERVAL,
     AuditRecord,
     CurrentVersion,
     OperationRecord,
+    StoredChange,
     audit_key,
-    digest_snapshot,
+    change_name,
     operation_key,
     snapshot_name,
 )
@@ -109,36 +113,65 @@
         :param base: the catalogue that the operator saw; it must be the current one.
         :param proposed: the new catalogue; its version follows from ``base``.
         """
+        seen = await self.read_version()
+        if isinstance(seen, Err):
+            return Err(_not_applied(seen.err_value))
+        settled = await self._settled(base, seen.ok_value, note.operation_id)
+        if isinstance(settled, Err):
+            return settled
+        if settled.ok_value is not None:
+            return Ok(settled.ok_value)
         catalogue = proposed._replace(version=base.version + 1)
-        snapshot = encode_catalogue(catalogue)
-        current = CurrentVersion(
-            catalogue.version, digest_snapshot(snapshot), note.operation_id
-        )
-        stored = await self._try_put(current, snapshot)
+        stored = await self._store(base, seen.ok_value, catalogue, note)
         if isinstance(stored, Err):
             return Err(_not_applied(stored.err_value))
-        audit = self._audit_record(current, difference(base, catalogue), note)
-        return await self._try_commit(base, current, audit)
-
-    async def _try_put(
-        self, current: CurrentVersion, snapshot: bytes
-    ) -> Result[None, StoreError]:
-        name = snapshot_name(current.version, current.digest)
-        answer = await self._objects.put(name, snapshot)
+        audit = self._audit_record(stored.ok_value, difference(base, catalogue), note)
+        return await self._try_commit(base, audit)
+
+    async def _store(
+        self,
+        base: Catalogue,
+        seen: CurrentVersion,
+        catalogue: Catalogue,
+        note: ChangeNote,
+    ) -> Result[CurrentVersion, StoreError]:
+        """Store the object of ``catalogue``, whole where that is due."""
+        snapshot = encode_catalogue(catalogue)
+        digest = digest_snapshot(snapshot)
+        version = catalogue.version
+        made = CurrentVersion(version, digest, note.operation_id, version, digest)
+        name, data = snapshot_name(version, digest), snapshot
+        if seen.version and version - seen.base_version < SNAPSHOT_INTERVAL:
+            whole = await self._read_base(seen)
+            if isinstance(whole, Err):
+                return whole
+            step = delta_between(base, catalogue, digest)
+            since_base = delta_between(whole.ok_value, catalogue, digest)
+            change = msgspec.json.encode(StoredChange(step, since_base))
+            if len(change) <= len(snapshot) * MAX_CHANGE_SHARE:
+                made = made._replace(
+                    base_version=seen.base_version, base_digest=seen.base_digest
+                )
+                name, data = change_name(version, digest), change
+        stored = await self._try_put(name, data)
+        return stored.map(lambda _: made)
+
+    async def _try_put(self, name: str, data: bytes) -> Result[None, StoreError]:
+        answer = await self._objects.put(name, data)
         for n_tries in range(1, MAX_TRIES):
             if isinstance(answer, Ok) or answer.err_value.kind not in _RETRIABLE:
                 break
             await self._sleep(_retry_delay_s(n_tries))
-            answer = await self._objects.put(name, snapshot)
+            answer = await self._objects.put(name, data)
         return answer
 
     async def _try_commit(
-        self, base: Catalogue, current: CurrentVersion, audit: AuditRecord
+        self, base: Catalogue, audit: AuditRecord
     ) -> Result[Published, PublishError]:
         may_be_applied = False
         error = StoreError(StoreErrorKind.UNAVAILABLE, "not tried", "retry")
         for n_tries in range(1, MAX_TRIES + 1):
-            answer = await self._commit_once(base, current, audit)
+            answer = await self._commit_once(base, audit)
             if isinstance(answer, Ok):
                 return answer
             if not isinstance(answer.err_value, StoreError):
@@ -150,59 +183,69 @@
             if n_tries < MAX_TRIES:
                 await self._sleep(_retry_delay_s(n_tries))
         if may_be_applied:
-            error = _unresolved(error, audit.operation_id)
+            error = _unresolved(error, audit.made.operation_id)
         return Err(error)
 
     async def _commit_once(
-        self, base: Catalogue, current: CurrentVersion, audit: AuditRecord
+        self, base: Catalogue, audit: AuditRecord
     ) -> Result[Published, PublishError]:
-        """Commit unless the operation is found applied or the base is outdated.
-
-        The operation is looked up after the current version: where the version
-        moved on without the operation, it can no longer be applied.
-        """
+        """Commit unless the operation is applied or the version has moved on."""
         row = await self._table.read(CURRENT_KEY)
         if isinstance(row, Err):
             return row
         seen = decode_current(row.ok_value)
         if isinstance(seen, Err):
             return seen
-        done = await self.find_operation(audit.operation_id)
-        if isinstance(done, Err):
-            return done
-        if done.ok_value is not None:
-            return Ok(Published(done.ok_value.version, already=True))
-        if seen.ok_value.version != base.version:
-            return await self._conflict(base, seen.ok_value)
-        answer = await self._commit(row.ok_value, current, audit)
+        settled = await self._settled(base, seen.ok_value, audit.made.operation_id)
+        if isinstance(settled, Err):
+            return settled
+        if settled.ok_value is not None:
+            return Ok(settled.ok_value)
+        answer = await self._commit(row.ok_value, audit)
         if isinstance(answer, Ok):
-            return Ok(Published(current.version, already=False))
+            return Ok(Published(audit.version, already=False))
         if answer.err_value.kind is StoreErrorKind.CONFLICT:
             return Err(answer.err_value._replace(kind=StoreErrorKind.UNKNOWN))
         return answer
 
+    async def _settled(
+        self, base: Catalogue, seen: CurrentVersion, operation_id: str
+    ) -> Result[Published | None, PublishError]:
+        """Return the version that the operation made, or None where it may be tried.
+
+        The operation is looked up after the current version: where the version
+        moved on without the operation, it can no longer be applied.
+        """
+        done = await self.find_operation(operation_id)
+        if isinstance(done, Err):
+            return done
+        if done.ok_value is not None:
+            return Ok(Published(done.ok_value.version, already=True))
+        if seen.version != base.version:
+            return await self._conflict(base, seen)
+        return Ok(None)
+
     async def _commit(
-        self, row: TableRow, current: CurrentVersion, audit: AuditRecord
+        self, row: TableRow, audit: AuditRecord
     ) -> Result[list[TableRow], StoreError]:
-        operation = operation_key(audit.operation_id)
-        record = OperationRecord(current.version)
+        operation = operation_key(audit.made.operation_id)
         encode = msgspec.json.encode
         return await self._table.commit(
             [
                 Check(CURRENT_KEY, row.version),
-                Check(audit_key(current.version), 0),
+                Check(audit_key(audit.version), 0),
                 Check(operation, 0),
             ],
             [
-                Write(CURRENT_KEY, encode(current)),
-                Write(audit_key(current.version), encode(audit)),
-                Write(operation, encode(record)),
+                Write(CURRENT_KEY, encode(audit.made)),
+                Write(audit_key(audit.version), encode(audit)),
+                Write(operation, encode(OperationRecord(audit.version))),
             ],
         )
 
     async def _conflict(
         self, base: Catalogue, seen: CurrentVersion
-    ) -> Result[Published, PublishError]:
+    ) -> Err[PublishError]:
         winner = await self.read_snapshot(seen)
         if isinstance(winner, Err):
             return winner
@@ -218,12 +261,10 @@
         return Err(PublishConflict(winner.ok_value, changes, detail, remedy))
 
     def _audit_record(
-        self, current: CurrentVersion, changes: list[Change], note: ChangeNote
+        self, made: CurrentVersion, changes: list[Change], note: ChangeNote
     ) -> AuditRecord:
         return AuditRecord(
-            version=current.version,
-            digest=current.digest,
-            operation_id=note.operation_id,
+            made=made,
             who=note.who,
             wall_ms=int(self._clock.wall_ms()),
             why=note.why,
--- a/packages/platform/tests/test_config_store.py
+++ b/packages/platform/tests/test_config_store.py
@@ -178,7 +178,7 @@
                 accepted.append(f"op{n}")
         memory.clear_faults()
         records = (await stores[0].history(1_000)).unwrap()
-        operations = [record.operation_id for record in records]
+        operations = [record.made.operation_id for record in records]
         versions = [record.version for record in records]
         assert versions == list(range(len(records), 0, -1))
         assert len(set(operations)) == len(operations)
@@ -231,7 +231,7 @@
 
 async def test_missing_snapshot_and_version_are_reported():
     store = make_store(MemoryStore())
-    gone = CurrentVersion(7, "00", "op")
+    gone = CurrentVersion(7, "00", "op", 7, "00")
     assert (
         await store.read_snapshot(gone)
     ).unwrap_err().kind is StoreErrorKind.NOT_FOUND
--- a/packages/policy/ibisspoke_policy/catalogue_delta.py
+++ b/packages/policy/ibisspoke_policy/catalogue_delta.py
@@ -34,7 +34,11 @@
 
 def snapshot_digest(catalogue: Catalogue) -> str:
     """Return the digest of the snapshot of ``catalogue``."""
-    data = encode_catalogue(catalogue)
+    return digest_snapshot(encode_catalogue(catalogue))
+
+
+def digest_snapshot(data: bytes) -> str:
+    """Return the digest of an encoded snapshot."""
     return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
 
 
