--- a/packages/node/ibisspoke_node/config_sync.py
+++ b/packages/node/ibisspoke_node/config_sync.py
@@ -190,10 +190,34 @@
         """Whether this node reads the version from the platform."""
         if self._clock.now_ms() - self._heard_ms > UNHEARD_MS:
             return True
+        return self._rank < N_POLLERS
+
+    @property
+    def is_reporter(self) -> bool:
+        """Whether this node reports for its data centre."""
+        return self._rank == 0
+
+    @property
+    def version(self) -> int:
+        """Version in force at this node."""
+        return self.state.version
+
+    def near_peers(self) -> list[PeerAddress]:
+        """Return the other nodes of the data centre."""
+        return [_address(member) for member in self._near()]
+
+    async def ask_version(self, peer: PeerAddress) -> int | None:
+        """Return the version in force at ``peer``, or None without an answer."""
+        answer = await self._query(peer, self._describe())
+        return None if answer is None else answer.version
+
+    @property
+    def _rank(self) -> int:
+        """Place of this node among those of its data centre."""
         own = self.identity
         names = {member.id for member in self._near()} | {own.node_id}
         key = f"config-poller/{own.data_centre}"
-        return rank_of(key, own.node_id, names) < N_POLLERS
+        return rank_of(key, own.node_id, names)
 
     async def run_polls(self) -> None:
         """Poll while this node is one of the pollers, until cancelled."""
--- a/packages/node/ibisspoke_node/organisations.py
+++ b/packages/node/ibisspoke_node/organisations.py
@@ -17,6 +17,7 @@
 from .config_sync import ConfigSync, PeerAddress, SyncIdentity, running_config
 from .control import ControlClient, ControlService
 from .in_force import InForce
+from .in_force_report import InForceReporter, running_reports
 from .quota_service import QuotaService, running_quota
 from .settings import NodeSettings
 from .slot_holder import HolderIdentity, SlotHolder
@@ -69,6 +70,9 @@
             clock,
             rng,
         )
+        self.reporter = InForceReporter(
+            settings.data_centre, self.config, stores.table, clock, rng
+        )
         in_force.subscribe(self.quota.configure)
 
     def __repr__(self) -> str:
@@ -107,7 +111,11 @@
 async def running_organisations(services: Organisations) -> AsyncIterator[None]:
     """Run configuration and quota; hand slots back at the end."""
     seeds = [_peer(seed) for seed in services.settings.seeds]
-    async with running_config(services.config, seeds), running_quota(services.quota):
+    async with (
+        running_config(services.config, seeds),
+        running_quota(services.quota),
+        running_reports(services.reporter),
+    ):
         yield
 
 
--- a/packages/standins/ibisspoke_standins/demo.py
+++ b/packages/standins/ibisspoke_standins/demo.py
@@ -158,8 +158,13 @@
     async def _change(self) -> None:
         path = self.fleet.directory / "catalogue.toml"
         path.write_text(catalogue_text(CHANGED_RATE_PER_S))
-        await self.fleet.operate("apply", str(path), "--yes", "--why", "karlstad grows")
+        arguments = ("apply", str(path), "--yes", "--why", "karlstad grows")
+        await self.fleet.operate(*arguments)
         await self._note_version("changed")
+        shown = await self.fleet.operate(*arguments, "--wait")
+        for line in shown.splitlines():
+            if "in force after" in line:
+                print(f"             {line}", flush=True)
 
     async def _withdraw(self) -> None:
         listed = json.loads(await self.fleet.operate("keys", "list", "--json"))
