--- a/packages/standins/ibisspoke_standins/demo.py
+++ b/packages/standins/ibisspoke_standins/demo.py
@@ -75,6 +75,7 @@
             watching.cancel()
             progress.cancel()
         self._note("end")
+        self.record.n_platform_requests = await self.fleet.n_platform_requests()
         return self.record
 
     def _note(self, event: str) -> None:
@@ -158,10 +159,10 @@
     async def _change(self) -> None:
         path = self.fleet.directory / "catalogue.toml"
         path.write_text(catalogue_text(CHANGED_RATE_PER_S))
-        arguments = ("apply", str(path), "--yes", "--why", "karlstad grows")
-        await self.fleet.operate(*arguments)
+        shown = await self.fleet.operate(
+            "apply", str(path), "--yes", "--why", "karlstad grows", "--wait"
+        )
         await self._note_version("changed")
-        shown = await self.fleet.operate(*arguments, "--wait")
         for line in shown.splitlines():
             if "in force after" in line:
                 print(f"             {line}", flush=True)
@@ -173,9 +174,12 @@
         await self._note_version("withdrawn")
 
     async def _note_version(self, event: str) -> None:
-        self._note(event)
-        shown = json.loads(await self.fleet.operate("status", "--json"))
-        self.record.version_by_event[event] = shown["version"]
+        """Note the latest version and when it was accepted."""
+        shown = await self.fleet.operate("history", "-n", "1", "--json")
+        (latest,) = json.loads(shown)["versions"]
+        age_ms = self.clock.wall_ms() - latest["wall_ms"]
+        self.record.time_ms_by_event[event] = self.clock.now_ms() - age_ms
+        self.record.version_by_event[event] = latest["version"]
 
     async def _stick(self) -> None:
         self._note("stuck")
--- a/packages/standins/ibisspoke_standins/demo_fleet.py
+++ b/packages/standins/ibisspoke_standins/demo_fleet.py
@@ -130,6 +130,12 @@
         """All nodes."""
         return list(self.nodes_by_id.values())
 
+    async def n_platform_requests(self) -> int:
+        """Return how many reads and writes the platform has had."""
+        answer = await AsyncHTTPClient().fetch(f"{self.platform_url}/stats")
+        stats: dict[str, int] = json.loads(answer.body)
+        return stats["n_reads"] + stats["n_writes"]
+
     async def operate(self, *arguments: str) -> str:
         """Run ``ibisspoke`` and return what it prints.
 
--- a/packages/standins/ibisspoke_standins/demo_record.py
+++ b/packages/standins/ibisspoke_standins/demo_record.py
@@ -28,6 +28,7 @@
         }
         self.first_ms_by_lowest_version: dict[int, float] = {}
         self.exit_code_of_stopped: int | None = None
+        self.n_platform_requests = 0
 
     def __repr__(self) -> str:
         return f"Record({len(self.outcomes)} outcomes)"
--- a/packages/standins/ibisspoke_standins/demo_results.py
+++ b/packages/standins/ibisspoke_standins/demo_results.py
@@ -72,6 +72,7 @@
             ("withdrawal in force after", _seconds(record.propagation_ms("withdrawn"))),
             ("worst-served organisation", _describe(worst)),
             ("refused although inside its rate", _wrongful(record)),
+            ("requests to the platform", f"{record.n_platform_requests} in all"),
         ],
     )
     refused = refusals_by_kind(outcomes).most_common()
