--- a/benchmarks/_harness.py
+++ b/benchmarks/_harness.py
@@ -4,11 +4,13 @@
 input. A child is stopped by its own process id when the context that owns it ends.
 """
 
+import asyncio
 import json
 import os
 import subprocess
 import sys
 import tempfile
+import time
 import urllib.request
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import ExitStack, contextmanager
@@ -18,6 +20,8 @@
 import msgspec
 import psutil
 
+from ibisspoke_platform.config_store import ChangeNote, ConfigStore
+from ibisspoke_platform.http_store import HttpStore
 from ibisspoke_policy.catalogue import (
     Call,
     Catalogue,
@@ -27,12 +31,14 @@
     digest_key,
     encode_catalogue,
 )
+from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.member import Member, MemberState
 
 HERE = Path(__file__).parent
 SECRET = "benchmark fleet secret"
 KEY = "benchmark-key"
 STOP_TIMEOUT_S = 10.0
+READY_TIMEOUT_S = 60.0
 MAX_BODY_BYTES = 8_388_608
 UNLIMITED_PER_S = 1e9
 MEGABYTE = 1_048_576
@@ -149,18 +155,25 @@
     catalogue: Catalogue,
     n_nodes_per_process: int = 1,
     settings: Mapping[str, Mapping[str, Any]] | None = None,
+    with_platform: bool = True,
 ) -> Iterator[Fleet]:
     """Run nodes and upstreams that know each other and ``catalogue``.
 
     :param settings: sections that go into every settings file.
+    :param with_platform: whether there is a platform, from which nodes get the
+        catalogue and their share of each rate; else they are told all.
     """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        settings = {**(settings or {})}
+        if with_platform:
+            url = stack.enter_context(running_platform(catalogue))
+            settings["platform"] = {"url": url}
         nodes_by_id: dict[str, Child] = {}
         ports_by_id: dict[str, dict[str, int]] = {}
         for start in range(0, len(specs), n_nodes_per_process):
             group = specs[start : start + n_nodes_per_process]
-            paths = [_write_settings(folder, spec, settings or {}) for spec in group]
+            paths = [_write_settings(folder, spec, settings) for spec in group]
             process = stack.enter_context(child("_node_process.py", *paths))
             ports_by_id.update(process.ready)
             nodes_by_id.update({spec.id: process for spec in group})
@@ -171,10 +184,40 @@
         }
         members = [_member(spec, ports_by_id[spec.id]) for spec in specs]
         fleet = Fleet(nodes_by_id, ports_by_id, upstream_by_id, members)
-        feed(fleet, members, catalogue)
+        feed(fleet, members, None if with_platform else catalogue)
+        _wait_for_catalogue(fleet)
         yield fleet
 
 
+@contextmanager
+def running_platform(catalogue: Catalogue) -> Iterator[str]:
+    """Run a stand-in platform that holds ``catalogue``; give its URL."""
+    with child("-m", "ibisspoke_standins.platform") as platform:
+        url = f"http://127.0.0.1:{platform.ready['port']}"
+        asyncio.run(publish(url, catalogue))
+        yield url
+
+
+async def publish(url: str, catalogue: Catalogue) -> int:
+    """Accept ``catalogue`` as the next version; return it."""
+    store = HttpStore(url)
+    config = ConfigStore(store, store, Clock())
+    base = (await config.read_current()).unwrap()
+    note = ChangeNote(f"benchmark-{base.version}", "benchmark", "measure")
+    version = (await config.publish(base, catalogue, note)).unwrap().version
+    store.close()
+    return version
+
+
+def _wait_for_catalogue(fleet: Fleet) -> None:
+    deadline_s = time.monotonic() + READY_TIMEOUT_S
+    for node_id in fleet.nodes_by_id:
+        while not fleet.status(node_id)["catalogue_version"]:
+            if time.monotonic() > deadline_s:
+                raise RuntimeError(f"{node_id} got no catalogue; see its log above")
+            time.sleep(0.05)
+
+
 @contextmanager
 def node_settings(spec: NodeSpec) -> Iterator[str]:
     """Own a settings file; give its path."""
@@ -183,8 +226,13 @@
 
 
 def mechanism_bytes(fleet: Fleet) -> dict[str, int]:
-    """Return the bytes that all nodes sent and received so far, by mechanism."""
-    totals = {"membership": 0}
+    """Return the bytes that all nodes sent and received so far, by mechanism.
+
+    What one node writes to a connection, another receives: it counts twice.
+    """
+    totals = {"membership": 0, "connections": 0}
+    for process in {node.pid: node for node in fleet.nodes_by_id.values()}.values():
+        totals["connections"] += 2 * process.tell({})["n_written_bytes"]
     for node_id in fleet.nodes_by_id:
         page = fleet.status(node_id).get("membership", {})
         totals["membership"] += page.get("n_sent_bytes", 0)
@@ -192,18 +240,20 @@
     return totals
 
 
-def feed(fleet: Fleet, members: Sequence[Member], catalogue: Catalogue) -> None:
-    """Give every node its members and catalogue."""
-    command = {
-        "members": msgspec.to_builtins(list(members)),
-        "catalogue": json.loads(encode_catalogue(catalogue)),
-    }
+def feed(fleet: Fleet, members: Sequence[Member], catalogue: Catalogue | None) -> None:
+    """Give every node its members and, if there is one, a catalogue."""
+    command: dict[str, Any] = {"members": msgspec.to_builtins(list(members))}
+    if catalogue is not None:
+        command["catalogue"] = json.loads(encode_catalogue(catalogue))
     for process in {node.pid: node for node in fleet.nodes_by_id.values()}.values():
         process.tell(command)
 
 
 def benchmark_catalogue(
-    services: Sequence[str], version: int = 1, n_organisations: int = 1
+    services: Sequence[str],
+    version: int = 1,
+    n_organisations: int = 1,
+    data_centres: Sequence[str] = ("svea-1",),
 ) -> Catalogue:
     """Return a catalogue with one idempotent call a service, open to ``KEY``."""
     calls = [
@@ -231,6 +281,7 @@
         {call.id: call for call in calls},
         {organisation.id: organisation for organisation in organisations},
         {key.digest: key},
+        dict.fromkeys(data_centres, 1),
     )
 
 
@@ -302,7 +353,7 @@
             "data_centre": spec.data_centre,
             "host": "127.0.0.1",
         },
-        "platform": {"url": "http://127.0.0.1:9"},
+        "platform": {"url": ""},
         "fleet": {"secrets": [SECRET]},
         "log": {"level": "WARNING"},
     }
--- a/benchmarks/_node_process.py
+++ b/benchmarks/_node_process.py
@@ -1,7 +1,9 @@
 """Runs nodes in one process and takes members and catalogue from standard input.
 
 Usage: ``python _node_process.py SETTINGS...``. Prints the ports by node id. Each line
-of input is ``{"members": [...], "catalogue": [...]}``; the reply is ``{}``.
+of input is ``{"members": [...], "catalogue": [...]}``; the reply is ``{}``. Without a
+catalogue the nodes get it from the platform. The reply to ``{}`` has the bytes that
+the process has written to connections between nodes.
 """
 
 import asyncio
@@ -23,12 +25,38 @@
 from ibisspoke_policy.member import Member
 
 
+class _WrittenBytes:
+    """Count what the connections between nodes carry, without TCP's own bytes."""
+
+    def __init__(self) -> None:
+        self.n_bytes = 0
+
+    def install(self) -> None:
+        transport = asyncio.selector_events._SelectorSocketTransport
+        write = transport.write
+
+        def counted(sender: asyncio.Transport, data: bytes) -> None:
+            self.n_bytes += len(data)
+            write(sender, data)
+
+        transport.write = counted
+
+
+written = _WrittenBytes()
+
+
 def _apply(nodes: list[Node], line: str) -> None:
     command = json.loads(line)
+    if "members" not in command:
+        print(json.dumps({"n_written_bytes": written.n_bytes}), flush=True)
+        return
     members = msgspec.convert(command["members"], list[Member], strict=False)
-    catalogue = msgspec.convert(command["catalogue"], Catalogue, strict=False)
+    catalogue = msgspec.convert(
+        command.get("catalogue"), Catalogue | None, strict=False
+    )
     for node in nodes:
-        node.in_force.adopt(catalogue)
+        if catalogue is not None:
+            node.in_force.adopt(catalogue)
         for member in members:
             if member.id != node.settings.id:
                 node.members_by_id.put(member.id, member)
@@ -63,6 +91,7 @@
 
 
 if __name__ == "__main__":
+    written.install()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     asyncio.run(_run([Path(argument) for argument in sys.argv[1:]]))
--- a/benchmarks/call_overhead.py
+++ b/benchmarks/call_overhead.py
@@ -37,6 +37,8 @@
 BLOCK_S = 0.5
 SEED = 7
 N_CONNECTIONS = 16
+N_READY_TRIES = 100
+READY_RETRY_S = 0.2
 TIMER_ERROR_S = 0.0015
 
 
@@ -86,6 +88,19 @@
         """Open the connections of all paths ahead of the calls."""
         for target in itertools.chain(*self._targets_by_path.values()):
             await target.caller.connect(N_CONNECTIONS)
+        for path in PATHS:
+            for number in range(2):
+                await self._wait_until_answered(path, number)
+
+    async def _wait_until_answered(self, path: str, number: int) -> None:
+        for _ in range(N_READY_TRIES):
+            try:
+                await self.call(path, number, 1, b"")
+                return
+            except RuntimeError as error:
+                last = error
+                await asyncio.sleep(READY_RETRY_S)
+        raise last
 
     async def call(self, path: str, number: int, n_hops: int, body: bytes) -> None:
         """Make one call and check its answer."""
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -6,6 +6,7 @@
 import argparse
 import asyncio
 import gc
+import itertools
 import json
 import time
 from collections.abc import Callable
@@ -84,7 +85,9 @@
     ]
     slopes = {}
     for name, n_items, members, catalogue in steps:
-        with running_fleet([NodeSpec("node-a")], benchmark_catalogue(["a"])) as fleet:
+        with running_fleet(
+            [NodeSpec("node-a")], benchmark_catalogue(["a"]), with_platform=False
+        ) as fleet:
             before = usage_of(fleet.pids()[0]).rss_mb
             feed(fleet, members, catalogue)
             time.sleep(0.5)
@@ -260,15 +263,21 @@
     return results
 
 
-def measure_fleet(n_nodes: int, plan: Plan) -> dict[str, Any]:
-    """Watch a fleet without calls: what its nodes spend on control."""
+def measure_fleet(n_nodes: int, plan: Plan, with_platform: bool) -> dict[str, Any]:
+    """Watch a fleet without calls: what its nodes spend on control.
+
+    :param with_platform: whether configuration and quota run.
+    """
     specs = [
         NodeSpec(f"node-{number}", "", f"r{number % 2}", f"dc-{number % 4}")
         for number in range(n_nodes)
     ]
     started = time.perf_counter()
-    catalogue = benchmark_catalogue(["alpha"])
-    with running_fleet(specs, catalogue, N_NODES_PER_PROCESS) as fleet:
+    data_centres = [f"dc-{number}" for number in range(4)]
+    catalogue = benchmark_catalogue(["alpha"], data_centres=data_centres)
+    with running_fleet(
+        specs, catalogue, N_NODES_PER_PROCESS, with_platform=with_platform
+    ) as fleet:
         time.sleep(SETTLE_S)
         pids = fleet.pids()
         settled_s = time.perf_counter() - started
@@ -281,6 +290,7 @@
     per_node = 1.0 / n_nodes / plan.idle_s
     return {
         "n_nodes": n_nodes,
+        "with_platform": with_platform,
         "n_members_seen": n_members,
         "settled_s": round(settled_s, 1),
         "cpu_percent_per_node": round(cpu_s * per_node * 100, 3),
@@ -299,8 +309,8 @@
     print("slopes", json.dumps(slopes), flush=True)
     load = measure_load(plan)
     fleets = []
-    for n_nodes in plan.n_nodes:
-        fleets.append(measure_fleet(n_nodes, plan))
+    for n_nodes, with_platform in itertools.product(plan.n_nodes, (False, True)):
+        fleets.append(measure_fleet(n_nodes, plan, with_platform))
         print("fleet", json.dumps(fleets[-1]), flush=True)
     largest = fleets[-1]
     return {
