Keep an idempotency key in the data centre that it names

Cause: the owner of a key was chosen among all nodes of a service, so most orders crossed data centres, and a cut-off data centre could take only those it happened to own. A fault inside the node left its caller without an answer. Change: a key may name its data centre, whose nodes then own it. A failed request is answered as unknown. Conclusion: test_claims.py shows that such owners do not depend on other data centres; test_node.py shows the answer after a fault.

--- a/packages/node/ibisspoke_node/claims.py
+++ b/packages/node/ibisspoke_node/claims.py
@@ -16,8 +16,10 @@
     Decision,
     KeyOwners,
     Verdict,
+    data_centre_of,
 )
 from ibisspoke_policy.member import Member, MemberTable
+from ibisspoke_policy.member_index import Place
 from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind, outcome_unknown
 
 from .executor import Executor
@@ -37,6 +39,22 @@
     read_ms: float
 
 
+class KeyScope(NamedTuple):
+    """Nodes among which the owner of a key is chosen.
+
+    :param data_centre: where they stand; empty for all of the service.
+    """
+
+    service: str
+    data_centre: str
+
+    def holds(self, member: Member) -> bool:
+        """Return whether ``member`` may own a key."""
+        if member.service != self.service or not member.is_present:
+            return False
+        return not self.data_centre or member.data_centre == self.data_centre
+
+
 class KeyedServices:
     """Find the owner of a key among the nodes of a service.
 
@@ -46,27 +64,25 @@
     def __init__(self, members_by_id: MemberTable, horizon_ms: float) -> None:
         self._members_by_id = members_by_id
         self._horizon_ms = horizon_ms
-        self._seen_by_service: dict[str, _Seen] = {}
+        self._seen_by_scope: dict[KeyScope, _Seen] = {}
 
     def __repr__(self) -> str:
-        return f"KeyedServices({len(self._seen_by_service)} services)"
+        return f"KeyedServices({len(self._seen_by_scope)} scopes)"
 
-    def owner(self, service: str, key: str, now_ms: float) -> Member | None:
-        """Return the node that owns ``key``, or None when the service has none."""
-        owner = self.owners(service, now_ms).owner(key)
+    def owner(self, scope: KeyScope, key: str, now_ms: float) -> Member | None:
+        """Return the node that owns ``key``, or None when there is none."""
+        owner = self.owners(scope, now_ms).owner(key)
         return None if owner is None else self._members_by_id.get(owner)
 
-    def owners(self, service: str, now_ms: float) -> KeyOwners:
-        """Return the owners of the keys of ``service``."""
-        seen = self._seen_by_service.get(service)
+    def owners(self, scope: KeyScope, now_ms: float) -> KeyOwners:
+        """Return the owners of the keys of ``scope``."""
+        seen = self._seen_by_scope.get(scope)
         if seen is not None and now_ms - seen.read_ms < REFRESH_MS:
             return seen.owners
         owners = seen.owners if seen is not None else KeyOwners(self._horizon_ms)
-        members = self._members_by_id.where(
-            lambda member: member.service == service and member.is_present
-        )
+        members = self._members_by_id.where(scope.holds)
         owners.update(frozenset(member.id for member in members), now_ms)
-        self._seen_by_service[service] = _Seen(owners, now_ms)
+        self._seen_by_scope[scope] = _Seen(owners, now_ms)
         return owners
 
 
@@ -87,7 +103,7 @@
 
     def __init__(
         self,
-        node_id: str,
+        place: Place,
         executor: Executor,
         keyed: KeyedServices,
         settings: ClaimSettings,
@@ -97,7 +113,7 @@
         self.forward: Forward | None = None
         self.is_cut_off: Callable[[], bool] = lambda: False
         self._ticked_ms = clock.elapsed_ms()
-        self._node_id = node_id
+        self._place = place
         self._executor = executor
         self._keyed = keyed
         self._clock = clock
@@ -146,7 +162,9 @@
         self._notice_pause()
         announced = self._executor.announcement
         if announced is not None:
-            self._keyed.owners(announced.service, self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            for data_centre in ("", self._place.data_centre):
+                self._keyed.owners(KeyScope(announced.service, data_centre), now_ms)
 
     def close(self) -> None:
         """Stop forwarding."""
@@ -160,8 +178,8 @@
         if self.is_cut_off():
             detail = "the node that knows this idempotency key is cut off from others"
             return Decision(Verdict.REFUSE, refusal=outcome_unknown(detail))
-        owners = self._keyed.owners(attempt.service, self._clock.now_ms())
-        if owners.owner(key) != self._node_id:
+        owners = self._keyed.owners(key_scope(attempt), self._clock.now_ms())
+        if owners.owner(key) != self._place.member_id:
             detail = "nodes differ on who knows this idempotency key"
             return Decision(Verdict.REFUSE, refusal=outcome_unknown(detail))
         offset_ms = self._clock.elapsed_ms() - self._clock.now_ms()
@@ -219,6 +237,11 @@
     return bool(attempt.idempotency_key) and not attempt.idempotent
 
 
+def key_scope(attempt: Attempt) -> KeyScope:
+    """Return the nodes among which the owner of the key of an attempt is chosen."""
+    return KeyScope(attempt.service, data_centre_of(attempt.idempotency_key))
+
+
 def scoped_key(attempt: Attempt) -> str:
     """Return the key of an attempt, distinct between organisations."""
     return f"{attempt.context.organisation}/{attempt.idempotency_key}"
--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -20,7 +20,7 @@
 from ibisspoke_policy.retry import Allowance
 from ibisspoke_policy.routing import RouteQuery, Router
 
-from .claims import KeyedServices, is_keyed, scoped_key
+from .claims import KeyedServices, is_keyed, key_scope, scoped_key
 from .link_pool import LinkPool
 from .messages import Attempt, Header, Outcome, Refused
 from .outcomes import (
@@ -207,7 +207,7 @@
         attempt = job.attempt
         if is_keyed(attempt):
             key = scoped_key(attempt)
-            return self._keyed.owner(attempt.service, key, now_ms)
+            return self._keyed.owner(key_scope(attempt), key, now_ms)
         query = RouteQuery(
             attempt.service,
             attempt.context.importance,
--- a/packages/node/ibisspoke_node/entry.py
+++ b/packages/node/ibisspoke_node/entry.py
@@ -22,7 +22,7 @@
 from tornado.netutil import bind_sockets
 
 from ibisspoke_policy.clock import Clock
-from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind
+from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind, outcome_unknown
 
 from .acceptance import Acceptance, Accepted
 from .buffer_budget import BufferBudget
@@ -201,7 +201,7 @@
             self._answer(to_answer(self._refusal, self._request_id))
             return
         self._connection.set_close_callback(self._caller_left)
-        self._task = EagerTask(self._run())
+        self._task = EagerTask(self._run_guarded())
 
     def on_connection_close(self) -> None:
         self._end()
@@ -217,6 +217,16 @@
         self._entry.budget.answers.release(self._n_answer_bytes)
         self._n_answer_bytes = 0
 
+    async def _run_guarded(self) -> None:
+        try:
+            await self._run()
+        except Exception:
+            logger.exception("request failed", extra={"request": self._request_id})
+            refusal = outcome_unknown("the node failed while it handled the request")
+            self._refuse(refusal)
+            if not self._answered:
+                self._answer(to_answer(refusal, self._request_id))
+
     async def _run(self) -> None:
         accepted = self._accepted
         assert accepted is not None
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -97,11 +97,11 @@
         )
         claim_settings = ClaimSettings()
         keyed = KeyedServices(self.members_by_id, claim_settings.horizon_ms)
+        place = Place(settings.id, settings.region, settings.data_centre)
         self.handler = ClaimingHandler(
-            settings.id, self.executor, keyed, claim_settings, clock
+            place, self.executor, keyed, claim_settings, clock
         )
         self.links = LinkPool(settings.secrets, self.budget, settings.id)
-        place = Place(settings.id, settings.region, settings.data_centre)
         self.router = NearestRouter(
             self.members_by_id, place, random.Random(), clock.now_ms()
         )
--- /dev/null
+++ b/packages/node/tests/test_claims.py
@@ -0,0 +1,83 @@
+"""Owners of idempotency keys, with and without a data centre in the key."""
+
+import pytest
+
+from ibisspoke_node.claims import KeyedServices, KeyScope
+from ibisspoke_policy.idempotency import data_centre_of, issued_wall_ms
+from ibisspoke_policy.member import Member, MemberState
+from ibisspoke_policy.table import Table
+
+HORIZON_MS = 30_000.0
+N_KEYS = 200
+EVERYWHERE = KeyScope("ordering", "")
+NEAR = KeyScope("ordering", "svealand-1")
+
+
+def make_members(data_centres, n_nodes=3):
+    members = Table("members")
+    for data_centre in data_centres:
+        for number in range(n_nodes):
+            node_id = f"{data_centre}-{number}"
+            members.put(node_id, make_member(node_id, data_centre))
+    return members
+
+
+def make_member(node_id, data_centre):
+    return Member(
+        id=node_id,
+        incarnation=1,
+        region="svealand",
+        data_centre=data_centre,
+        host="127.0.0.1",
+        call_port=1,
+        control_port=1,
+        entry_port=1,
+        service="ordering",
+        n_slots=1,
+        draining=False,
+        state=MemberState.ALIVE,
+        catalogue_version=0,
+    )
+
+
+def owners(members, scope):
+    services = KeyedServices(members, HORIZON_MS)
+    return [services.owner(scope, f"svea/{number}", 0.0) for number in range(N_KEYS)]
+
+
+def test_owner_of_a_key_with_a_data_centre_stands_there():
+    members = make_members(["svealand-1", "gotaland-1"])
+    assert {owner.data_centre for owner in owners(members, NEAR)} == {"svealand-1"}
+    both = {owner.data_centre for owner in owners(members, EVERYWHERE)}
+    assert both == {"svealand-1", "gotaland-1"}
+
+
+def test_other_data_centres_do_not_move_a_key_with_a_data_centre():
+    whole = owners(make_members(["svealand-1", "gotaland-1"]), NEAR)
+    alone = owners(make_members(["svealand-1"]), NEAR)
+    assert whole == alone
+
+
+def test_key_has_no_owner_when_its_data_centre_has_no_node_of_the_service():
+    assert owners(make_members(["gotaland-1"]), NEAR) == [None] * N_KEYS
+
+
+@pytest.mark.parametrize(
+    ("key", "data_centre"),
+    [
+        ("svealand-1:0190a5e0-0000-7000-8000-000000000000", "svealand-1"),
+        ("0190a5e0-0000-7000-8000-000000000000", ""),
+        ("order-7", ""),
+        (":order-7", ""),
+        ("", ""),
+    ],
+)
+def test_data_centre_stands_before_the_colon(key, data_centre):
+    assert data_centre_of(key) == data_centre
+
+
+def test_time_of_a_key_is_read_behind_its_data_centre():
+    bare = "0190a5e0-0000-7000-8000-000000000000"
+    assert (
+        issued_wall_ms(f"svealand-1:{bare}") == issued_wall_ms(bare) == 0x0190A5E00000
+    )
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -192,3 +192,15 @@
     async with running_fleet() as fleet, running_node(stranger, Clock()) as node:
         port = fleet.executing.ports.call
         assert await node.links.connect("127.0.0.1", port) is None
+
+
+async def test_fault_inside_the_node_is_answered_and_may_have_run():
+    async def fail(request):
+        raise RuntimeError("fault for this test")
+
+    async with running_fleet() as fleet:
+        fleet.entry.entry.dispatcher.run = fail
+        response = await fleet.fetch("GET", "/ordering/orders/7")
+        problem = json.loads(response.body)
+        assert (response.code, problem["ran"]) == (502, "unknown")
+        assert fleet.entry.entry.n_open == 0
--- a/packages/node/tests/test_overload_faults.py
+++ b/packages/node/tests/test_overload_faults.py
@@ -138,7 +138,7 @@
         for servers in self.servers_by_service.values():
             for server in servers:
                 server.node.handler.claims._started_ms -= horizon_ms
-                for seen in server.node.handler._keyed._seen_by_service.values():
+                for seen in server.node.handler._keyed._seen_by_scope.values():
                     owners: KeyOwners = seen.owners
                     owners._joined_ms_by_id = dict.fromkeys(
                         owners._joined_ms_by_id, float("-inf")
--- a/packages/policy/ibisspoke_policy/idempotency.py
+++ b/packages/policy/ibisspoke_policy/idempotency.py
@@ -11,6 +11,7 @@
 from .rendezvous import score
 from .table import Table
 
+DATA_CENTRE_SEPARATOR = ":"
 UUID_TEXT_LENGTH = 36
 UUID_VERSION_AT = 14
 MAX_KEY_LENGTH = 128
@@ -246,8 +247,14 @@
     return max(node_ids, key=lambda name: (score(key, name), name), default=None)
 
 
+def data_centre_of(key: str) -> str:
+    """Return the data centre that a key names before a colon, or nothing."""
+    return key.rpartition(DATA_CENTRE_SEPARATOR)[0]
+
+
 def issued_wall_ms(key: str) -> int | None:
     """Return when a time-ordered UUID (version 7) was issued, else None."""
+    key = key.rpartition(DATA_CENTRE_SEPARATOR)[2]
     if len(key) != UUID_TEXT_LENGTH or key[UUID_VERSION_AT] != "7":
         return None
     try:
