--- /dev/null
+++ b/benchmarks/catalogue_storage.py
@@ -0,0 +1,180 @@
+"""Bytes and time to store and read versions of the catalogue, by three ways.
+
+The catalogue has the size aimed at. One key after another is given, and each version
+is stored as a whole, as a chain of steps, or as the platform package does it: a whole
+snapshot at intervals and what changed since. The last line printed is JSON.
+"""
+
+import argparse
+import asyncio
+import json
+import time
+from typing import NamedTuple
+
+import msgspec
+
+from ibisspoke_platform.config_records import (
+    CHANGE_PREFIX,
+    SNAPSHOT_INTERVAL,
+    change_name,
+    snapshot_name,
+)
+from ibisspoke_platform.config_store import ChangeNote, ConfigStore
+from ibisspoke_policy.catalogue import (
+    EMPTY_CATALOGUE,
+    Call,
+    Catalogue,
+    Importance,
+    Key,
+    Organisation,
+    digest_key,
+    encode_catalogue,
+)
+from ibisspoke_policy.catalogue_delta import (
+    CatalogueDelta,
+    delta_between,
+    snapshot_digest,
+)
+from ibisspoke_policy.clock import Clock
+from ibisspoke_standins.memory_store import MemoryStore
+
+N_SERVICES = 370
+N_CALLS_PER_SERVICE = 5
+N_ORGANISATIONS = 2_000
+N_KEYS = 6_000
+CHANGES_PER_DAY = 9_600
+SECONDS_PER_DAY = 86_400
+
+
+class Cost(NamedTuple):
+    """What one way costs.
+
+    :param stored_bytes: objects of all versions together.
+    :param poll_bytes_per_change: read by a node that has the version before.
+    :param boot_objects: objects read by a node that has nothing, at most.
+    :param boot_bytes: the bytes of these.
+    """
+
+    stored_bytes: int
+    poll_bytes_per_change: float
+    boot_objects: int
+    boot_bytes: int
+
+
+def make_catalogue() -> Catalogue:
+    """Return a catalogue of the size aimed at, as version 1."""
+    calls = {}
+    for service in range(N_SERVICES):
+        for number in range(N_CALLS_PER_SERVICE):
+            id = f"service-{service}.call-{number}"
+            calls[id] = Call(
+                id,
+                f"service-{service}",
+                "GET",
+                f"/call-{number}/*",
+                "team",
+                Importance.NORMAL,
+                True,
+            )
+    names = [f"organisation-{n}" for n in range(N_ORGANISATIONS)]
+    organisations = {name: Organisation(name, 10.0, 5.0) for name in names}
+    keys = [make_key(f"key {n}", names[n % N_ORGANISATIONS]) for n in range(N_KEYS)]
+    slots = {f"data-centre-{n}": 2 for n in range(5)}
+    return Catalogue(1, calls, organisations, {k.digest: k for k in keys}, slots)
+
+
+def make_key(text: str, organisation: str) -> Key:
+    """Return the record of one key."""
+    return Key(digest_key(text), organisation, "label", 0)
+
+
+def with_key(catalogue: Catalogue, text: str) -> Catalogue:
+    """Return the next version, with one more key."""
+    key = make_key(text, "organisation-1")
+    keys = {**catalogue.keys_by_digest, key.digest: key}
+    return catalogue._replace(version=catalogue.version + 1, keys_by_digest=keys)
+
+
+def step_between(old: Catalogue, new: Catalogue) -> CatalogueDelta:
+    """Return what leads from one version to the next."""
+    return delta_between(old, new, snapshot_digest(new))
+
+
+def cost_of_wholes(versions: list[Catalogue]) -> Cost:
+    """Store each version whole."""
+    sizes = [len(encode_catalogue(version)) for version in versions]
+    n_changes = len(versions) - 1
+    return Cost(sum(sizes), sum(sizes[1:]) / n_changes, 1, sizes[-1])
+
+
+def cost_of_steps(versions: list[Catalogue]) -> Cost:
+    """Store the first version whole and each other one as a step."""
+    whole = len(encode_catalogue(versions[0]))
+    steps = [
+        len(msgspec.json.encode(step_between(old, new)))
+        for old, new in zip(versions, versions[1:], strict=False)
+    ]
+    stored = whole + sum(steps)
+    return Cost(stored, sum(steps) / len(steps), len(versions), stored)
+
+
+async def cost_as_published(versions: list[Catalogue]) -> tuple[Cost, float]:
+    """Publish each version; return the cost and the time a change took."""
+    memory = MemoryStore()
+    store = ConfigStore(memory, memory, Clock())
+    base = EMPTY_CATALOGUE
+    started = time.perf_counter()
+    for version in versions:
+        note = ChangeNote(f"operation-{version.version}", "benchmark", "size")
+        (await store.publish(base, version, note)).unwrap()
+        base = version
+    took_ms = (time.perf_counter() - started) * 1000.0 / len(versions)
+    sizes = memory.object_sizes
+    current = (await store.read_version()).unwrap()
+    changes = [size for name, size in sizes.items() if name.startswith(CHANGE_PREFIX)]
+    poll_bytes = sum(changes) / len(changes)
+    boot_bytes = sizes[snapshot_name(current.base_version, current.base_digest)]
+    if not current.is_base:
+        boot_bytes += sizes[change_name(current.version, current.digest)]
+    n_objects = 1 if current.is_base else 2
+    return Cost(sum(sizes.values()), poll_bytes, n_objects, boot_bytes), took_ms
+
+
+def per_second(cost: Cost) -> float:
+    """Return the bytes a second that a polling node reads at the size aimed at."""
+    return cost.poll_bytes_per_change * CHANGES_PER_DAY / SECONDS_PER_DAY
+
+
+def main() -> None:
+    """Compare the three ways."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    arguments = parser.parse_args()
+    n_changes = SNAPSHOT_INTERVAL * (1 if arguments.quick else 4) - 1
+    versions = [make_catalogue()]
+    for number in range(n_changes):
+        versions.append(with_key(versions[-1], f"new key {number}"))
+    published, took_ms = asyncio.run(cost_as_published(versions))
+    cost_by_way = {
+        "whole": cost_of_wholes(versions),
+        "steps": cost_of_steps(versions),
+        "published": published,
+    }
+    for way, cost in cost_by_way.items():
+        print(f"{way:>10}: {cost}, {per_second(cost):.0f} bytes a second to poll")
+    whole = cost_by_way["whole"]
+    result = {
+        "n_changes": n_changes,
+        "snapshot_bytes": len(encode_catalogue(versions[0])),
+        "cost_by_way": {way: cost._asdict() for way, cost in cost_by_way.items()},
+        "poll_bytes_per_s_by_way": {
+            way: round(per_second(cost), 1) for way, cost in cost_by_way.items()
+        },
+        "stored_share_of_whole": published.stored_bytes / whole.stored_bytes,
+        "publish_ms": round(took_ms, 1),
+    }
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/platform/ibisspoke_platform/config_reader.py
+++ b/packages/platform/ibisspoke_platform/config_reader.py
@@ -57,19 +57,18 @@
         """
         if current.version == 0:
             return Ok(EMPTY_CATALOGUE)
-        if current.is_base:
+        is_next = known.version == current.version - 1
+        if current.is_base and not is_next:
             return await self._read_base(current)
-        name = change_name(current.version, current.digest)
-        data = await self._objects.get(name)
-        if isinstance(data, Err):
-            return data
-        change = decode_record(data.ok_value, StoredChange, name)
-        if isinstance(change, Err):
-            return change
-        if known.version == current.version - 1:
+        change = await self._read_change(current)
+        if isinstance(change, Ok) and is_next:
             stepped = _apply(known, change.ok_value.step, current)
             if isinstance(stepped, Ok):
                 return stepped
+        if current.is_base:
+            return await self._read_base(current)
+        if isinstance(change, Err):
+            return change
         base: Result[Catalogue, StoreError] = Ok(known)
         if known.version != current.base_version:
             base = await self._read_base(current)
@@ -158,6 +157,13 @@
             last = last // AUDIT_PAGE_ROWS * AUDIT_PAGE_ROWS - 1
         return Ok(records[:n_records])
 
+    async def _read_change(
+        self, current: CurrentVersion
+    ) -> Result[StoredChange, StoreError]:
+        name = change_name(current.version, current.digest)
+        data = await self._objects.get(name)
+        return data.and_then(lambda found: decode_record(found, StoredChange, name))
+
     async def _read_base(
         self, current: CurrentVersion
     ) -> Result[Catalogue, StoreError]:
--- a/packages/platform/ibisspoke_platform/config_records.py
+++ b/packages/platform/ibisspoke_platform/config_records.py
@@ -1,8 +1,8 @@
 """Rows and objects in which the configuration is kept on the platform.
 
-The current version is one row. Each version has one immutable object, an audit row,
-and a row by the id of the operation that made it. The object is a whole snapshot for
-some versions, and for those after it what has changed since.
+The current version is one row. Each version has an audit row and a row by the id of
+the operation that made it. Immutable objects hold what has changed since the version
+before and since the latest whole snapshot, and the whole snapshots of some versions.
 """
 
 from typing import NamedTuple, TypeVar
@@ -57,7 +57,7 @@
 
 
 class StoredChange(NamedTuple):
-    """Object of a version without a whole snapshot.
+    """Object of a version that is not far from the one before.
 
     :param step: leads from the version before.
     :param since_base: leads from the version of the latest whole snapshot.
@@ -136,7 +136,7 @@
 
 
 def change_name(version: int, digest: str) -> str:
-    """Return the name of the object of a version without a snapshot."""
+    """Return the name of the change that leads to a version."""
     return f"{CHANGE_PREFIX}{version:0{N_VERSION_DIGITS}d}-{digest}"
 
 
--- a/packages/platform/ibisspoke_platform/config_store.py
+++ b/packages/platform/ibisspoke_platform/config_store.py
@@ -135,27 +135,43 @@
         catalogue: Catalogue,
         note: ChangeNote,
     ) -> Result[CurrentVersion, StoreError]:
-        """Store the object of ``catalogue``, whole where that is due."""
+        """Store the objects of ``catalogue``: the change, and the whole when due."""
         snapshot = encode_catalogue(catalogue)
         digest = digest_snapshot(snapshot)
         version = catalogue.version
         made = CurrentVersion(version, digest, note.operation_id, version, digest)
-        name, data = snapshot_name(version, digest), snapshot
-        if seen.version and version - seen.base_version < SNAPSHOT_INTERVAL:
-            whole = await self._read_base(seen)
-            if isinstance(whole, Err):
-                return whole
-            step = delta_between(base, catalogue, digest)
-            since_base = delta_between(whole.ok_value, catalogue, digest)
-            change = msgspec.json.encode(StoredChange(step, since_base))
-            if len(change) <= len(snapshot) * MAX_CHANGE_SHARE:
-                made = made._replace(
+        change = await self._encode_change(base, seen, catalogue, digest)
+        if isinstance(change, Err):
+            return change
+        is_small = 0 < len(change.ok_value) <= len(snapshot) * MAX_CHANGE_SHARE
+        if is_small:
+            stored = await self._try_put(change_name(version, digest), change.ok_value)
+            if isinstance(stored, Err):
+                return stored
+        if is_small and version - seen.base_version < SNAPSHOT_INTERVAL:
+            return Ok(
+                made._replace(
                     base_version=seen.base_version, base_digest=seen.base_digest
                 )
-                name, data = change_name(version, digest), change
-        stored = await self._try_put(name, data)
+            )
+        stored = await self._try_put(snapshot_name(version, digest), snapshot)
         return stored.map(lambda _: made)
 
+    async def _encode_change(
+        self, base: Catalogue, seen: CurrentVersion, catalogue: Catalogue, digest: str
+    ) -> Result[bytes, StoreError]:
+        """Return the object of the change; empty for the first version."""
+        if seen.version == 0:
+            return Ok(b"")
+        whole: Result[Catalogue, StoreError] = Ok(base)
+        if not seen.is_base:
+            whole = await self._read_base(seen)
+        if isinstance(whole, Err):
+            return whole
+        step = delta_between(base, catalogue, digest)
+        since_base = delta_between(whole.ok_value, catalogue, digest)
+        return Ok(msgspec.json.encode(StoredChange(step, since_base)))
+
     async def _try_put(self, name: str, data: bytes) -> Result[None, StoreError]:
         answer = await self._objects.put(name, data)
         for n_tries in range(1, MAX_TRIES):
--- a/packages/platform/tests/test_config_reader.py
+++ b/packages/platform/tests/test_config_reader.py
@@ -123,6 +123,19 @@
     assert read.unwrap() == fleet.catalogue
 
 
+async def test_one_small_object_leads_on_to_a_version_with_a_whole_snapshot(fleet):
+    await fleet.change_rates(SNAPSHOT_INTERVAL - 1)
+    known = fleet.catalogue
+    await fleet.change_rates(1)
+    assert (await fleet.store.read_version()).unwrap().is_base
+    objects = fleet.memory._objects_by_name
+    for name in fleet.names(SNAPSHOT_PREFIX):
+        del objects[name]
+    read, n_reads = await fleet.read(known)
+    assert read.unwrap() == fleet.catalogue
+    assert n_reads == 1
+
+
 async def test_large_change_is_stored_whole(fleet):
     slower = {
         name: entry._replace(rate_per_s=1.0)
@@ -131,6 +144,8 @@
     await fleet.publish(fleet.catalogue._replace(organisations_by_id=slower))
     assert len(fleet.names(SNAPSHOT_PREFIX)) == 2
     assert fleet.names(CHANGE_PREFIX) == []
+    read, _ = await fleet.read(large_catalogue()._replace(version=1))
+    assert read.unwrap() == fleet.catalogue
 
 
 @pytest.mark.parametrize("old_rate", [b"11.0", b"14.0"])
--- a/packages/standins/ibisspoke_standins/memory_store.py
+++ b/packages/standins/ibisspoke_standins/memory_store.py
@@ -124,6 +124,11 @@
         """Names of all objects, sorted."""
         return sorted(self._objects_by_name)
 
+    @property
+    def object_sizes(self) -> dict[str, int]:
+        """Bytes of each object by name."""
+        return {name: len(data) for name, data in self._objects_by_name.items()}
+
     def inject(self, fault: Fault) -> None:
         """Start a fault."""
         self._faults.append(_ActiveFault(fault, self._clock.now_ms()))
