--- a/benchmarks/_overload_driver.py
+++ b/benchmarks/_overload_driver.py
@@ -16,6 +16,7 @@
 from _overload_site import (
     CHAIN,
     HOST,
+    MAX_ANSWER_BYTES,
     N_ORGANISATIONS,
     N_RETRIES,
     N_SERVERS,
@@ -28,6 +29,7 @@
     fetch,
 )
 
+from ibisspoke_node.buffer_budget import BufferBudget
 from ibisspoke_node.upstream_client import UpstreamClient
 from ibisspoke_policy.clock import Clock
 from ibisspoke_standins.chain_upstream import NUMBER_HEADER
@@ -151,7 +153,10 @@
             servers.entries if mode is not Mode.UNCONTROLLED else (servers.upstreams)
         )
         self._clients = {
-            service: [UpstreamClient(HOST, port, clock) for port in ports]
+            service: [
+                UpstreamClient(HOST, port, clock, BufferBudget(MAX_ANSWER_BYTES))
+                for port in ports
+            ]
             for service, ports in by_service.items()
         }
         self._numbers = itertools.count(1)
--- a/benchmarks/_overload_site.py
+++ b/benchmarks/_overload_site.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from ibisspoke_node.buffer_budget import BufferBudget
 from ibisspoke_node.upstream_client import UpstreamClient, UpstreamRequest
 from ibisspoke_policy.catalogue import (
     Call,
@@ -19,6 +20,7 @@
 from ibisspoke_standins.chain_upstream import NUMBER_HEADER
 
 HOST = "127.0.0.1"
+MAX_ANSWER_BYTES = 16_777_216
 CHAIN = ("front", "middle", "back")
 PATH_BY_SERVICE = {"front": "/deep", "middle": "/deep", "back": "/leaf"}
 N_SERVERS = 4
@@ -136,7 +138,10 @@
 
     def __init__(self, ports: list[int]) -> None:
         clock = Clock()
-        self._clients = [UpstreamClient(HOST, port, clock) for port in ports]
+        self._clients = [
+            UpstreamClient(HOST, port, clock, BufferBudget(MAX_ANSWER_BYTES))
+            for port in ports
+        ]
         self._turns = itertools.cycle(self._clients)
 
     async def call(self, target: str, number: str) -> int:
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -22,6 +22,7 @@
 from ibisspoke_policy.table import Table
 
 from .acceptance import Acceptance
+from .buffer_budget import BufferBudget
 from .claims import ClaimingHandler, KeyedServices
 from .control import ControlClient, ControlService, control_client, control_server
 from .dispatch import Dispatcher
@@ -30,7 +31,6 @@
 from .in_force import InForce
 from .link_pool import LinkPool
 from .membership_service import FleetAccess, MembershipService, running_membership
-from .messages import BufferBudget
 from .metrics import Metrics, StatsdSender
 from .organisations import (
     Organisations,
@@ -81,7 +81,9 @@
         self.service = ControlService()
         self.metrics = Metrics(_statsd(settings))
         self.in_force = InForce()
-        self.budget = BufferBudget(settings.max_buffer_bytes)
+        self.budget = BufferBudget(
+            settings.max_buffer_bytes, BufferBudget(settings.max_buffer_bytes)
+        )
         self.members_by_id: MemberTable = Table("members")
         self.ports = Ports(0, 0, 0, 0)
         signer = ContextSigner(settings.secrets)
@@ -90,7 +92,9 @@
         self.controller = controller or UpstreamAdmissionController(
             now_ms=clock.now_ms()
         )
-        self.executor = Executor(self.controller, parents, signer, clock)
+        self.executor = Executor(
+            self.controller, parents, signer, clock, self.budget.answers
+        )
         claim_settings = ClaimSettings()
         keyed = KeyedServices(self.members_by_id, claim_settings.horizon_ms)
         self.handler = ClaimingHandler(
@@ -125,6 +129,7 @@
             clock,
         )
         self.handler.forward = self.dispatcher.forward
+        self.handler.is_cut_off = lambda: self.membership.membership.is_cut_off
         self.organisations = self._organisations(stores)
         acceptance = Acceptance(
             settings.id,
@@ -134,7 +139,9 @@
             clock,
             self.organisations.isolation if self.organisations else None,
         )
-        self.entry = Entry(acceptance, self.dispatcher, self.budget, self.metrics)
+        self.entry = Entry(
+            acceptance, self.dispatcher, self.budget, self.metrics, clock
+        )
 
     def __repr__(self) -> str:
         return f"Node({self.settings.id!r}, {self.ports})"
@@ -214,6 +221,8 @@
         while True:
             await asyncio.sleep(TICK_MS / 1000.0)
             self.executor.tick()
+            self.handler.tick()
+            self.entry.tick()
             self.links.tick()
             now_ms = self.clock.now_ms()
             if now_ms - flushed_ms >= METRICS_MS:
