--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -32,6 +32,7 @@
 from .link_pool import LinkPool
 from .membership_service import FleetAccess, MembershipService, running_membership
 from .metrics import Metrics, StatsdSender
+from .node_page import describe, set_gauges
 from .organisations import (
     Organisations,
     PlatformStores,
@@ -41,7 +42,7 @@
 from .parents import ParentTable
 from .server_link import link_server
 from .settings import NodeSettings
-from .status import MembershipPage, StatusPage, status_server
+from .status import status_server
 
 TICK_MS = 50
 METRICS_MS = 1_000
@@ -181,40 +182,6 @@
             draining=announcement.capacity.draining or self.executor.stopping,
         )
 
-    def status(self) -> StatusPage:
-        """Return the status page."""
-        announced = self.executor.announcement
-        return StatusPage(
-            id=self.settings.id,
-            region=self.settings.region,
-            data_centre=self.settings.data_centre,
-            entry_port=self.ports.entry,
-            call_port=self.ports.call,
-            control_port=self.ports.control,
-            service=announced.service if announced else "",
-            catalogue_version=self.in_force.version,
-            n_open_requests=self.entry.n_open,
-            n_open_attempts=self.executor.n_open,
-            n_members=len(self.members_by_id),
-            membership=self._membership_page(),
-            counters=dict(self.metrics.totals_by_name),
-            gauges=dict(self.metrics.gauges_by_name),
-        )
-
-    def _membership_page(self) -> MembershipPage:
-        membership = self.membership.membership
-        n_bytes = self.router.budget.n_bytes_by_traffic
-        counts = membership.view.count_by_state()
-        return MembershipPage(
-            n_members_by_state={state.value: n for state, n in counts.items()},
-            unreachable_data_centres=sorted(membership.unreachable),
-            is_cut_off=membership.is_cut_off,
-            is_relay=membership.is_relay,
-            n_sent_bytes=self.membership.n_sent_bytes,
-            n_received_bytes=self.membership.n_received_bytes,
-            n_link_bytes_by_traffic={kind.value: n for kind, n in n_bytes.items()},
-        )
-
     async def run_ticks(self) -> None:
         """Run the systems each tick, until cancelled."""
         flushed_ms = self.clock.now_ms()
@@ -227,6 +194,7 @@
             now_ms = self.clock.now_ms()
             if now_ms - flushed_ms >= METRICS_MS:
                 flushed_ms = now_ms
+                set_gauges(self)
                 self.metrics.flush()
 
     async def drain(self) -> None:
@@ -325,7 +293,7 @@
         entry_server(node.entry, limits, settings.host, settings.entry_port)
     )
     status_port = await stack.enter_async_context(
-        status_server(node.announce, node.status, settings.status_port)
+        status_server(node.announce, lambda: describe(node), settings.status_port)
     )
     node.ports = Ports(entry_port, call_port, control_port, status_port)
 
--- a/packages/standins/ibisspoke_standins/demo_catalogue.py
+++ b/packages/standins/ibisspoke_standins/demo_catalogue.py
@@ -15,6 +15,7 @@
     "glasbruket": Allowance(60.0, 30.0),
 }
 CHANGED_RATE_PER_S = 240.0
+MAX_RETRIES = 2
 
 PLACES = [
     Place("svealand", "svealand-1", "catalogue"),
@@ -48,7 +49,7 @@
     ],
 }
 
-_CALLS = """
+_CALLS = f"""
 [calls."catalogue.find-lid"]
 service = "catalogue"
 method = "GET"
@@ -57,6 +58,7 @@
 importance = "normal"
 idempotent = true
 timeout_ms = 2000
+max_retries = {MAX_RETRIES}
 
 [calls."ordering.place-order"]
 service = "ordering"
@@ -66,6 +68,7 @@
 importance = "critical"
 idempotent = false
 timeout_ms = 4000
+max_retries = {MAX_RETRIES}
 
 [calls."imaging.submit-photograph"]
 service = "imaging"
@@ -75,6 +78,7 @@
 importance = "low"
 idempotent = false
 timeout_ms = 6000
+max_retries = {MAX_RETRIES}
 max_body_bytes = 8388608
 max_answer_bytes = 8388608
 """
--- a/packages/standins/ibisspoke_standins/demo_results.py
+++ b/packages/standins/ibisspoke_standins/demo_results.py
@@ -5,6 +5,7 @@
 from . import promises
 from .demo_catalogue import (
     CHANGED_RATE_PER_S,
+    MAX_RETRIES,
     RATE_BY_ORGANISATION,
     STUCK_NODE,
     TRAFFIC_MS,
@@ -36,6 +37,7 @@
     raised = karlstad._replace(rate_per_s=CHANGED_RATE_PER_S)
     return [
         promises.no_order_runs_twice(orders, runs),
+        promises.retries_are_bounded(runs, MAX_RETRIES),
         promises.not_run_is_true(outcomes, runs),
         promises.answers_are_whole(outcomes),
         promises.keys_stay_secret(record.keys, _texts(record)),
--- a/packages/standins/ibisspoke_standins/promises.py
+++ b/packages/standins/ibisspoke_standins/promises.py
@@ -44,6 +44,18 @@
     return _promise("an order runs at most once", doubled)
 
 
+def retries_are_bounded(
+    n_runs_by_number: Mapping[str, int], max_retries: int
+) -> Promise:
+    """Return whether no attempt of a caller ran more often than its retries allow."""
+    over = [
+        f"{number} ran {n_runs} times"
+        for number, n_runs in n_runs_by_number.items()
+        if n_runs > 1 + max_retries
+    ]
+    return _promise("retries of a request are bounded", over)
+
+
 def not_run_is_true(
     outcomes: Iterable[Outcome], n_runs_by_number: Mapping[str, int]
 ) -> Promise:
--- a/packages/standins/tests/test_promises.py
+++ b/packages/standins/tests/test_promises.py
@@ -20,6 +20,13 @@
     assert not promises.no_order_runs_twice(orders, {"svea-2.1": 2}).holds
 
 
+def test_more_runs_than_retries_allow_are_found():
+    runs = {"svea-1.1": 3, "nested-svea-1.1": 1}
+    assert promises.retries_are_bounded(runs, 2).holds
+    broken = promises.retries_are_bounded(runs, 1)
+    assert broken.examples == ["svea-1.1 ran 3 times"]
+
+
 def test_not_run_is_false_where_an_upstream_ran_it():
     outcomes = [refused("overloaded"), refused("outcome_unknown", "unknown")]
     assert promises.not_run_is_true(outcomes, {}).holds
