--- a/packages/ctl/ibisspoke_ctl/main.py
+++ b/packages/ctl/ibisspoke_ctl/main.py
@@ -6,6 +6,7 @@
 from .check import check
 from .history import audit, history
 from .keys import keys_app
+from .nodes import nodes
 from .replay import replay_trace
 from .show import diff, show
 from .status import status
@@ -25,6 +26,7 @@
 app.command()(audit)
 app.add_typer(keys_app, name="keys", no_args_is_help=True)
 app.command()(status)
+app.command()(nodes)
 app.command("replay")(replay_trace)
 
 
--- a/packages/ctl/ibisspoke_ctl/session.py
+++ b/packages/ctl/ibisspoke_ctl/session.py
@@ -12,6 +12,7 @@
 
 from ibisspoke_platform.config_store import ChangeNote, ConfigStore
 from ibisspoke_platform.http_store import HttpStore
+from ibisspoke_platform.store import TableService
 from ibisspoke_policy.clock import Clock
 
 from .exit_code import ExitCode
@@ -50,6 +51,7 @@
     """The platform as the commands use it."""
 
     store: ConfigStore
+    table: TableService
     clock: Clock
 
 
@@ -79,7 +81,7 @@
     http = HttpStore(platform)
     clock = Clock()
     try:
-        yield Session(ConfigStore(http, http, clock), clock)
+        yield Session(ConfigStore(http, http, clock), http, clock)
     finally:
         http.close()
 
--- a/packages/ctl/tests/test_session.py
+++ b/packages/ctl/tests/test_session.py
@@ -14,8 +14,10 @@
 from ibisspoke_ctl.session import Session
 from ibisspoke_platform.config_records import InForceRecord, in_force_key
 from ibisspoke_platform.config_store import ConfigStore
+from ibisspoke_platform.member_records import member_key
 from ibisspoke_platform.store import Write
 from ibisspoke_policy.clock import ManualClock
+from ibisspoke_policy.member import Member, MemberState
 from ibisspoke_standins.memory_store import Fault, FaultKind, FaultScope, MemoryStore
 
 CATALOGUE = """\
@@ -60,7 +62,7 @@
     @contextmanager
     def open_session(self, platform):
         store = ConfigStore(self.memory, self.memory, self.clock, no_sleep)
-        yield Session(store, self.clock)
+        yield Session(store, self.memory, self.clock)
 
     def write(self, name, text):
         (self.directory / name).write_text(text)
@@ -245,3 +247,27 @@
     operator.types("status")
     operator.types("status --json")
     assert operator.shown == snapshot
+
+
+def make_member(id, data_centre, service, **fields):
+    region = data_centre.partition("-")[0]
+    ports = (7101, 7102, 7100)
+    state = MemberState.ALIVE
+    row = (id, 1, region, data_centre, "10.0.0.5", *ports, service, 50, False, state, 1)
+    return Member(*row)._replace(**fields)
+
+
+def test_nodes_are_listed_and_counted(operator, snapshot):
+    members = [
+        make_member("n1", "svealand-1", "ordering"),
+        make_member("n2", "svealand-1", "ordering", draining=True),
+        make_member("n3", "gotaland-1", "", n_slots=0),
+    ]
+    writes = [Write(member_key(m.id), msgspec.json.encode(m)) for m in members]
+    asyncio.run(operator.memory.commit([], writes))
+    operator.types("nodes")
+    operator.types("nodes --service ordering --data-centre svealand-1 --json")
+    operator.types("nodes --summary")
+    asyncio.run(operator.memory.commit([], [Write(member_key("n4"), b"?")]))
+    assert operator.types("nodes --service returns") == ExitCode.FAILED
+    assert operator.shown == snapshot
--- a/packages/node/ibisspoke_node/member_rows.py
+++ b/packages/node/ibisspoke_node/member_rows.py
@@ -5,11 +5,10 @@
 import msgspec
 from result import Err
 
+from ibisspoke_platform.member_records import MEMBER_PREFIX, member_key, read_members
 from ibisspoke_platform.store import Check, TableService, Write
 from ibisspoke_policy.member import Member
 
-PREFIX = "members/"
-
 logger = logging.getLogger(__name__)
 
 
@@ -25,22 +24,19 @@
         self._decoder = msgspec.json.Decoder(Member)
 
     def __repr__(self) -> str:
-        return f"MemberRows({PREFIX!r})"
+        return f"MemberRows({MEMBER_PREFIX!r})"
 
     async def read(self) -> list[Member]:
         """Return all rows; none when the table does not answer."""
-        scanned = await self._table.scan(PREFIX)
-        if isinstance(scanned, Err):
+        read = await read_members(self._table)
+        if isinstance(read, Err):
             logger.info(
-                "member rows were not read", extra={"reason": scanned.err_value.detail}
+                "member rows were not read", extra={"reason": read.err_value.detail}
             )
             return []
-        members: list[Member] = []
-        for row in scanned.ok_value:
-            try:
-                members.append(self._decoder.decode(row.value))
-            except msgspec.DecodeError:
-                logger.warning("member row is not readable", extra={"key": row.key})
+        members, faults = read.ok_value
+        for fault in faults:
+            logger.warning("member row is not readable", extra={"reason": fault.detail})
         return members
 
     async def write(self, member: Member) -> bool:
@@ -49,12 +45,12 @@
         :returns: whether it is known to be written.
         """
         value = self._encoder.encode(member)
-        written = await self._table.commit([], [Write(PREFIX + member.id, value)])
+        written = await self._table.commit([], [Write(member_key(member.id), value)])
         return not isinstance(written, Err)
 
     async def remove(self, member: Member) -> None:
         """Remove the row of a member unless a later process has written it."""
-        key = PREFIX + member.id
+        key = member_key(member.id)
         found = await self._table.read(key)
         if isinstance(found, Err) or found.ok_value.version == 0:
             return
