Take the platform down during the demonstration

Calls have to go on without it: two seconds of outage while traffic runs, and a promise that no request inside its rate is refused for want of the platform.

--- a/packages/standins/ibisspoke_standins/demo.py
+++ b/packages/standins/ibisspoke_standins/demo.py
@@ -40,6 +40,8 @@
 WITHDRAW_AT_MS = 5_000.0
 STUCK_AT_MS = 7_000.0
 UNSTUCK_AT_MS = 10_500.0
+PLATFORM_DOWN_AT_MS = 11_500.0
+PLATFORM_DOWN_MS = 2_000.0
 DRAIN_AT_MS = 14_000.0
 STOP_AT_MS = 16_500.0
 PROGRESS_MS = 2_000.0
@@ -145,6 +147,7 @@
             self._at(WITHDRAW_AT_MS, "a key is withdrawn", self._withdraw),
             self._at(STUCK_AT_MS, f"{STUCK_NODE} gets stuck", self._stick),
             self._at(UNSTUCK_AT_MS, f"{STUCK_NODE} works again", self._unstick),
+            self._at(PLATFORM_DOWN_AT_MS, "the platform is down for 2 s", self._outage),
             self._at(DRAIN_AT_MS, f"{DRAINED_NODE} drains", self._drain),
             self._at(STOP_AT_MS, f"node {STOPPED_NODE} is stopped", self._stop),
         ]
@@ -190,6 +193,12 @@
         self._note("unstuck")
         self.fleet.nodes_by_id[STUCK_NODE].upstream.set_faults({})
 
+    async def _outage(self) -> None:
+        self._note("platform_down")
+        await self.fleet.fail_platform(PLATFORM_DOWN_MS)
+        await asyncio.sleep(PLATFORM_DOWN_MS / 1000.0)
+        self._note("platform_up")
+
     async def _drain(self) -> None:
         self._note("draining")
         await self.fleet.nodes_by_id[DRAINED_NODE].drain_upstream()
--- a/packages/standins/ibisspoke_standins/demo_fleet.py
+++ b/packages/standins/ibisspoke_standins/demo_fleet.py
@@ -136,6 +136,14 @@
         stats: dict[str, int] = json.loads(answer.body)
         return stats["n_reads"] + stats["n_writes"]
 
+    async def fail_platform(self, for_ms: float) -> None:
+        """Let the platform refuse every request for a time."""
+        await AsyncHTTPClient().fetch(
+            f"{self.platform_url}/faults",
+            method="POST",
+            body=json.dumps({"kind": "down", "for_ms": for_ms}),
+        )
+
     async def operate(self, *arguments: str) -> str:
         """Run ``ibisspoke`` and return what it prints.
 
--- a/packages/standins/ibisspoke_standins/demo_results.py
+++ b/packages/standins/ibisspoke_standins/demo_results.py
@@ -46,6 +46,9 @@
         ),
         promises.rate_is_kept(runs, "glasbruket", glasbruket, record.duration_ms),
         promises.rate_is_kept(runs, "karlstad", raised, record.duration_ms),
+        promises.serves_without_platform(
+            outcomes, "karlstad", (times["platform_down"], times["platform_up"])
+        ),
         promises.versions_never_revert(record.versions_by_node),
         _change_in_force(record),
         promises.no_new_work(
--- a/packages/standins/ibisspoke_standins/promises.py
+++ b/packages/standins/ibisspoke_standins/promises.py
@@ -31,6 +31,7 @@
 
 
 N_EXAMPLES = 3
+NEEDS_PLATFORM = ("rate_exceeded", "no_catalogue", "isolated", "no_upstream")
 
 
 def no_order_runs_twice(
@@ -137,6 +138,25 @@
     return _promise(f"{organisation} gets no more than rate and burst", over)
 
 
+def serves_without_platform(
+    outcomes: Iterable[Outcome], organisation: str, down_ms: tuple[float, float]
+) -> Promise:
+    """Return whether calls inside the rate went on while the platform was down.
+
+    :param organisation: one that keeps to its rate and has its keys.
+    :param down_ms: start and end of the outage.
+    """
+    start_ms, end_ms = down_ms
+    refused = [
+        f"{outcome.number} ({outcome.refusal})"
+        for outcome in outcomes
+        if outcome.organisation == organisation
+        and start_ms <= outcome.started_ms < end_ms
+        and outcome.refusal in NEEDS_PLATFORM
+    ]
+    return _promise("calls go on while the platform is down", refused)
+
+
 def versions_never_revert(versions_by_node: Mapping[str, Sequence[int]]) -> Promise:
     """Return whether no node showed a lower version after a higher one."""
     reverted = [
--- a/packages/standins/tests/test_promises.py
+++ b/packages/standins/tests/test_promises.py
@@ -73,6 +73,21 @@
     assert not promises.rate_is_kept(numbers, "svea", allowance, 1_900.0).holds
 
 
+@pytest.mark.parametrize(
+    ("outcome", "holds"),
+    [
+        (refused("rate_exceeded", started_ms=15.0), False),
+        (refused("no_catalogue", started_ms=15.0), False),
+        (refused("rate_exceeded", started_ms=20.0), True),
+        (refused("overloaded", started_ms=15.0), True),
+        (refused("rate_exceeded", started_ms=15.0, organisation="other"), True),
+    ],
+)
+def test_refusals_that_need_the_platform_are_found_during_its_outage(outcome, holds):
+    promise = promises.serves_without_platform([outcome], "svea", (10.0, 20.0))
+    assert promise.holds is holds
+
+
 def test_lower_version_after_a_higher_one_is_found():
     assert promises.versions_never_revert({"n1": [0, 1, 1, 3], "n2": []}).holds
     assert not promises.versions_never_revert({"n1": [0, 2, 1]}).holds
