--- a/packages/ctl/ibisspoke_ctl/apply.py
+++ b/packages/ctl/ibisspoke_ctl/apply.py
@@ -23,6 +23,7 @@
     WaitOption,
     WhoOption,
     WhyOption,
+    check_operation_id,
     make_note,
     run,
 )
@@ -56,7 +57,11 @@
         float, typer.Option(help="Seconds to wait with --wait.")
     ] = DEFAULT_WAIT_S,
     operation_id: Annotated[
-        str, typer.Option(help="Repeat a change whose outcome is not known.")
+        str,
+        typer.Option(
+            help="Repeat a change whose outcome is not known.",
+            callback=check_operation_id,
+        ),
     ] = "",
     as_json: JsonOption = False,
 ) -> None:
--- a/packages/ctl/ibisspoke_ctl/keys.py
+++ b/packages/ctl/ibisspoke_ctl/keys.py
@@ -22,6 +22,7 @@
     WaitOption,
     WhoOption,
     WhyOption,
+    check_text,
     make_note,
     run,
 )
@@ -41,7 +42,9 @@
 @keys_app.command()
 def give(
     organisation: Annotated[str, typer.Argument(help="Id of the organisation.")],
-    label: Annotated[str, typer.Option(help="What the key is for.")],
+    label: Annotated[
+        str, typer.Option(help="What the key is for.", callback=check_text)
+    ],
     why: WhyOption,
     platform: PlatformOption,
     who: WhoOption = "",
--- a/packages/ctl/ibisspoke_ctl/session.py
+++ b/packages/ctl/ibisspoke_ctl/session.py
@@ -3,6 +3,7 @@
 import asyncio
 import getpass
 import os
+import re
 import uuid
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -20,6 +21,38 @@
 PLATFORM_VARIABLE = "IBISSPOKE_PLATFORM"
 WHO_VARIABLE = "IBISSPOKE_WHO"
 
+MAX_TEXT_CHARACTERS = 500
+OPERATION_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
+
+
+def check_text(value: str) -> str:
+    """Return a text that fits an audit record.
+
+    :raises typer.BadParameter: when it is empty, too long or not printable.
+    """
+    text = value.strip()
+    if not text or len(text) > MAX_TEXT_CHARACTERS or not text.isprintable():
+        raise typer.BadParameter(
+            f"write one line of 1 to {MAX_TEXT_CHARACTERS} printable characters"
+        )
+    return text
+
+
+def check_optional_text(value: str) -> str:
+    """Return a text that fits an audit record, or the empty one."""
+    return check_text(value) if value else value
+
+
+def check_operation_id(value: str) -> str:
+    """Return an operation id, or the empty one.
+
+    :raises typer.BadParameter: when it is not of the form that a command shows.
+    """
+    if value and not OPERATION_ID.fullmatch(value):
+        raise typer.BadParameter("write it as the earlier command showed it")
+    return value
+
+
 PlatformOption = Annotated[
     str,
     typer.Option(
@@ -30,7 +63,13 @@
     ),
 ]
 WhyOption = Annotated[
-    str, typer.Option("--why", metavar="TEXT", help="Reason, kept in the audit trail.")
+    str,
+    typer.Option(
+        "--why",
+        metavar="TEXT",
+        help="Reason, kept in the audit trail.",
+        callback=check_text,
+    ),
 ]
 WhoOption = Annotated[
     str,
@@ -39,6 +78,7 @@
         envvar=WHO_VARIABLE,
         metavar="NAME",
         help="Who makes the change; the name of the user by default.",
+        callback=check_optional_text,
     ),
 ]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
@@ -70,9 +110,7 @@
 
 def make_note(who: str, why: str, operation_id: str = "") -> ChangeNote:
     """Return the note that goes with a change."""
-    return ChangeNote(
-        operation_id or uuid.uuid4().hex, who or _default_who(), why.strip()
-    )
+    return ChangeNote(operation_id or uuid.uuid4().hex, who or _default_who(), why)
 
 
 @contextmanager
--- a/packages/ctl/tests/test_session.py
+++ b/packages/ctl/tests/test_session.py
@@ -232,6 +232,23 @@
     assert not any(key.encode() in value for value in kept)
 
 
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["apply", "catalogue.toml", "--yes", "--why", "  "],
+        ["apply", "catalogue.toml", "--yes", "--why", "two\nlines"],
+        ["apply", "catalogue.toml", "--yes", "--why", "x" * 501],
+        ["apply", "catalogue.toml", "--yes", "--why", "x", "--who", "a\x1b[1m"],
+        ["apply", "catalogue.toml", "--yes", "--why", "x", "--operation-id", "a/b"],
+        ["keys", "give", "karlstad", "--label", "", "--why", "x"],
+    ],
+)
+def test_text_that_does_not_fit_an_audit_record_is_refused(operator, arguments):
+    assert operator.types(arguments[0], *arguments[1:]) == ExitCode.BAD_INPUT
+    assert "write" in operator.last.stderr
+    assert operator.memory.stats.n_writes == 0
+
+
 async def report(memory, data_centre, version):
     record = InForceRecord(data_centre, version, 4, 4, 1_700_000_000_000)
     value = msgspec.json.encode(record)
--- a/packages/policy/ibisspoke_policy/catalogue_file.py
+++ b/packages/policy/ibisspoke_policy/catalogue_file.py
@@ -37,7 +37,11 @@
     ),
 ]
 Owner = Annotated[
-    str, Meta(min_length=1, max_length=200, description="the team that answers for it")
+    str,
+    Meta(
+        pattern=r"^[^\x00-\x1f\x7f]{1,200}$",
+        description="the team that answers for it, one line",
+    ),
 ]
 ImportanceName = Annotated[
     Literal["low", "normal", "high", "critical"],
