--- a/packages/standins/ibisspoke_standins/demo.py
+++ b/packages/standins/ibisspoke_standins/demo.py
@@ -18,6 +18,7 @@
 from .callers import Caller
 from .demo_catalogue import (
     CHANGED_RATE_PER_S,
+    CUTTING_NODE,
     DRAINED_NODE,
     KINDS_BY_ORGANISATION,
     NESTED_TARGET,
@@ -42,6 +43,8 @@
 UNSTUCK_AT_MS = 10_500.0
 PLATFORM_DOWN_AT_MS = 11_500.0
 PLATFORM_DOWN_MS = 2_000.0
+CUT_AT_MS = 12_500.0
+CUT_MS = 1_000.0
 DRAIN_AT_MS = 14_000.0
 STOP_AT_MS = 16_500.0
 PROGRESS_MS = 2_000.0
@@ -148,6 +151,7 @@
             self._at(STUCK_AT_MS, f"{STUCK_NODE} gets stuck", self._stick),
             self._at(UNSTUCK_AT_MS, f"{STUCK_NODE} works again", self._unstick),
             self._at(PLATFORM_DOWN_AT_MS, "the platform is down for 2 s", self._outage),
+            self._at(CUT_AT_MS, f"{CUTTING_NODE} cuts its answers for 1 s", self._cut),
             self._at(DRAIN_AT_MS, f"{DRAINED_NODE} drains", self._drain),
             self._at(STOP_AT_MS, f"node {STOPPED_NODE} is stopped", self._stop),
         ]
@@ -199,6 +203,12 @@
         await asyncio.sleep(PLATFORM_DOWN_MS / 1000.0)
         self._note("platform_up")
 
+    async def _cut(self) -> None:
+        upstream = self.fleet.nodes_by_id[CUTTING_NODE].upstream
+        upstream.set_faults({"cut_answers": True})
+        await asyncio.sleep(CUT_MS / 1000.0)
+        upstream.set_faults({})
+
     async def _drain(self) -> None:
         self._note("draining")
         await self.fleet.nodes_by_id[DRAINED_NODE].drain_upstream()
--- a/packages/standins/ibisspoke_standins/demo_catalogue.py
+++ b/packages/standins/ibisspoke_standins/demo_catalogue.py
@@ -7,6 +7,7 @@
 
 TRAFFIC_MS = 20_000.0
 STUCK_NODE = "svealand-1-ordering"
+CUTTING_NODE = "svealand-1-catalogue"
 DRAINED_NODE = "gotaland-1-catalogue"
 STOPPED_NODE = "svealand-2-imaging"
 
--- a/packages/standins/ibisspoke_standins/upstream.py
+++ b/packages/standins/ibisspoke_standins/upstream.py
@@ -19,6 +19,7 @@
 
 MAX_BODY_BYTES = 16_777_216
 NUMBER_HEADER = "X-Request-Number"
+ATTEMPT_HEADER = "Ibisspoke-Attempt"
 CONTEXT_HEADER = "Ibisspoke-Context"
 NOT_RUN_HEADER = "Ibisspoke-Not-Run"
 TIMEOUT_HEADER = "Ibisspoke-Timeout-Ms"
@@ -73,7 +74,19 @@
             self.set_status(504)
             return
         self.set_header(NUMBER_HEADER, number)
-        self.finish(self.request.body or b"ok")
+        attempt = self.request.headers.get(ATTEMPT_HEADER)
+        if attempt is not None:
+            self.set_header(ATTEMPT_HEADER, attempt)
+        await self._answer(self.request.body or b"ok")
+
+    async def _answer(self, body: bytes) -> None:
+        if not self._state.cut_answers:
+            self.finish(body)
+            return
+        self.set_header("Content-Length", str(len(body)))
+        self.write(body[: len(body) // 2])
+        await self.flush()
+        self.detach().close()
 
     async def _call_deeper(self, number: str) -> bool:
         if self._state.nested_call is None:
--- a/packages/standins/ibisspoke_standins/upstream_state.py
+++ b/packages/standins/ibisspoke_standins/upstream_state.py
@@ -34,6 +34,7 @@
     extra_ms: float
     draining: bool
     lying_health: bool
+    cut_answers: bool
     restart: bool
 
 
@@ -55,6 +56,7 @@
         self.extra_ms = 0.0
         self.draining = False
         self.lying_health = False
+        self.cut_answers = False
         self.n_waiting = 0
         self.n_cancelled = 0
         self.n_shed = 0
@@ -94,6 +96,7 @@
         self.extra_ms = faults.get("extra_ms", 0.0)
         self.draining = faults.get("draining", False)
         self.lying_health = faults.get("lying_health", False)
+        self.cut_answers = faults.get("cut_answers", False)
         if faults.get("restart", False):
             self._started_ms = self.clock.now_ms()
         if faults.get("stuck", False):
--- a/packages/standins/tests/test_upstream.py
+++ b/packages/standins/tests/test_upstream.py
@@ -3,6 +3,7 @@
 
 import pytest
 from tornado.httpclient import AsyncHTTPClient, HTTPError
+from tornado.simple_httpclient import HTTPStreamClosedError
 
 from ibisspoke_policy.clock import ManualClock
 from ibisspoke_standins.upstream import running_upstream
@@ -60,6 +61,14 @@
         assert (await waiting).code == 200
 
 
+async def test_cut_answer_is_shorter_than_stated():
+    async with running_upstream(UpstreamSettings("ordering")) as (state, port):
+        state.set_faults({"cut_answers": True})
+        with pytest.raises(HTTPStreamClosedError):
+            await fetch(port, method="POST", body=b"lid 7", number="c1")
+        assert state.n_runs_by_request == {"c1": 1}
+
+
 async def test_caller_that_leaves_cancels_the_execution():
     async with running_upstream(UpstreamSettings("ordering")) as (state, port):
         state.stuck.clear()
