--- a/packages/standins/ibisspoke_standins/demo_results.py
+++ b/packages/standins/ibisspoke_standins/demo_results.py
@@ -5,6 +5,7 @@
 from . import promises
 from .demo_catalogue import (
     CHANGED_RATE_PER_S,
+    MAX_RETRIES,
     RATE_BY_ORGANISATION,
     STUCK_NODE,
     TRAFFIC_MS,
@@ -36,6 +37,7 @@
     raised = karlstad._replace(rate_per_s=CHANGED_RATE_PER_S)
     return [
         promises.no_order_runs_twice(orders, runs),
+        promises.retries_are_bounded(runs, MAX_RETRIES),
         promises.not_run_is_true(outcomes, runs),
         promises.answers_are_whole(outcomes),
         promises.keys_stay_secret(record.keys, _texts(record)),
@@ -44,6 +46,9 @@
         ),
         promises.rate_is_kept(runs, "glasbruket", glasbruket, record.duration_ms),
         promises.rate_is_kept(runs, "karlstad", raised, record.duration_ms),
+        promises.serves_without_platform(
+            outcomes, "karlstad", (times["platform_down"], times["platform_up"])
+        ),
         promises.versions_never_revert(record.versions_by_node),
         _change_in_force(record),
         promises.no_new_work(
