Grant tokens for as long as they are wanted, and ask the nearest holders in turn

Tokens for waiting requests kept their room in the burst for two seconds, and questions to many slots at once drew several times what was needed. Change: grants carry a lifetime per organisation, short for requests that wait; slots are asked one after the other, nearest first; surplus goes back at once; a refused organisation is asked for ever less often.

--- /dev/null
+++ b/benchmarks/_rate_baselines.py
@@ -0,0 +1,156 @@
+"""Other ways to bound a rate, deciding on the same requests as the fleet."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
+
+from ibisspoke_policy.quota import TokenBucket
+from ibisspoke_policy.quota_messages import Limit
+
+GOSSIP_PERIOD_MS = 200.0
+TOLERANCE = 1e-6
+
+
+class Site(NamedTuple):
+    """A site of today.
+
+    :param near_ms: round trip between data centres of one region.
+    :param far_ms: round trip between regions.
+    :param rates_per_s: of each organisation, as in the example catalogue.
+    :param bursts: of each organisation.
+    """
+
+    name: str
+    data_centres: tuple[str, ...]
+    regions: tuple[str, ...]
+    n_nodes_each: int
+    near_ms: float
+    far_ms: float
+    rates_per_s: tuple[float, ...]
+    bursts: tuple[float, ...]
+
+    @property
+    def limits(self) -> dict[str, Limit]:
+        """Limits by organisation."""
+        pairs = zip(self.rates_per_s, self.bursts, strict=True)
+        return {f"org-{n}": Limit(*pair) for n, pair in enumerate(pairs)}
+
+
+class Arrival(NamedTuple):
+    """One request."""
+
+    at_ms: float
+    organisation: str
+    node: int
+
+
+def ideal_admitted(
+    arrivals: Sequence[Arrival], limits: Mapping[str, Limit]
+) -> dict[str, int]:
+    """Return what one bucket for the whole fleet admits, by organisation."""
+    buckets = {name: _bucket(limit) for name, limit in limits.items()}
+    admitted = dict.fromkeys(limits, 0)
+    for arrival in arrivals:
+        taken = buckets[arrival.organisation].take(1.0, arrival.at_ms)
+        admitted[arrival.organisation] += taken
+    return admitted
+
+
+def baseline_results(site: Site, arrivals: Sequence[Arrival]) -> dict[str, Any]:
+    """Return over-admission and wrongful refusals of each other way."""
+    limits = site.limits
+    n_nodes = len(site.data_centres) * site.n_nodes_each
+    return {
+        "static_split": _outcome(
+            _static_split(arrivals, limits, n_nodes), arrivals, limits
+        ),
+        "central_counter": {
+            **_outcome(_central_counter(arrivals, limits), arrivals, limits),
+            "added_ms_on_every_request_elsewhere": site.far_ms,
+        },
+        "gossip_of_counts": _outcome(
+            _gossip_of_counts(arrivals, limits, n_nodes, site.far_ms), arrivals, limits
+        ),
+    }
+
+
+def _outcome(
+    admitted: dict[str, list[float]],
+    arrivals: Sequence[Arrival],
+    limits: Mapping[str, Limit],
+) -> dict[str, float]:
+    ideal = ideal_admitted(arrivals, limits)
+    missing = sum(max(0, ideal[name] - len(admitted[name])) for name in limits)
+    over = sum(_over(admitted[name], limits[name]) for name in limits)
+    return {
+        "over_admitted": over,
+        "wrongful_refusal_share": missing / sum(ideal.values()),
+    }
+
+
+def _over(admitted_ms: list[float], limit: Limit) -> int:
+    burst = limit.burst + TOLERANCE
+    bucket = TokenBucket(limit.rate_per_s, burst, 0.0, burst)
+    return sum(not bucket.take(1.0 - TOLERANCE, at) for at in admitted_ms)
+
+
+def _static_split(
+    arrivals: Sequence[Arrival], limits: Mapping[str, Limit], n_nodes: int
+) -> dict[str, list[float]]:
+    buckets = {
+        (name, node): _bucket(Limit(limit.rate_per_s / n_nodes, limit.burst / n_nodes))
+        for name, limit in limits.items()
+        for node in range(n_nodes)
+    }
+    admitted: dict[str, list[float]] = {name: [] for name in limits}
+    for arrival in arrivals:
+        bucket = buckets[arrival.organisation, arrival.node]
+        if bucket.take(1.0, arrival.at_ms):
+            admitted[arrival.organisation].append(arrival.at_ms)
+    return admitted
+
+
+def _central_counter(
+    arrivals: Sequence[Arrival], limits: Mapping[str, Limit]
+) -> dict[str, list[float]]:
+    buckets = {name: _bucket(limit) for name, limit in limits.items()}
+    admitted: dict[str, list[float]] = {name: [] for name in limits}
+    for arrival in arrivals:
+        if buckets[arrival.organisation].take(1.0, arrival.at_ms):
+            admitted[arrival.organisation].append(arrival.at_ms)
+    return admitted
+
+
+def _gossip_of_counts(
+    arrivals: Sequence[Arrival],
+    limits: Mapping[str, Limit],
+    n_nodes: int,
+    delay_ms: float,
+) -> dict[str, list[float]]:
+    """Each node runs a whole bucket and charges it for what others tell it later."""
+    buckets = {
+        (name, node): _bucket(limit)
+        for name, limit in limits.items()
+        for node in range(n_nodes)
+    }
+    admitted: dict[str, list[float]] = {name: [] for name in limits}
+    told: list[tuple[float, str, int]] = []
+    n_told = 0
+    for arrival in arrivals:
+        while n_told < len(told) and told[n_told][0] <= arrival.at_ms:
+            _, name, source = told[n_told]
+            n_told += 1
+            for node in range(n_nodes):
+                if node != source:
+                    buckets[name, node].fill(arrival.at_ms)
+                    buckets[name, node].tokens -= 1.0
+        bucket = buckets[arrival.organisation, arrival.node]
+        if bucket.take(1.0, arrival.at_ms):
+            admitted[arrival.organisation].append(arrival.at_ms)
+            period = arrival.at_ms // GOSSIP_PERIOD_MS + 1
+            heard_ms = period * GOSSIP_PERIOD_MS + delay_ms / 2.0
+            told.append((heard_ms, arrival.organisation, arrival.node))
+    return admitted
+
+
+def _bucket(limit: Limit) -> TokenBucket:
+    return TokenBucket(limit.rate_per_s, limit.burst, 0.0, limit.burst)
--- a/packages/node/ibisspoke_node/slot_holder.py
+++ b/packages/node/ibisspoke_node/slot_holder.py
@@ -10,6 +10,7 @@
 from ibisspoke_platform.store import Check
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.quota_messages import (
+    MAX_LIFETIME_MS,
     DrawReply,
     DrawRequest,
     Limit,
@@ -29,7 +30,7 @@
     next_weight,
     target_weight,
 )
-from ibisspoke_policy.slot_ledger import GRANT_LIFETIME_MS, QUIET_MS, SlotLedger
+from ibisspoke_policy.slot_ledger import QUIET_MS, SlotLedger
 
 from .slot_store import SlotStore, StoredRow, new_nonce
 
@@ -111,7 +112,7 @@
         holding = self._holdings_by_slot.get(request.slot)
         if holding is None:
             return refused_draw(request)
-        if not holding.held.covers(self._clock.elapsed_ms(), GRANT_LIFETIME_MS):
+        if not holding.held.covers(self._clock.elapsed_ms(), MAX_LIFETIME_MS):
             return refused_draw(request)
         return holding.ledger.draw(request, self._clock.now_ms())
 
--- a/packages/policy/ibisspoke_policy/local_tokens.py
+++ b/packages/policy/ibisspoke_policy/local_tokens.py
@@ -10,6 +10,7 @@
 from .clock import Clock
 from .quota import QuotaDecision
 from .quota_messages import (
+    MAX_LIFETIME_MS,
     DrawReply,
     DrawRequest,
     Limit,
@@ -21,11 +22,11 @@
 DEMAND_TIME_CONSTANT_MS = 1_000.0
 TARGET_MS = 750.0
 LOW_SHARE = 0.4
-MIN_AHEAD = 2.0
+MIN_AHEAD = 3.0
+AHEAD_SHARE_OF_BURST = 0.1
 MAX_RETRY_MS = 60_000.0
-MIN_REFUSAL_MS = 2.0
-MAX_EMPTY_MS = 500.0
-MAX_EMPTY_IN_A_ROW = 8
+MIN_REFUSAL_MS = 5.0
+MAX_REFUSAL_MS = 200.0
 
 GRANTED = QuotaDecision(True, False, 0)
 UNKNOWN = QuotaDecision(False, False, int(MAX_RETRY_MS))
@@ -38,19 +39,33 @@
         """Draw tokens for one take; return whether any came."""
 
 
+class _Holding:
+    """Tokens drawn from one slot."""
+
+    __slots__ = ("expires_elapsed_ms", "tokens")
+
+    def __init__(self) -> None:
+        self.tokens = 0.0
+        self.expires_elapsed_ms = 0.0
+
+    def alive(self, elapsed_ms: float) -> float:
+        """Return the tokens that can be spent."""
+        return self.tokens if self.expires_elapsed_ms > elapsed_ms else 0.0
+
+
 class _Account:
     """Tokens and demand of one organisation."""
 
     def __init__(self, limit: Limit) -> None:
         self.limit = limit
-        self.tokens_by_slot: dict[SlotId, float] = {}
+        self.holdings_by_slot: dict[SlotId, _Holding] = {}
         self.empty_until_by_slot: dict[SlotId, float] = {}
-        self.n_empty_by_slot: dict[SlotId, int] = {}
         self.n_takes = 0
         self.n_waiting = 0
         self.demand_per_s = 0.0
         self.n_slots_ahead = 1
         self.refuse_until_ms = 0.0
+        self.refusal_ms = MIN_REFUSAL_MS
 
     def is_empty(self, slot: SlotId, now_ms: float) -> bool:
         """Return whether ``slot`` said that it has no token before ``now_ms``."""
@@ -59,29 +74,45 @@
     def target(self) -> float:
         """Return how many tokens to hold for the demand expected soon."""
         expected_per_s = min(self.demand_per_s, self.limit.rate_per_s)
-        return expected_per_s * TARGET_MS / 1000.0
-
-    def note_grant(self, slot: SlotId, grant: TokenGrant, now_ms: float) -> None:
-        """Keep the tokens, or how long ``slot`` is not worth asking."""
-        held = self.tokens_by_slot.get(slot, 0.0)
-        self.tokens_by_slot[slot] = held + grant.tokens
-        if grant.tokens > 0.0:
-            self.n_empty_by_slot.pop(slot, None)
-            self.empty_until_by_slot.pop(slot, None)
+        expected = expected_per_s * TARGET_MS / 1000.0
+        return min(expected, self.limit.burst * AHEAD_SHARE_OF_BURST)
+
+    def alive(self, elapsed_ms: float) -> float:
+        """Return the tokens that can be spent."""
+        holdings = self.holdings_by_slot.values()
+        return sum(holding.alive(elapsed_ms) for holding in holdings)
+
+    def note_grant(
+        self, slot: SlotId, grant: TokenGrant, sent_elapsed_ms: float
+    ) -> None:
+        """Keep the tokens of a reply to a request sent at ``sent_elapsed_ms``."""
+        holding = self.holdings_by_slot.get(slot)
+        if holding is None:
+            holding = self.holdings_by_slot[slot] = _Holding()
+        if not grant.renewed:
+            holding.tokens = 0.0
+        holding.tokens += grant.tokens
+        holding.expires_elapsed_ms = sent_elapsed_ms + grant.lifetime_ms
+
+    def note_shortage(
+        self, slot: SlotId, grant: TokenGrant, wanted: float, now_ms: float
+    ) -> None:
+        """Remember for how long ``slot`` is not worth asking."""
+        if wanted <= 0.0:
             return
-        n_empty = self.n_empty_by_slot.get(slot, 0)
-        self.n_empty_by_slot[slot] = min(n_empty + 1, MAX_EMPTY_IN_A_ROW)
-        wait_ms = min(MAX_EMPTY_MS, grant.retry_after_ms * 2.0**n_empty)
-        self.empty_until_by_slot[slot] = now_ms + wait_ms
+        if grant.tokens >= wanted:
+            self.empty_until_by_slot.pop(slot, None)
+        else:
+            self.empty_until_by_slot[slot] = now_ms + grant.retry_after_ms
 
 
 class _Draws:
-    """Sequence and validity of what was drawn from one slot."""
+    """The last request to one slot."""
 
     def __init__(self) -> None:
         self.sequence = 0
         self.sent_elapsed_ms = 0.0
-        self.expires_elapsed_ms = 0.0
+        self.wanted_by_organisation: dict[str, float] = {}
 
 
 class LocalTokens:
@@ -132,7 +163,10 @@
     def retake(self, organisation: str) -> bool:
         """Spend one token for a request whose take was counted before."""
         account = self._accounts_by_organisation.get(organisation)
-        return account is not None and self._spend(account)
+        if account is None or not self._spend(account):
+            return False
+        account.refusal_ms = MIN_REFUSAL_MS
+        return True
 
     def wait(self, organisation: str, change: int) -> None:
         """Count requests that wait for a token."""
@@ -142,43 +176,54 @@
 
     def refuse(
         self, organisation: str, slots: Collection[SlotId], now_ms: float
-    ) -> float:
+    ) -> None:
         """Refuse ``organisation`` until one of ``slots`` expects a token.
 
-        :returns: the time until then.
+        Refusals in a row last longer, so that overload costs few messages.
         """
         account = self._accounts_by_organisation.get(organisation)
         if account is None:
-            return MAX_RETRY_MS
+            return
         empty_until = account.empty_until_by_slot
         times = [empty_until[slot] for slot in slots if slot in empty_until]
-        until_ms = max(min(times, default=0.0), now_ms + MIN_REFUSAL_MS)
+        until_ms = max(min(times, default=0.0), now_ms + account.refusal_ms)
         account.refuse_until_ms = until_ms
-        return until_ms - now_ms
+        account.refusal_ms = min(MAX_REFUSAL_MS, account.refusal_ms * 2.0)
+
+    def refused_ms(self, organisation: str, now_ms: float) -> float:
+        """Return for how long requests are refused without asking."""
+        account = self._accounts_by_organisation.get(organisation)
+        if account is None:
+            return MAX_RETRY_MS
+        return max(0.0, account.refuse_until_ms - now_ms)
 
     def tokens(self, organisation: str) -> float:
         """Return the tokens of ``organisation`` that can be spent now."""
         account = self._accounts_by_organisation.get(organisation)
-        if account is None:
-            return 0.0
-        return sum(self._alive(account, slot) for slot in account.tokens_by_slot)
+        return 0.0 if account is None else account.alive(self._clock.elapsed_ms())
 
     def tokens_of(self, organisation: str, slot: SlotId) -> float:
         """Return the tokens of ``slot`` that can be spent now."""
         account = self._accounts_by_organisation.get(organisation)
-        return 0.0 if account is None else self._alive(account, slot)
-
-    def _alive(self, account: _Account, slot: SlotId) -> float:
-        draws = self._draws_by_slot.get(slot)
-        if draws is None or draws.expires_elapsed_ms <= self._clock.elapsed_ms():
-            return 0.0
-        return account.tokens_by_slot.get(slot, 0.0)
+        holding = account.holdings_by_slot.get(slot) if account is not None else None
+        return 0.0 if holding is None else holding.alive(self._clock.elapsed_ms())
 
     def may_have(self, organisation: str, slot: SlotId, now_ms: float) -> bool:
         """Return whether it is worth to ask ``slot`` for ``organisation``."""
         account = self._accounts_by_organisation.get(organisation)
         return account is not None and not account.is_empty(slot, now_ms)
 
+    def surplus_slots(self, organisation: str) -> list[SlotId]:
+        """Return the slots whose tokens other nodes should rather have."""
+        account = self._accounts_by_organisation.get(organisation)
+        if account is None or account.n_waiting:
+            return []
+        elapsed_ms = self._clock.elapsed_ms()
+        if _surplus(account.alive(elapsed_ms), account.target()) <= 0.0:
+            return []
+        holdings = account.holdings_by_slot.items()
+        return [slot for slot, row in holdings if row.alive(elapsed_ms) > 0.0]
+
     def measure(self, now_ms: float) -> None:
         """Take in the demand since the last call."""
         elapsed_ms = now_ms - self._demand_ms
@@ -202,66 +247,62 @@
                 organisations_by_slot.setdefault(slot, []).append(organisation)
         return organisations_by_slot
 
-    def request(self, slot: SlotId, organisations: Collection[str]) -> DrawRequest:
-        """Return the next message to ``slot``; replies to earlier ones are void."""
+    def request(
+        self,
+        slot: SlotId,
+        organisations: Collection[str],
+        lifetime_ms: float = MAX_LIFETIME_MS,
+    ) -> DrawRequest:
+        """Return the next message to ``slot``; replies to earlier ones are void.
+
+        :param lifetime_ms: how long tokens may live that are wanted only for
+            requests that wait now; the slot earns the sooner the shorter it is.
+        """
         draws = self._draws_by_slot.setdefault(slot, _Draws())
         draws.sequence += 1
         draws.sent_elapsed_ms = self._clock.elapsed_ms()
-        items = [self._item(name, slot) for name in organisations]
-        return DrawRequest(
-            slot,
-            self._requester,
-            draws.sequence,
-            [item for item in items if item is not None],
-        )
+        items = [
+            item
+            for name in organisations
+            if (item := self._item(name, slot, lifetime_ms)) is not None
+        ]
+        draws.wanted_by_organisation = {
+            item.organisation: item.needed or min(1.0, item.ahead) for item in items
+        }
+        return DrawRequest(slot, self._requester, draws.sequence, items)
 
     def absorb(self, slot: SlotId, reply: DrawReply, now_ms: float) -> None:
         """Take in a reply, unless a later request was sent."""
         draws = self._draws_by_slot.get(slot)
-        if draws is None or reply.sequence != draws.sequence:
+        if draws is None or reply.sequence != draws.sequence or not reply.accepted:
             return
-        if not reply.accepted:
-            return
-        if not reply.renewed or draws.expires_elapsed_ms <= self._clock.elapsed_ms():
-            self._drop(slot)
-        draws.expires_elapsed_ms = draws.sent_elapsed_ms + reply.lifetime_ms
         draws.sequence += 1
         for grant in reply.grants:
             account = self._accounts_by_organisation.get(grant.organisation)
-            if account is not None:
-                account.note_grant(slot, grant, now_ms)
+            if account is None:
+                continue
+            account.note_grant(slot, grant, draws.sent_elapsed_ms)
+            wanted = draws.wanted_by_organisation.get(grant.organisation, 0.0)
+            account.note_shortage(slot, grant, wanted, now_ms)
 
     def _spend(self, account: _Account) -> bool:
         elapsed_ms = self._clock.elapsed_ms()
-        tokens_by_slot = account.tokens_by_slot
-        for slot, tokens in tokens_by_slot.items():
-            if tokens < 1.0:
-                continue
-            if self._draws_by_slot[slot].expires_elapsed_ms > elapsed_ms:
-                tokens_by_slot[slot] = tokens - 1.0
+        for holding in account.holdings_by_slot.values():
+            if holding.tokens >= 1.0 and holding.expires_elapsed_ms > elapsed_ms:
+                holding.tokens -= 1.0
                 return True
         return self._spend_parts(account, elapsed_ms)
 
     def _spend_parts(self, account: _Account, elapsed_ms: float) -> bool:
-        alive = [
-            (slot, tokens)
-            for slot, tokens in account.tokens_by_slot.items()
-            if tokens > 0.0
-            and self._draws_by_slot[slot].expires_elapsed_ms > elapsed_ms
-        ]
-        if sum(tokens for _, tokens in alive) < 1.0:
+        if account.alive(elapsed_ms) < 1.0:
             return False
         missing = 1.0
-        for slot, tokens in alive:
-            part = min(missing, tokens)
-            account.tokens_by_slot[slot] = tokens - part
+        for holding in account.holdings_by_slot.values():
+            part = min(missing, holding.alive(elapsed_ms))
+            holding.tokens -= part
             missing -= part
         return True
 
-    def _drop(self, slot: SlotId) -> None:
-        for account in self._accounts_by_organisation.values():
-            account.tokens_by_slot.pop(slot, None)
-
     def _plan_account(
         self,
         organisation: str,
@@ -269,11 +310,14 @@
         slots: Sequence[SlotId],
         now_ms: float,
     ) -> list[SlotId]:
-        held = self.tokens(organisation)
+        elapsed_ms = self._clock.elapsed_ms()
+        held = account.alive(elapsed_ms)
         target = account.target()
-        surplus = held - 2.0 * target
-        if surplus >= 1.0:
-            return [slot for slot, n in account.tokens_by_slot.items() if n >= 1.0]
+        surplus = self.surplus_slots(organisation)
+        if surplus:
+            return surplus
+        if account.refuse_until_ms > now_ms:
+            return []
         if target < MIN_AHEAD or held >= target * LOW_SHARE:
             account.n_slots_ahead = max(1, account.n_slots_ahead - 1)
             return []
@@ -282,19 +326,32 @@
         account.n_slots_ahead = min(max(1, len(slots)), account.n_slots_ahead * 2)
         return chosen
 
-    def _item(self, organisation: str, slot: SlotId) -> TokenRequest | None:
+    def _item(
+        self, organisation: str, slot: SlotId, lifetime_ms: float
+    ) -> TokenRequest | None:
         account = self._accounts_by_organisation.get(organisation)
         if account is None:
             return None
-        held = account.tokens_by_slot.get(slot, 0.0)
-        draws = self._draws_by_slot[slot]
-        if draws.expires_elapsed_ms <= draws.sent_elapsed_ms:
-            held = account.tokens_by_slot[slot] = 0.0
-        total = self.tokens(organisation)
+        elapsed_ms = self._draws_by_slot[slot].sent_elapsed_ms
+        holding = account.holdings_by_slot.get(slot)
+        held = 0.0 if holding is None else holding.alive(elapsed_ms)
+        total = account.alive(elapsed_ms)
         target = account.target()
-        returned = min(held, max(0.0, float(int(total - 2.0 * target))))
-        kept = held - returned
-        account.tokens_by_slot[slot] = kept
         needed = max(0.0, account.n_waiting - total)
-        ahead = max(0.0, target - total) if target >= MIN_AHEAD else 0.0
-        return TokenRequest(organisation, kept, returned, needed, ahead)
+        returned = min(held, _surplus(total, target)) if not account.n_waiting else 0.0
+        if holding is not None:
+            holding.tokens = held - returned
+        expects_more = target >= MIN_AHEAD
+        ahead = max(0.0, target - total) if expects_more else 0.0
+        if expects_more:
+            lifetime_ms = MAX_LIFETIME_MS
+        return TokenRequest(
+            organisation, held - returned, returned, needed, ahead, lifetime_ms
+        )
+
+
+def _surplus(held: float, target: float) -> float:
+    """Return the tokens that other nodes should rather have."""
+    if target < MIN_AHEAD:
+        return held
+    return max(0.0, float(int(held - 2.0 * target)))
--- a/packages/policy/ibisspoke_policy/quota_messages.py
+++ b/packages/policy/ibisspoke_policy/quota_messages.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+MAX_LIFETIME_MS = 2_000.0
+
 
 class SlotId(NamedTuple):
     """One of the equal shares into which every rate is split."""
@@ -27,6 +29,8 @@
     :param returned: tokens that it gives back; it has stopped counting them.
     :param needed: tokens that requests are waiting for.
     :param ahead: further tokens for the demand expected soon.
+    :param lifetime_ms: how long the node wants to spend them, counted from before
+        it sent the request.
     """
 
     organisation: str
@@ -34,6 +38,7 @@
     returned: float
     needed: float
     ahead: float
+    lifetime_ms: float
 
 
 class DrawRequest(NamedTuple):
@@ -53,12 +58,17 @@
 class TokenGrant(NamedTuple):
     """Tokens of one organisation.
 
-    :param tokens: spendable for :attr:`DrawReply.lifetime_ms`.
+    :param renewed: whether the slot still counts what the requester holds; if not,
+        the requester must drop it.
+    :param lifetime_ms: how long the requester may spend what it held and what it
+        got, counted from before it sent the request.
     :param retry_after_ms: when the slot expects to hold a token again.
     """
 
     organisation: str
     tokens: float
+    renewed: bool
+    lifetime_ms: float
     retry_after_ms: float
 
 
@@ -68,19 +78,13 @@
     :param sequence: of the request.
     :param accepted: False when this node does not hold the slot, or when it has
         seen a later request; nothing was granted then.
-    :param renewed: whether the slot still counts what the requester holds; if not,
-        the requester must drop it.
-    :param lifetime_ms: how long the requester may spend what it held and what it
-        got, counted from before it sent the request.
     """
 
     sequence: int
     accepted: bool
-    renewed: bool
-    lifetime_ms: float
     grants: list[TokenGrant]
 
 
 def refused_draw(request: DrawRequest) -> DrawReply:
     """Return the reply that grants nothing."""
-    return DrawReply(request.sequence, False, False, 0.0, [])
+    return DrawReply(request.sequence, False, [])
