--- a/benchmarks/call_overhead.py
+++ b/benchmarks/call_overhead.py
@@ -27,8 +27,8 @@
 )
 from hdrh.histogram import HdrHistogram
 
+from ibisspoke_node.buffer_budget import BufferBudget
 from ibisspoke_node.client_link import ClientLink
-from ibisspoke_node.messages import BufferBudget
 
 SPECS = [NodeSpec("node-a", "alpha"), NodeSpec("node-b", "beta")]
 PATHS = ("direct", "one_node", "two_nodes")
@@ -37,6 +37,9 @@
 BLOCK_S = 0.5
 SEED = 7
 N_CONNECTIONS = 16
+N_READY_TRIES = 100
+READY_RETRY_S = 0.2
+TIMER_ERROR_S = 0.0015
 
 
 class Target(NamedTuple):
@@ -85,6 +88,19 @@
         """Open the connections of all paths ahead of the calls."""
         for target in itertools.chain(*self._targets_by_path.values()):
             await target.caller.connect(N_CONNECTIONS)
+        for path in PATHS:
+            for number in range(2):
+                await self._wait_until_answered(path, number)
+
+    async def _wait_until_answered(self, path: str, number: int) -> None:
+        for _ in range(N_READY_TRIES):
+            try:
+                await self.call(path, number, 1, b"")
+                return
+            except RuntimeError as error:
+                last = error
+                await asyncio.sleep(READY_RETRY_S)
+        raise last
 
     async def call(self, path: str, number: int, n_hops: int, body: bytes) -> None:
         """Make one call and check its answer."""
@@ -137,26 +153,17 @@
     calls = []
     due = time.perf_counter()
     end = due + BLOCK_S
-    for number in itertools.count():
-        due += arrivals.expovariate(rate_per_s)
-        if due >= end:
-            break
+    while due < end:
         wait_s = due - time.perf_counter()
         if wait_s > 0:
-            await _sleep_until(due)
-        calls.append(asyncio.ensure_future(_timed(bench, path, number, due, body)))
+            await asyncio.sleep(max(0.0, wait_s - TIMER_ERROR_S))
+            continue
+        calls.append(asyncio.ensure_future(_timed(bench, path, len(calls), due, body)))
+        due += arrivals.expovariate(rate_per_s)
     for elapsed_us in await asyncio.gather(*calls):
         histogram.record_value(elapsed_us)
 
 
-async def _sleep_until(due: float) -> None:
-    coarse_s = due - time.perf_counter() - 0.0015
-    if coarse_s > 0:
-        await asyncio.sleep(coarse_s)
-    while time.perf_counter() < due:
-        await asyncio.sleep(0)
-
-
 async def _timed(bench: Bench, path: str, number: int, due: float, body: bytes) -> int:
     started = time.perf_counter()
     await bench.call(path, number, 1, body)
--- a/packages/node/ibisspoke_node/executor.py
+++ b/packages/node/ibisspoke_node/executor.py
@@ -32,25 +32,23 @@
 from ibisspoke_policy.table import Table
 
 from . import messages
+from .buffer_budget import BufferBudget
 from .eager_task import EagerTask
 from .headers import (
     ATTEMPT_HEADER,
     CONTEXT_HEADER,
-    NOT_RUN_HEADER,
     TIMEOUT_HEADER,
     to_caller,
 )
 from .messages import Answer, Attempt, Done, Outcome
+from .outcomes import UPSTREAM_RETRY_AFTER_MS, upstream_failed, was_shed
 from .parents import ParentTable
 from .upstream_client import (
     UpstreamAnswer,
     UpstreamClient,
-    UpstreamFailure,
     UpstreamRequest,
 )
 
-UPSTREAM_RETRY_AFTER_MS = 1_000
-
 logger = logging.getLogger(__name__)
 
 
@@ -78,6 +76,7 @@
 
     :param controller: decides what starts and what is refused.
     :param parents: told of every attempt that the upstream holds.
+    :param answers: bounds the bytes of answers read from the upstream.
     """
 
     def __init__(
@@ -86,7 +85,9 @@
         parents: ParentTable,
         signer: ContextSigner,
         clock: Clock,
+        answers: BufferBudget,
     ) -> None:
+        self._answers = answers
         self._controller = controller
         self._parents = parents
         parents.on_nested = self._nested
@@ -125,7 +126,7 @@
             if client is not None:
                 client.close()
             self._client = UpstreamClient(
-                announcement.host, announcement.port, self._clock
+                announcement.host, announcement.port, self._clock, self._answers
             )
         self._announcement = announcement
         now_ms = self._clock.now_ms()
@@ -151,6 +152,8 @@
             context.importance,
             deadline_ms,
             attempt.idempotent,
+            context.admitted_level,
+            context.n_hops,
         )
         self._apply(self._controller.offer(ticket, now_ms))
         return attempt_id
@@ -271,12 +274,14 @@
         if isinstance(result, Err):
             failure = result.err_value
             ending = Ending(succeeded=False, timed_out=not failure.sent)
-            self._finish(opened, ending, Err(messages.Refused(_failure(failure))))
+            self._finish(
+                opened, ending, Err(messages.Refused(upstream_failed(failure)))
+            )
             return
         self._answered(opened, result.ok_value)
 
     def _answered(self, opened: OpenAttempt, answer: UpstreamAnswer) -> None:
-        if _was_shed(answer):
+        if was_shed(answer):
             refusal = overloaded(
                 "the upstream shed the request", UPSTREAM_RETRY_AFTER_MS
             )
@@ -293,7 +298,8 @@
         if self._open_by_id.pop(opened.id) is None:
             return
         now_ms = self._clock.now_ms()
-        n_unused = self._parents.close(opened.id, now_ms)
+        n_unused, nested_failed = self._parents.close(opened.id, now_ms)
+        ending = ending._replace(blameless=nested_failed and not ending.succeeded)
         events = self._controller.finish(opened.id, ending, now_ms)
         level = self._level(opened.attempt.call_id)
         if isinstance(outcome, Ok):
@@ -323,28 +329,3 @@
             attempt.idempotent,
             attempt_id,
         )
-
-
-def _was_shed(answer: UpstreamAnswer) -> bool:
-    if answer.status != 503:
-        return False
-    return any(name.lower() == NOT_RUN_HEADER.lower() for name, _ in answer.headers)
-
-
-def _failure(failure: UpstreamFailure) -> Refusal:
-    if failure.too_large:
-        return Refusal(
-            RefusalKind.ANSWER_TOO_LARGE,
-            Ran.UNKNOWN,
-            "the answer is larger than the call allows",
-            "raise max_answer_bytes of the call in the catalogue",
-        )
-    if failure.sent:
-        return outcome_unknown(f"the upstream gave no whole answer: {failure.detail}")
-    return Refusal(
-        RefusalKind.UPSTREAM_FAILED,
-        Ran.NOT_RUN,
-        f"the upstream was not reached: {failure.detail}",
-        "retry after the time given; check that the upstream runs",
-        UPSTREAM_RETRY_AFTER_MS,
-    )
--- a/packages/policy/ibisspoke_policy/node_settings.py
+++ b/packages/policy/ibisspoke_policy/node_settings.py
@@ -12,7 +12,13 @@
 
 SECTIONS = ["node", "listen", "platform", "fleet", "limits", "metrics", "log"]
 REQUIRED_SECTIONS = ("node", "platform", "fleet")
-PORT_FIELDS = ("entry_port", "call_port", "control_port", "status_port")
+PORT_FIELDS = (
+    "entry_port",
+    "call_port",
+    "control_port",
+    "membership_port",
+    "status_port",
+)
 MAX_PORT = 65_535
 MIN_SECRET_CHARACTERS = 16
 MAX_SECRET_BYTES = 64
@@ -65,6 +71,7 @@
     entry_port: NotRequired[Port]
     call_port: NotRequired[Port]
     control_port: NotRequired[Port]
+    membership_port: NotRequired[Port]
     status_port: NotRequired[Port]
 
 
@@ -109,6 +116,7 @@
 
     :param secrets: fleet secrets; the first signs, all of them are accepted.
     :param seeds: control addresses of other nodes, ``host:port``.
+    :param membership_port: UDP port for membership; the others are TCP.
     :param max_buffer_bytes: request and answer bodies held at once.
     :param drain_timeout_ms: how long a stop waits for requests.
     """
@@ -123,6 +131,7 @@
     entry_port: int = 0
     call_port: int = 0
     control_port: int = 0
+    membership_port: int = 0
     status_port: int = 0
     max_buffer_bytes: int = 67_108_864
     max_body_bytes: int = 10_485_760
