Keep a queue of the root of the slots while shedding, measure capacity first

Cause: the target delay of one service time was never reached where the queue holds less than one round, so nothing was shed early. Change: about the square root of the limit may wait, at most half of the queue.

--- a/benchmarks/_overload_driver.py
+++ b/benchmarks/_overload_driver.py
@@ -41,6 +41,7 @@
 WINDOW_S = 0.5
 RECOVERED_SHARE = 0.99
 SKEW_S = 2.2
+CALIBRATION_S = 1.0
 SETTLE_S = 1.0
 SHARE_BY_CLASS = {"low": 0.45, "normal": 0.4, "high": 0.1, "critical": 0.05}
 
@@ -128,15 +129,40 @@
             await process.wait()
 
 
+async def measured_capacity(site: Site, servers: Processes) -> float:
+    """Return what the last service executes when its slots are kept full."""
+    clock = Clock()
+    clients = [
+        UpstreamClient(HOST, port, clock, BufferBudget(MAX_ANSWER_BYTES))
+        for port in servers.upstreams["back"]
+    ]
+    headers = [(NUMBER_HEADER, "calibration")]
+    start_s = time.monotonic()
+
+    async def keep_busy(client: UpstreamClient) -> int:
+        n_done = 0
+        while time.monotonic() < start_s + CALIBRATION_S:
+            await fetch(client, "GET", "/leaf", headers)
+            n_done += 1
+        return n_done
+
+    n_slots = site.n_slots(len(CHAIN) - 1)
+    workers = [keep_busy(client) for client in clients for _ in range(n_slots)]
+    n_done = sum(await asyncio.gather(*workers))
+    return n_done / (time.monotonic() - start_s)
+
+
 class Span(NamedTuple):
     """What callers saw of one trigger.
 
     :param before: share of the requests that was answered before any trigger.
+    :param capacity_per_s: measured before the load.
     """
 
     records: list[Record]
     pulled: "Phase"
     before: float
+    capacity_per_s: float
 
 
 class Callers:
@@ -306,7 +332,8 @@
         servers = await stack.enter_async_context(running_servers(site, mode, traces))
         callers = Callers(site, mode, servers, seed=11)
         calm_per_s = CALM_SHARE * site.capacity_per_s
-        await asyncio.sleep(SKEW_S)
+        measured_per_s = await measured_capacity(site, servers)
+        await asyncio.sleep(max(0.0, SKEW_S - CALIBRATION_S))
         warm = await phase(callers.load(calm_per_s, plan.warm_s))
         await callers.settle()
         before = _served(callers.records, warm)
@@ -315,10 +342,10 @@
             pulled = await phase(_trigger(callers, servers, plan, trigger))
             await callers.load(calm_per_s, plan.recovery_s)
             await callers.settle()
-            spans[trigger] = Span(callers.records, pulled, before)
+            spans[trigger] = Span(callers.records, pulled, before, measured_per_s)
         await asyncio.sleep(0.2)
         stats = await servers.tell({"op": "stats"})
-    return {name: measure(site, span, stats, name) for name, span in spans.items()}
+    return {name: measure(span, stats, name) for name, span in spans.items()}
 
 
 async def _trigger(
@@ -345,7 +372,7 @@
     await servers.tell(command)
 
 
-def measure(site: Site, span: Span, stats: list[Any], trigger: str) -> dict[str, Any]:
+def measure(span: Span, stats: list[Any], trigger: str) -> dict[str, Any]:
     """Return the measures of one trigger."""
     records = span.records
     good = {record.number for record in records if record.status == 200}
@@ -357,7 +384,8 @@
     result: dict[str, Any] = {
         "goodput_share": len(answered)
         / (steady.end_s - steady.start_s)
-        / site.capacity_per_s,
+        / span.capacity_per_s,
+        "capacity_per_s": span.capacity_per_s,
         "important_goodput_share": _served(important, steady),
         "recovery_ms": _recovery_ms(span),
         "wasted_work_share": _wasted(stats, good, trigger),
--- a/packages/policy/ibisspoke_policy/admission_controller.py
+++ b/packages/policy/ibisspoke_policy/admission_controller.py
@@ -24,7 +24,7 @@
 
 SMOOTHING = 0.1
 LOAD_WHEN_STUCK = 1_000.0
-TARGET_ROUNDS = 1.0
+TARGET_SHARE = 0.5
 GIVEN_UP_FACTOR = 4.0
 LEAST_DRIFT = 1.01
 
@@ -316,8 +316,13 @@
         return len(self._queue) * self._mean_held_ms / max(1, self.limit)
 
     def _target_ms(self) -> float:
-        """Return the delay to keep while callers shed, at least one short round."""
-        return max(self.settings.target_delay_ms, TARGET_ROUNDS * self._mean_held_ms)
+        """Return the delay to keep while callers shed.
+
+        Some must wait for slots to stay busy, the more so the more slots there are.
+        """
+        n_waiting = min(math.sqrt(self.limit), TARGET_SHARE * self._max_queued())
+        by_slots_ms = n_waiting * self._mean_held_ms / max(1, self.limit)
+        return max(self.settings.target_delay_ms, by_slots_ms)
 
     def _max_queued(self) -> int:
         if self._mean_held_ms <= 0:
--- a/packages/policy/tests/test_admission_controller.py
+++ b/packages/policy/tests/test_admission_controller.py
@@ -231,3 +231,15 @@
         upstream.advance(60.0)
     upstream.load(200.0, 2_000.0)
     assert upstream.controller.limit == 2
+
+
+@pytest.mark.parametrize(
+    ("n_slots", "service_ms"), [(2, 20.0), (4, 1_000.0), (50, 80.0), (250, 400.0)]
+)
+def test_overload_is_told_to_callers_whatever_the_size(n_slots, service_ms):
+    upstream = make_upstream(
+        capacity=Capacity(n_slots, 10 * n_slots), service_ms=lambda n: service_ms
+    )
+    capacity_per_s = n_slots / service_ms * 1000.0
+    upstream.load(2 * capacity_per_s, 6 * service_ms, timeout_ms=60_000.0)
+    assert 1.3 < upstream.controller.level.shed < 1.8
