--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -35,6 +35,7 @@
 from .server_link import AttemptHandler
 
 SHED_RETRY_AFTER_MS = 500
+NESTED_MARGIN = 1.75
 
 
 class Request(NamedTuple):
@@ -166,10 +167,10 @@
     ) -> bool:
         """Return whether to refuse a request at once.
 
-        Work has been done for a nested call: it is refused only when all of its
-        importance is shed, and takes its chance in the queue otherwise.
+        Work has been done for a nested call: it is refused only when far below the
+        level, and takes its chance in the queue otherwise.
         """
-        if is_nested and level < candidate.importance + 1:
+        if is_nested and level < candidate.importance + NESTED_MARGIN:
             return False
         return self.shedder.refuses(candidate, level, now_ms)
 
