Estimate demand over enough arrivals and rise fast only with a full queue

Cause: at 60% load bursts at small servers were taken for overloads now and then, and recovery was once seen after 7.6 s only.

--- a/packages/policy/ibisspoke_policy/admission_controller.py
+++ b/packages/policy/ibisspoke_policy/admission_controller.py
@@ -25,6 +25,7 @@
 SMOOTHING = 0.1
 LOAD_WHEN_STUCK = 1_000.0
 TARGET_SHARE = 0.5
+FULL_SHARE = 0.75
 GIVEN_UP_FACTOR = 4.0
 LEAST_DRIFT = 1.01
 
@@ -309,7 +310,8 @@
             capacity_per_ms = self._limit.value / self._mean_held_ms
             delay_ms = self._delay_ms()
             target_ms = self._target_ms()
-            self._shed.adapt(capacity_per_ms, delay_ms, target_ms, elapsed_ms)
+            is_full = len(self._queue) >= FULL_SHARE * self._max_queued()
+            self._shed.adapt(capacity_per_ms, delay_ms, target_ms, elapsed_ms, is_full)
 
     def _delay_ms(self) -> float:
         """Return the time that the queue takes to drain at the present rate."""
--- a/packages/policy/ibisspoke_policy/shed_level.py
+++ b/packages/policy/ibisspoke_policy/shed_level.py
@@ -13,8 +13,8 @@
 TIME_CONSTANT_MS = 400.0
 RISE_MS = 60.0
 N_RISE = 3.0
+N_STEADY = 12.0
 ONSET_MS = 300.0
-LATE_FACTOR = 2.0
 FORGET_MS = 3_000.0
 DRAIN_MS = 400.0
 CORRECTION_MIN = 0.6
@@ -69,17 +69,21 @@
         delay_ms: float,
         target_ms: float,
         elapsed_ms: float,
+        is_queue_full: bool,
     ) -> None:
         """Adapt to the arrivals since the last call.
 
         :param capacity_per_ms: attempts that can be executed.
         :param delay_ms: time that the queue takes to drain.
         :param target_ms: the delay to keep while shedding.
+        :param is_queue_full: whether hardly another attempt can wait.
         """
         self._shedding_ms = self._shedding_ms + elapsed_ms if self._level else 0.0
-        is_onset = self._shedding_ms < ONSET_MS and delay_ms > LATE_FACTOR * target_ms
-        rise_ms = max(RISE_MS, N_RISE / capacity_per_ms) if is_onset else None
-        self._estimate(elapsed_ms, rise_ms)
+        is_onset = self._shedding_ms < ONSET_MS and is_queue_full
+        n_needed = N_RISE if is_onset else N_STEADY
+        shortest_ms = RISE_MS if is_onset else TIME_CONSTANT_MS
+        time_constant_ms = max(shortest_ms, n_needed / capacity_per_ms)
+        self._estimate(elapsed_ms, time_constant_ms)
         correction = 1.0 - (delay_ms - target_ms) / DRAIN_MS
         correction = min(CORRECTION_MAX, max(CORRECTION_MIN, correction))
         demand = sum(self._demand_by_class.values())
@@ -100,18 +104,13 @@
             left -= demand
         return 0.0
 
-    def _estimate(self, elapsed_ms: float, rise_ms: float | None) -> None:
-        """Update the demand of each class; one that is shed whole is kept longer.
-
-        :param rise_ms: time constant of a rise at the onset of an overload.
-        """
+    def _estimate(self, elapsed_ms: float, time_constant_ms: float) -> None:
+        """Update the demand of each class; one that is shed whole is kept longer."""
         for importance, arrived in self._arrived_by_class.items():
             demand = self._demand_by_class[importance]
             is_shed = not arrived and self._level >= importance + 1
-            time_constant_ms = FORGET_MS if is_shed else TIME_CONSTANT_MS
-            if rise_ms is not None and arrived > demand * elapsed_ms:
-                time_constant_ms = rise_ms
-            gain = 1.0 - math.exp(-elapsed_ms / time_constant_ms)
+            constant_ms = FORGET_MS if is_shed else time_constant_ms
+            gain = 1.0 - math.exp(-elapsed_ms / constant_ms)
             demand += gain * (arrived / elapsed_ms - demand)
             self._demand_by_class[importance] = demand
             self._arrived_by_class[importance] = 0.0
