--- a/packages/node/tests/test_overload_faults.py
+++ b/packages/node/tests/test_overload_faults.py
@@ -239,6 +239,39 @@
             assert answer.body == b"answer to x"
 
 
+async def test_late_answer_is_not_taken_for_that_of_the_next_request():
+    async with running_fleet("back") as fleet, AsyncExitStack() as stack:
+        entry = await Fleet(stack).add("front", 9)
+        server = fleet.servers_by_service["back"][0]
+        entry.node.members_by_id.put("back0", server.node.own_member())
+        server.state.extra_ms = 200.0
+        late = await entry.fetch("POST", "/back/order", 60, X_Request_Number="1")
+        assert json.loads(late.body)["ran"] == "unknown"
+        server.state.extra_ms = 0.0
+        for number in ("2", "3"):
+            answer = await entry.fetch("GET", "/back/deep", X_Request_Number=number)
+            assert answer.body == f"answer to {number}".encode()
+
+
+async def test_stuck_upstream_is_aborted_and_works_again_by_itself():
+    async with running_fleet("back") as fleet:
+        server = fleet.servers_by_service["back"][0]
+        await server.fetch("GET", "/back/deep")
+        server.state.hang()
+        hanging = [
+            asyncio.ensure_future(server.fetch("POST", "/back/order")) for _ in range(4)
+        ]
+        answers = await asyncio.gather(*hanging)
+        assert {json.loads(answer.body)["ran"] for answer in answers} == {"unknown"}
+        assert server.state.n_held == 0
+        refused = await server.fetch("POST", "/back/order")
+        assert json.loads(refused.body)["ran"] == "not_run"
+        server.state.release()
+        while (await server.fetch("GET", "/back/deep")).status != 200:
+            await asyncio.sleep(0.02)
+        assert (await server.fetch("POST", "/back/order")).status == 200
+
+
 async def test_request_shed_by_its_upstream_runs_on_another():
     async with running_fleet("back", n_servers=2) as fleet:
         server, other = fleet.servers_by_service["back"]
