--- a/packages/node/ibisspoke_node/claims.py
+++ b/packages/node/ibisspoke_node/claims.py
@@ -23,20 +23,12 @@
 from .executor import Executor
 from .messages import Answer, Attempt, Done, Outcome, Refused
 
-REFRESH_MS = 250.0
 PAUSE_MS = 2_000.0
 DIGEST_BYTES = 16
 
 Forward = Callable[[Attempt, bytes, float], Awaitable[Outcome]]
 
 
-class _Seen(NamedTuple):
-    """Owners of the keys of one service, and when the members were read."""
-
-    owners: KeyOwners
-    read_ms: float
-
-
 class KeyedServices:
     """Find the owner of a key among the nodes of a service.
 
@@ -46,10 +38,12 @@
     def __init__(self, members_by_id: MemberTable, horizon_ms: float) -> None:
         self._members_by_id = members_by_id
         self._horizon_ms = horizon_ms
-        self._seen_by_service: dict[str, _Seen] = {}
+        self._owners_by_service: dict[str, KeyOwners] = {}
+        self._stale: set[str] = set()
+        members_by_id.subscribe(self._note_change)
 
     def __repr__(self) -> str:
-        return f"KeyedServices({len(self._seen_by_service)} services)"
+        return f"KeyedServices({len(self._owners_by_service)} services)"
 
     def owner(self, service: str, key: str, now_ms: float) -> Member | None:
         """Return the node that owns ``key``, or None when the service has none."""
@@ -58,17 +52,26 @@
 
     def owners(self, service: str, now_ms: float) -> KeyOwners:
         """Return the owners of the keys of ``service``."""
-        seen = self._seen_by_service.get(service)
-        if seen is not None and now_ms - seen.read_ms < REFRESH_MS:
-            return seen.owners
-        owners = seen.owners if seen is not None else KeyOwners(self._horizon_ms)
+        owners = self._owners_by_service.get(service)
+        if owners is not None and service not in self._stale:
+            return owners
+        if owners is None:
+            owners = KeyOwners(self._horizon_ms)
+            self._owners_by_service[service] = owners
+        self._stale.discard(service)
         members = self._members_by_id.where(
             lambda member: member.service == service and member.is_present
         )
         owners.update(frozenset(member.id for member in members), now_ms)
-        self._seen_by_service[service] = _Seen(owners, now_ms)
         return owners
 
+    def _note_change(self, member_id: str) -> None:
+        member = self._members_by_id.get(member_id)
+        present_in = member.service if member is not None and member.is_present else ""
+        for service, owners in self._owners_by_service.items():
+            if (service == present_in) != (member_id in owners):
+                self._stale.add(service)
+
 
 class _Run(NamedTuple):
     """The first request with a key, while it runs."""
--- a/packages/node/tests/test_overload_faults.py
+++ b/packages/node/tests/test_overload_faults.py
@@ -30,7 +30,7 @@
     digest_key,
 )
 from ibisspoke_policy.clock import Clock
-from ibisspoke_policy.idempotency import ClaimSettings, KeyOwners
+from ibisspoke_policy.idempotency import ClaimSettings
 from ibisspoke_standins.chain_upstream import (
     NUMBER_HEADER,
     AnswerFault,
@@ -138,8 +138,7 @@
         for servers in self.servers_by_service.values():
             for server in servers:
                 server.node.handler.claims._started_ms -= horizon_ms
-                for seen in server.node.handler._keyed._seen_by_service.values():
-                    owners: KeyOwners = seen.owners
+                for owners in server.node.handler._keyed._owners_by_service.values():
                     owners._joined_ms_by_id = dict.fromkeys(
                         owners._joined_ms_by_id, float("-inf")
                     )
--- a/packages/policy/ibisspoke_policy/fair_share.py
+++ b/packages/policy/ibisspoke_policy/fair_share.py
@@ -4,6 +4,7 @@
 
 HALF_LIFE_MS = 1_000.0
 FORGET_BELOW = 1e-3
+DECAY_STEP_MS = 20.0
 
 
 class FairShare:
@@ -31,9 +32,9 @@
         return self._use_by_organisation
 
     def decay(self, now_ms: float) -> None:
-        """Let recorded use fade with time."""
+        """Let recorded use fade with time, in steps."""
         elapsed_ms = now_ms - self._decayed_ms
-        if elapsed_ms <= 0:
+        if elapsed_ms < DECAY_STEP_MS:
             return
         self._decayed_ms = now_ms
         factor = 0.5 ** (elapsed_ms / HALF_LIFE_MS)
--- a/packages/policy/ibisspoke_policy/idempotency.py
+++ b/packages/policy/ibisspoke_policy/idempotency.py
@@ -206,6 +206,9 @@
     def __repr__(self) -> str:
         return f"KeyOwners({len(self._joined_ms_by_id)} nodes)"
 
+    def __contains__(self, node_id: object) -> bool:
+        return node_id in self._joined_ms_by_id
+
     def update(self, node_ids: frozenset[str], now_ms: float) -> None:
         """Take in the nodes that serve at present."""
         for node_id in list(self._joined_ms_by_id):
