--- a/packages/node/ibisspoke_node/claims.py
+++ b/packages/node/ibisspoke_node/claims.py
@@ -25,20 +25,12 @@
 from .executor import Executor
 from .messages import Answer, Attempt, Done, Outcome, Refused
 
-REFRESH_MS = 250.0
 PAUSE_MS = 2_000.0
 DIGEST_BYTES = 16
 
 Forward = Callable[[Attempt, bytes, float], Awaitable[Outcome]]
 
 
-class _Seen(NamedTuple):
-    """Owners of the keys of one service, and when the members were read."""
-
-    owners: KeyOwners
-    read_ms: float
-
-
 class KeyScope(NamedTuple):
     """Nodes among which the owner of a key is chosen.
 
@@ -58,16 +50,18 @@
 class KeyedServices:
     """Find the owner of a key among the nodes of a service.
 
-    :param members_by_id: all nodes that this node knows.
+    :param members_by_id: all nodes that this node knows; its changes are followed.
     """
 
     def __init__(self, members_by_id: MemberTable, horizon_ms: float) -> None:
         self._members_by_id = members_by_id
         self._horizon_ms = horizon_ms
-        self._seen_by_scope: dict[KeyScope, _Seen] = {}
+        self._owners_by_scope: dict[KeyScope, KeyOwners] = {}
+        self._stale: set[KeyScope] = set()
+        members_by_id.subscribe(self._note_change)
 
     def __repr__(self) -> str:
-        return f"KeyedServices({len(self._seen_by_scope)} scopes)"
+        return f"KeyedServices({len(self._owners_by_scope)} scopes)"
 
     def owner(self, scope: KeyScope, key: str, now_ms: float) -> Member | None:
         """Return the node that owns ``key``, or None when there is none."""
@@ -76,15 +70,24 @@
 
     def owners(self, scope: KeyScope, now_ms: float) -> KeyOwners:
         """Return the owners of the keys of ``scope``."""
-        seen = self._seen_by_scope.get(scope)
-        if seen is not None and now_ms - seen.read_ms < REFRESH_MS:
-            return seen.owners
-        owners = seen.owners if seen is not None else KeyOwners(self._horizon_ms)
+        owners = self._owners_by_scope.get(scope)
+        if owners is not None and scope not in self._stale:
+            return owners
+        if owners is None:
+            owners = KeyOwners(self._horizon_ms)
+            self._owners_by_scope[scope] = owners
+        self._stale.discard(scope)
         members = self._members_by_id.where(scope.holds)
         owners.update(frozenset(member.id for member in members), now_ms)
-        self._seen_by_scope[scope] = _Seen(owners, now_ms)
         return owners
 
+    def _note_change(self, member_id: str) -> None:
+        member = self._members_by_id.get(member_id)
+        for scope, owners in self._owners_by_scope.items():
+            is_held = member is not None and scope.holds(member)
+            if is_held != (member_id in owners):
+                self._stale.add(scope)
+
 
 class _Run(NamedTuple):
     """The first request with a key, while it runs."""
