--- a/packages/node/ibisspoke_node/entry.py
+++ b/packages/node/ibisspoke_node/entry.py
@@ -1,8 +1,9 @@
 """HTTP server for callers."""
 
+import asyncio
 import logging
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
@@ -23,6 +24,7 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind
 
+from ._link_protocol import out_of_memory
 from .acceptance import Acceptance, Accepted
 from .buffer_budget import BufferBudget
 from .dispatch import Dispatcher, Request
@@ -78,6 +80,8 @@
         self.metrics = metrics
         self.n_open = 0
         self.stopping = False
+        self._server: HTTPServer | None = None
+        self._idle = asyncio.Event()
 
     def __repr__(self) -> str:
         return f"Entry({self.n_open} open)"
@@ -112,6 +116,24 @@
         for exchange in list(self._exchange_by_connection.values()):
             exchange.expire(now_ms)
 
+    def listens_on(self, server: HTTPServer) -> None:
+        """Stop ``server`` when this entry drains."""
+        self._server = server
+
+    async def drain(self, timeout_ms: float) -> None:
+        """Take no new connections and wait until the open requests have ended."""
+        self.stopping = True
+        if self._server is not None:
+            self._server.stop()
+        self.note_idle()
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._idle.wait(), timeout_ms / 1000.0)
+
+    def note_idle(self) -> None:
+        """Let a drain go on if no request is open."""
+        if self.stopping and not self.n_open:
+            self._idle.set()
+
 
 class _Exchange(HTTPMessageDelegate):
     """One request and its answer."""
@@ -167,7 +189,7 @@
             return
         if not self._entry.budget.reserve(len(chunk)):
             self._release()
-            self._refuse(_out_of_memory())
+            self._refuse(out_of_memory(Ran.NOT_RUN))
             return
         self._n_bytes += len(chunk)
         self._parts.append(chunk)
@@ -286,6 +308,7 @@
         if self._open:
             self._open = False
             self._entry.n_open -= 1
+            self._entry.note_idle()
 
 
 class _Server(HTTPServer):
@@ -310,6 +333,7 @@
     server.conn_params.header_timeout = None
     sockets = bind_sockets(port, host, backlog=LISTEN_BACKLOG)
     server.add_sockets(sockets)
+    entry.listens_on(server)
     try:
         yield int(sockets[0].getsockname()[1])
     finally:
@@ -324,13 +348,3 @@
         f"the body is larger than the {max_bytes} bytes that the call allows",
         "send a smaller body, or raise max_body_bytes of the call",
     )
-
-
-def _out_of_memory() -> Refusal:
-    return Refusal(
-        RefusalKind.OUT_OF_MEMORY,
-        Ran.NOT_RUN,
-        "the node holds as many bytes of bodies as its settings allow",
-        "retry after the time given",
-        1_000,
-    )
--- a/packages/node/ibisspoke_node/upstream_client.py
+++ b/packages/node/ibisspoke_node/upstream_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import sys
 from collections import deque
 from collections.abc import Awaitable
 from functools import lru_cache
@@ -149,13 +150,17 @@
     """Send requests to one upstream over kept connections.
 
     :param host: IP number of the upstream.
-    :param answers: bounds the bytes of answers that are being read.
+    :param answers: bounds the bytes of answers that are being read; None does not.
     """
 
     def __init__(
-        self, host: str, port: int, clock: Clock, answers: BufferBudget
+        self,
+        host: str,
+        port: int,
+        clock: Clock,
+        answers: BufferBudget | None = None,
     ) -> None:
-        self._answers = answers
+        self._answers = answers or BufferBudget(sys.maxsize)
         self.host = host
         self.port = port
         self._clock = clock
