Resolve IP numbers without threads and wait for quota in benchmarks

Connecting to the platform or an upstream by IP number asked a thread to resolve it; an idle node had 3 threads and has 1.

--- a/benchmarks/_harness.py
+++ b/benchmarks/_harness.py
@@ -35,6 +35,7 @@
 from ibisspoke_policy.member import Member, MemberState
 
 HERE = Path(__file__).parent
+COMPILED = Path(tempfile.gettempdir()) / "ibisspoke-benchmarks-compiled"
 SECRET = "benchmark fleet secret"
 KEY = "benchmark-key"
 STOP_TIMEOUT_S = 10.0
@@ -82,7 +83,7 @@
 class Usage(NamedTuple):
     """What a process has used so far.
 
-    :param cpu_s: user and system time since its start.
+    :param cpu_s: processor time of its only thread since its start.
     """
 
     cpu_s: float
@@ -102,7 +103,6 @@
     nodes_by_id: dict[str, Child]
     ports_by_id: dict[str, dict[str, int]]
     upstream_by_id: dict[str, Child]
-    members: list[Member]
 
     def url_port(self, node_id: str) -> int:
         """Return the port for callers of a node."""
@@ -124,6 +124,13 @@
         return page
 
 
+def _environment() -> dict[str, str]:
+    """Return an environment in which modules are compiled once, as installed."""
+    environment = {**os.environ, "PYTHONPYCACHEPREFIX": str(COMPILED)}
+    environment.pop("PYTHONDONTWRITEBYTECODE", None)
+    return environment
+
+
 @contextmanager
 def child(script: str, *arguments: str) -> Iterator[Child]:
     """Run ``script`` of this directory, or a module after ``-m``, and stop it."""
@@ -133,6 +140,7 @@
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
+        env=_environment(),
     )
     try:
         assert process.stdout is not None
@@ -166,6 +174,7 @@
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         settings = {**(settings or {})}
+        flags = [] if with_platform else ["--alone"]
         if with_platform:
             url = stack.enter_context(running_platform(catalogue))
             settings["platform"] = {"url": url}
@@ -174,7 +183,7 @@
         for start in range(0, len(specs), n_nodes_per_process):
             group = specs[start : start + n_nodes_per_process]
             paths = [_write_settings(folder, spec, settings) for spec in group]
-            process = stack.enter_context(child("_node_process.py", *paths))
+            process = stack.enter_context(child("_node_process.py", *flags, *paths))
             ports_by_id.update(process.ready)
             nodes_by_id.update({spec.id: process for spec in group})
         upstream_by_id = {
@@ -182,10 +191,11 @@
             for spec in specs
             if spec.service
         }
-        members = [_member(spec, ports_by_id[spec.id]) for spec in specs]
-        fleet = Fleet(nodes_by_id, ports_by_id, upstream_by_id, members)
-        feed(fleet, members, None if with_platform else catalogue)
-        _wait_for_catalogue(fleet)
+        fleet = Fleet(nodes_by_id, ports_by_id, upstream_by_id)
+        if not with_platform:
+            members = [_member(spec, ports_by_id[spec.id]) for spec in specs]
+            feed(fleet, members, catalogue)
+        _wait_until_ready(fleet)
         yield fleet
 
 
@@ -209,20 +219,28 @@
     return version
 
 
-def _wait_for_catalogue(fleet: Fleet) -> None:
+def _wait_until_ready(fleet: Fleet) -> None:
     deadline_s = time.monotonic() + READY_TIMEOUT_S
     for node_id in fleet.nodes_by_id:
-        while not fleet.status(node_id)["catalogue_version"]:
+        while not _is_ready(fleet, node_id):
             if time.monotonic() > deadline_s:
-                raise RuntimeError(f"{node_id} got no catalogue; see its log above")
+                page = fleet.status(node_id)
+                raise RuntimeError(f"{node_id} is not ready; its page says {page}")
             time.sleep(0.05)
 
 
+def _is_ready(fleet: Fleet, node_id: str) -> bool:
+    page = fleet.status(node_id)
+    knows_all = page["n_members"] >= len(fleet.nodes_by_id)
+    return bool(page["catalogue_version"]) and knows_all
+
+
 @contextmanager
-def node_settings(spec: NodeSpec) -> Iterator[str]:
+def node_settings(spec: NodeSpec, platform_url: str) -> Iterator[str]:
     """Own a settings file; give its path."""
     with tempfile.TemporaryDirectory() as folder:
-        yield _write_settings(Path(folder), spec, {})
+        settings = {"platform": {"url": platform_url}}
+        yield _write_settings(Path(folder), spec, settings)
 
 
 def mechanism_bytes(fleet: Fleet) -> dict[str, int]:
@@ -287,11 +305,9 @@
 
 def usage_of(pid: int) -> Usage:
     """Return what the process has used so far."""
-    process = psutil.Process(pid)
-    times = process.cpu_times()
-    memory = process.memory_full_info()
+    memory = psutil.Process(pid).memory_full_info()
     return Usage(
-        times.user + times.system,
+        _cpu_s(pid),
         memory.rss / MEGABYTE,
         memory.pss / MEGABYTE,
         _peak_rss_mb(pid),
@@ -307,6 +323,11 @@
     }
 
 
+def _cpu_s(pid: int) -> float:
+    nanoseconds = Path(f"/proc/{pid}/schedstat").read_text().split()[0]
+    return int(nanoseconds) / 1e9
+
+
 def _peak_rss_mb(pid: int) -> float:
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmHWM:"):
@@ -353,7 +374,7 @@
             "data_centre": spec.data_centre,
             "host": "127.0.0.1",
         },
-        "platform": {"url": ""},
+        "platform": {"url": "http://127.0.0.1:1"},
         "fleet": {"secrets": [SECRET]},
         "log": {"level": "WARNING"},
     }
--- a/benchmarks/_node_process.py
+++ b/benchmarks/_node_process.py
@@ -1,9 +1,9 @@
 """Runs nodes in one process and takes members and catalogue from standard input.
 
-Usage: ``python _node_process.py SETTINGS...``. Prints the ports by node id. Each line
-of input is ``{"members": [...], "catalogue": [...]}``; the reply is ``{}``. Without a
-catalogue the nodes get it from the platform. The reply to ``{}`` has the bytes that
-the process has written to connections between nodes.
+Usage: ``python _node_process.py [--alone] SETTINGS...``; alone there is no platform.
+Prints the ports by node id. A line ``{"members": [...], "catalogue": [...]}`` is
+adopted and answered with ``{}``; without a catalogue the nodes get it from the
+platform. The answer to ``{}`` has the bytes written to connections between nodes.
 """
 
 import asyncio
@@ -15,15 +15,19 @@
 from pathlib import Path
 
 import msgspec
+from tornado.netutil import Resolver
 
+from ibisspoke_node.ip_resolver import IpResolver
 from ibisspoke_node.lazy_io_loop import LazyIOLoop
 from ibisspoke_node.main import GC_THRESHOLD
 from ibisspoke_node.node import Node, running_node
-from ibisspoke_node.settings import load_settings
+from ibisspoke_node.settings import NodeSettings, load_settings
 from ibisspoke_policy.catalogue import Catalogue
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.member import Member
 
+ALONE = "--alone"
+
 
 class _WrittenBytes:
     """Count what the connections between nodes carry, without TCP's own bytes."""
@@ -63,7 +67,12 @@
     print("{}", flush=True)
 
 
-async def _run(paths: list[Path]) -> None:
+def _settings(path: Path, is_alone: bool) -> NodeSettings:
+    settings = load_settings(path).unwrap()
+    return settings._replace(platform_url="") if is_alone else settings
+
+
+async def _run(paths: list[Path], is_alone: bool) -> None:
     LazyIOLoop()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -71,7 +80,7 @@
     async with AsyncExitStack() as stack:
         nodes = [
             await stack.enter_async_context(
-                running_node(load_settings(path).unwrap(), Clock())
+                running_node(_settings(path, is_alone), Clock())
             )
             for path in paths
         ]
@@ -91,7 +100,9 @@
 
 
 if __name__ == "__main__":
+    Resolver.configure(IpResolver)
     written.install()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    asyncio.run(_run([Path(argument) for argument in sys.argv[1:]]))
+    names = [name for name in sys.argv[1:] if name != ALONE]
+    asyncio.run(_run([Path(name) for name in names], ALONE in sys.argv))
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -24,18 +24,22 @@
     mechanism_bytes,
     node_settings,
     running_fleet,
+    running_platform,
     usage_of,
 )
 
 from ibisspoke_policy.catalogue import Catalogue, Key, Organisation
 from ibisspoke_policy.member import Member, MemberState
 
+SPEC = NodeSpec("node-a")
 KEY_HEADER = {"Authorization": f"Bearer {KEY}"}
 TARGETS = {"rss_mb": 32.0, "control_cpu_percent": 1.9, "control_bytes_per_s": 10_000}
 UPLOAD_BYTES = 8_388_608
 BUFFER_BYTES = 67_108_864
 N_NODES_PER_PROCESS = 16
 SETTLE_S = 4.0
+N_READY_TRIES = 600
+N_READY_ANSWERS = 10
 DRIP_S = 4.0
 DRIP_STEP_S = 0.005
 
@@ -60,9 +64,12 @@
 
 def measure_idle(plan: Plan) -> dict[str, float]:
     """Watch the program ``ibisspoke-node`` alone, as it is installed."""
-    with node_settings(NodeSpec("node-a")) as path:
+    catalogue = benchmark_catalogue(["alpha"])
+    with running_platform(catalogue) as url, node_settings(SPEC, url) as path:
+        with child("-m", "ibisspoke_node.main", path):
+            pass
         with child("-m", "ibisspoke_node.main", path) as node:
-            time.sleep(1.0)
+            time.sleep(SETTLE_S)
             before = usage_of(node.pid)
             time.sleep(plan.idle_s)
             after = usage_of(node.pid)
@@ -131,6 +138,19 @@
     return await caller.post(target, KEY_HEADER, body)
 
 
+async def _wait_until_answered(fleet: Fleet) -> None:
+    """Call until the node has its share of the rate."""
+    caller = Caller(fleet.url_port("node-a"))
+    n_answered = 0
+    for _ in range(N_READY_TRIES):
+        answer = await _post(fleet, "/alpha/hops/1/", b"", caller)
+        n_answered = n_answered + 1 if answer.status == 200 else 0
+        if n_answered == N_READY_ANSWERS:
+            return
+        await asyncio.sleep(0.1)
+    raise RuntimeError(f"the node does not answer: {answer.body.decode()}")
+
+
 async def _drip(port: int, ends_s: float) -> int:
     """Send the body of one call in small parts; return the status."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -258,6 +278,7 @@
         catalogue = benchmark_catalogue(["alpha"])
         specs = [NodeSpec("node-a", "alpha")]
         with running_fleet(specs, catalogue, settings=settings) as fleet:
+            asyncio.run(_wait_until_answered(fleet))
             results[name] = asyncio.run(run(fleet))
         print(name, json.dumps(results[name]), flush=True)
     return results
--- a/packages/node/ibisspoke_node/main.py
+++ b/packages/node/ibisspoke_node/main.py
@@ -10,9 +10,11 @@
 
 from pythonjsonlogger.json import JsonFormatter
 from result import Err
+from tornado.netutil import Resolver
 
 from ibisspoke_policy.clock import Clock
 
+from .ip_resolver import IpResolver
 from .lazy_io_loop import LazyIOLoop
 from .node import running_node
 from .settings import NodeSettings, load_settings
@@ -35,6 +37,7 @@
         sys.exit(EXIT_BAD_SETTINGS)
     settings = loaded.ok_value
     _configure_logging(settings)
+    Resolver.configure(IpResolver)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     asyncio.run(_run(settings))
