--- a/benchmarks/_overload_server.py
+++ b/benchmarks/_overload_server.py
@@ -24,6 +24,7 @@
 )
 from tornado.httputil import HTTPHeaders
 
+from ibisspoke_node.buffer_budget import BufferBudget
 from ibisspoke_node.executor import Announcement
 from ibisspoke_node.headers import CONTEXT_HEADER
 from ibisspoke_node.node import Node, running_node
@@ -43,6 +44,7 @@
 )
 
 HOST = "127.0.0.1"
+MAX_ANSWER_BYTES = 16_777_216
 
 
 class Server:
@@ -78,7 +80,7 @@
             node.announce(Announcement(service, HOST, port, capacity))
             self.node_by_service[service] = node
             self.client_by_service[service] = UpstreamClient(
-                HOST, node.ports.entry, clock
+                HOST, node.ports.entry, clock, BufferBudget(MAX_ANSWER_BYTES)
             )
 
     async def _start_node(
