Sort out the members of a data centre only after a change

Each poll, pull and lease step went through all members, and the poller's rank hashed those of its data centre.

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -32,6 +32,7 @@
 from ibisspoke_policy.member import Member, MemberState
 
 SPEC = NodeSpec("node-a")
+N_MEMBERS = 6_600
 KEY_HEADER = {"Authorization": f"Bearer {KEY}"}
 TARGETS = {"rss_mb": 32.0, "control_cpu_percent": 1.9, "control_bytes_per_s": 10_000}
 UPLOAD_BYTES = 8_388_608
@@ -86,7 +87,12 @@
     """Return memory by member, organisation with a key, and call in the catalogue."""
     calls = [f"service-{number}" for number in range(2_000)]
     steps: list[tuple[str, int, list[Member], Catalogue]] = [
-        ("kb_per_member", 6_600, _members(6_600), benchmark_catalogue(["alpha"], 2)),
+        (
+            "kb_per_member",
+            N_MEMBERS,
+            _members(N_MEMBERS),
+            benchmark_catalogue(["alpha"], 2),
+        ),
         ("kb_per_organisation", 4_000, [], _with_organisations(4_000, 2)),
         ("kb_per_catalogue_call", 2_000, [], benchmark_catalogue(calls, 2)),
     ]
@@ -103,17 +109,38 @@
     return slopes
 
 
-def _members(n_members: int) -> list[Member]:
+def measure_large_view(plan: Plan) -> dict[str, float]:
+    """Watch one node whose table holds a fleet of full size that never answers.
+
+    Configuration and quota run; heartbeats to these members do not.
+    """
+    catalogue = benchmark_catalogue([f"service-{number}" for number in range(370)])
+    with running_fleet([SPEC], catalogue) as fleet:
+        feed(fleet, _members(N_MEMBERS, "127.0.0.1", 1), None)
+        time.sleep(SETTLE_S)
+        pid = fleet.pids()[0]
+        before = usage_of(pid)
+        time.sleep(plan.idle_s)
+        after = usage_of(pid)
+    cpu_percent = (after.cpu_s - before.cpu_s) / plan.idle_s * 100
+    return {
+        "n_members": N_MEMBERS,
+        "rss_mb": round(after.rss_mb, 2),
+        "cpu_percent": round(cpu_percent, 3),
+    }
+
+
+def _members(n_members: int, host: str = "", port: int = 7_001) -> list[Member]:
     return [
         Member(
             f"node-{number}",
             1_700_000_000_000 + number,
             f"region-{number % 2}",
             f"data-centre-{number % 5}",
-            f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}",
-            7_001,
-            7_002,
-            7_003,
+            host or f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}",
+            port,
+            port,
+            port,
             f"service-{number % 370}",
             50,
             False,
@@ -335,6 +362,8 @@
     print("idle", json.dumps(idle), flush=True)
     slopes = measure_slopes()
     print("slopes", json.dumps(slopes), flush=True)
+    large_view = measure_large_view(plan)
+    print("large_view", json.dumps(large_view), flush=True)
     load = measure_load(plan)
     fleets = []
     for n_nodes, with_platform in itertools.product(plan.n_nodes, (False, True)):
@@ -349,6 +378,7 @@
         "control_bytes_per_s": sum(largest["bytes_per_s_per_node"].values()),
         "idle": idle,
         "slopes": slopes,
+        "large_view": large_view,
         **load,
         "fleets": fleets,
         "machine": machine(),
--- a/packages/node/ibisspoke_node/config_sync.py
+++ b/packages/node/ibisspoke_node/config_sync.py
@@ -83,10 +83,24 @@
         """Send ``request`` and wait for its reply."""
 
 
+class _Peers(NamedTuple):
+    """The other nodes by nearness.
+
+    :param members: what they were sorted out from.
+    :param rank: place of this node among those of its data centre.
+    """
+
+    members: tuple[Member, ...]
+    near: tuple[Member, ...]
+    far: tuple[Member, ...]
+    rank: int
+
+
 class ConfigSync:
     """Poll the platform, pull from peers, and push what is new.
 
-    :param members: returns the present members of the fleet.
+    :param members: returns the present members of the fleet; the same tuple until
+        they change.
     """
 
     def __init__(
@@ -95,7 +109,7 @@
         state: ConfigState,
         reader: VersionReader,
         control: ConfigCaller,
-        members: Callable[[], Sequence[Member]],
+        members: Callable[[], tuple[Member, ...]],
         directory: SlotDirectory,
         isolation: IsolationWatch,
         clock: Clock,
@@ -108,6 +122,7 @@
         self._reader = reader
         self._control = control
         self._members = members
+        self._seen: _Peers | None = None
         self._clock = clock
         self._rng = rng
         self._backoff = Backoff(rng)
@@ -214,10 +229,7 @@
     @property
     def _rank(self) -> int:
         """Place of this node among those of its data centre."""
-        own = self.identity
-        names = {member.id for member in self._near()} | {own.node_id}
-        key = f"config-poller/{own.data_centre}"
-        return rank_of(key, own.node_id, names)
+        return self._peers().rank
 
     async def run_polls(self) -> None:
         """Poll while this node is one of the pollers, until cancelled."""
@@ -279,17 +291,22 @@
         if data_centre != self.identity.data_centre:
             self.isolation.reached()
 
-    def _others(self) -> list[Member]:
-        own_id = self.identity.node_id
-        return [member for member in self._members() if member.id != own_id]
+    def _others(self) -> Sequence[Member]:
+        peers = self._peers()
+        return (*peers.near, *peers.far)
+
+    def _near(self) -> Sequence[Member]:
+        return self._peers().near
 
-    def _near(self) -> list[Member]:
-        own = self.identity.data_centre
-        return [member for member in self._others() if member.data_centre == own]
+    def _far(self) -> Sequence[Member]:
+        return self._peers().far
 
-    def _far(self) -> list[Member]:
-        own = self.identity.data_centre
-        return [member for member in self._others() if member.data_centre != own]
+    def _peers(self) -> "_Peers":
+        """Return the other nodes, sorted out anew only after a change."""
+        members = self._members()
+        if self._seen is None or self._seen.members is not members:
+            self._seen = _sort_out(members, self.identity)
+        return self._seen
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -302,6 +319,15 @@
             task.cancel()
 
 
+def _sort_out(members: tuple[Member, ...], own: SyncIdentity) -> _Peers:
+    others = [member for member in members if member.id != own.node_id]
+    near = tuple(peer for peer in others if peer.data_centre == own.data_centre)
+    far = tuple(peer for peer in others if peer.data_centre != own.data_centre)
+    names = {peer.id for peer in near} | {own.node_id}
+    rank = rank_of(f"config-poller/{own.data_centre}", own.node_id, names)
+    return _Peers(members, near, far, rank)
+
+
 @asynccontextmanager
 async def running_config(
     sync: ConfigSync, seeds: Collection[PeerAddress]
--- a/packages/node/ibisspoke_node/organisations.py
+++ b/packages/node/ibisspoke_node/organisations.py
@@ -1,7 +1,7 @@
 """Quota and configuration of one node, assembled."""
 
 import random
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
@@ -48,6 +48,8 @@
     ) -> None:
         self.settings = settings
         self._members_by_id = members_by_id
+        self._present_members: tuple[Member, ...] | None = None
+        members_by_id.subscribe(self._note_change)
         rng = random.Random()
         directory = SlotDirectory()
         self.isolation = IsolationWatch(clock)
@@ -99,8 +101,13 @@
         address = PeerAddress(settings.host, control_port)
         return SyncIdentity(settings.id, settings.data_centre, address)
 
-    def _present(self) -> Sequence[Member]:
-        return self._members_by_id.where(_is_reachable)
+    def _note_change(self, member_id: str) -> None:
+        self._present_members = None
+
+    def _present(self) -> tuple[Member, ...]:
+        if self._present_members is None:
+            self._present_members = tuple(self._members_by_id.where(_is_reachable))
+        return self._present_members
 
     def _near_ids(self) -> list[str]:
         own = self.settings.data_centre
