--- a/benchmarks/_harness.py
+++ b/benchmarks/_harness.py
@@ -98,11 +98,13 @@
     :param nodes_by_id: one child a node; several nodes may share a child.
     :param ports_by_id: ports of each node by name.
     :param upstream_by_id: the upstream on the VM of each node that has one.
+    :param platform_url: empty where there is no platform.
     """
 
     nodes_by_id: dict[str, Child]
     ports_by_id: dict[str, dict[str, int]]
     upstream_by_id: dict[str, Child]
+    platform_url: str = ""
 
     def url_port(self, node_id: str) -> int:
         """Return the port for callers of a node."""
@@ -191,7 +193,12 @@
             for spec in specs
             if spec.service
         }
-        fleet = Fleet(nodes_by_id, ports_by_id, upstream_by_id)
+        fleet = Fleet(
+            nodes_by_id,
+            ports_by_id,
+            upstream_by_id,
+            settings.get("platform", {}).get("url", ""),
+        )
         if not with_platform:
             members = [_member(spec, ports_by_id[spec.id]) for spec in specs]
             feed(fleet, members, catalogue)
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -23,6 +23,7 @@
     machine,
     mechanism_bytes,
     node_settings,
+    publish,
     running_fleet,
     running_platform,
     usage_of,
@@ -39,6 +40,8 @@
 BUFFER_BYTES = 67_108_864
 N_NODES_PER_PROCESS = 16
 SETTLE_S = 4.0
+N_CHANGES = 8
+CHANGE_PERIOD_S = 2.5
 SOAK_S = 600.0
 SOAK_PER_S = 130.0
 N_READY_TRIES = 600
@@ -356,6 +359,68 @@
     }
 
 
+def measure_changes(n_nodes: int) -> dict[str, Any]:
+    """Change one call of a large catalogue again and again."""
+    data_centres = [f"dc-{number}" for number in range(4)]
+    services = [f"service-{number}" for number in range(370)]
+    catalogue = benchmark_catalogue(services, data_centres=data_centres)
+    specs = [
+        NodeSpec(f"node-{number}", "", f"r{number % 2}", f"dc-{number % 4}")
+        for number in range(n_nodes)
+    ]
+    with running_fleet(specs, catalogue, N_NODES_PER_PROCESS) as fleet:
+        time.sleep(SETTLE_S)
+        quiet = _window(fleet, None)
+        in_force_ms: list[float] = []
+        changing = _window(fleet, _changer(fleet, catalogue, in_force_ms))
+    spent = {name: changing[name] - quiet[name] for name in quiet}
+    per_change = 1.0 / n_nodes / N_CHANGES
+    return {
+        "n_nodes": n_nodes,
+        "n_changes": N_CHANGES,
+        "n_catalogue_calls": len(services),
+        "bytes_per_change_per_node": round(spent["connections"] * per_change, 1),
+        "cpu_ms_per_change_per_node": round(spent["cpu_ms"] * per_change, 3),
+        "in_force_everywhere_ms": [round(value) for value in in_force_ms],
+    }
+
+
+def _window(fleet: Fleet, change: Callable[[int], None] | None) -> dict[str, float]:
+    """Return what the nodes spend while changes are made, or in as long a time."""
+    before = _spent(fleet)
+    for number in range(N_CHANGES):
+        ends_s = time.monotonic() + CHANGE_PERIOD_S
+        if change is not None:
+            change(number)
+        time.sleep(max(0.0, ends_s - time.monotonic()))
+    return {name: value - before[name] for name, value in _spent(fleet).items()}
+
+
+def _spent(fleet: Fleet) -> dict[str, float]:
+    cpu_ms = sum(usage_of(pid).cpu_s for pid in fleet.pids()) * 1000
+    return {**mechanism_bytes(fleet), "cpu_ms": cpu_ms}
+
+
+def _changer(
+    fleet: Fleet, catalogue: Catalogue, in_force_ms: list[float]
+) -> Callable[[int], None]:
+    def change(number: int) -> None:
+        call = catalogue.calls_by_id["service-0.any"]
+        changed = call._replace(timeout_ms=call.timeout_ms + 1 + number)
+        calls_by_id = {**catalogue.calls_by_id, call.id: changed}
+        started = time.monotonic()
+        following = catalogue._replace(calls_by_id=calls_by_id)
+        version = asyncio.run(publish(fleet.platform_url, following))
+        while any(
+            fleet.status(node_id)["catalogue_version"] < version
+            for node_id in fleet.nodes_by_id
+        ):
+            time.sleep(0.02)
+        in_force_ms.append((time.monotonic() - started) * 1000)
+
+    return change
+
+
 def report(plan: Plan) -> dict[str, Any]:
     """Run every part and return the JSON of one run."""
     idle = measure_idle(plan)
@@ -369,6 +434,8 @@
     for n_nodes, with_platform in itertools.product(plan.n_nodes, (False, True)):
         fleets.append(measure_fleet(n_nodes, plan, with_platform))
         print("fleet", json.dumps(fleets[-1]), flush=True)
+    changes = measure_changes(plan.n_nodes[1])
+    print("changes", json.dumps(changes), flush=True)
     largest = fleets[-1]
     return {
         "benchmark": "control_cost",
@@ -381,6 +448,7 @@
         "large_view": large_view,
         **load,
         "fleets": fleets,
+        "changes": changes,
         "machine": machine(),
     }
 
