--- a/benchmarks/call_overhead.py
+++ b/benchmarks/call_overhead.py
@@ -24,6 +24,7 @@
     benchmark_catalogue,
     machine,
     running_fleet,
+    usage_of,
 )
 from hdrh.histogram import HdrHistogram
 
@@ -83,6 +84,12 @@
             for path, target in zip(PATHS, (direct, one, two), strict=True):
                 self._targets_by_path[path].append(target)
         self._services = list(ids_by_service)
+        self._pids = fleet.pids()
+        self.cpu_s_by_path = dict.fromkeys(PATHS, 0.0)
+
+    def cpu_s(self) -> float:
+        """Return the processor time of both nodes so far."""
+        return sum(usage_of(pid).cpu_s for pid in self._pids)
 
     async def connect(self) -> None:
         """Open the connections of all paths ahead of the calls."""
@@ -135,10 +142,14 @@
     bench: Bench, rate_per_s: int, n_blocks: int, body: bytes
 ) -> dict[str, Any]:
     histogram_by_path = {path: _histogram() for path in PATHS}
+    bench.cpu_s_by_path = dict.fromkeys(PATHS, 0.0)
     arrivals = random.Random(SEED)
     for block, path in itertools.product(range(-1, n_blocks), PATHS):
         histogram = histogram_by_path[path] if block >= 0 else _histogram()
+        cpu_before_s = bench.cpu_s()
         await _block(bench, path, rate_per_s * 2, body, arrivals, histogram)
+        if block >= 0:
+            bench.cpu_s_by_path[path] += bench.cpu_s() - cpu_before_s
     return histogram_by_path
 
 
@@ -200,6 +211,13 @@
     return summary
 
 
+def _add_cpu(summary: dict[str, Any], cpu_s_by_path: dict[str, float]) -> None:
+    """Add the processor time of all nodes for each call."""
+    for path, cpu_s in cpu_s_by_path.items():
+        n_calls = max(1, summary[path]["n"])
+        summary[path]["cpu_ms_per_call"] = round(cpu_s * 1000 / n_calls, 3)
+
+
 def _ms(histogram: Any, percentile: float) -> float:
     return round(histogram.get_value_at_percentile(percentile) / 1000.0, 3)
 
@@ -233,6 +251,8 @@
         )
     for name, run in parts:
         results[name] = _summary(await run())
+        if name.startswith("open"):
+            _add_cpu(results[name], bench.cpu_s_by_path)
         print(name, json.dumps(results[name]), flush=True)
     frame = await _frame_round_trip(fleet, plan.n_sequential)
     return {
