Rank nodes for quota slots only after a change

Each node asked every second whether it might take a slot and hashed all nodes of its data centre for each slot.

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -34,6 +34,7 @@
 
 SPEC = NodeSpec("node-a")
 N_MEMBERS = 6_600
+N_SLOTS = 16
 KEY_HEADER = {"Authorization": f"Bearer {KEY}"}
 TARGETS = {"rss_mb": 32.0, "control_cpu_percent": 1.9, "control_bytes_per_s": 10_000}
 UPLOAD_BYTES = 8_388_608
@@ -117,8 +118,14 @@
 
     Configuration and quota run; heartbeats to these members do not.
     """
-    catalogue = benchmark_catalogue([f"service-{number}" for number in range(370)])
-    with running_fleet([SPEC], catalogue) as fleet:
+    data_centres = [f"data-centre-{number}" for number in range(5)]
+    services = [f"service-{number}" for number in range(370)]
+    catalogue = benchmark_catalogue(services, data_centres=data_centres)
+    catalogue = catalogue._replace(
+        n_slots_by_data_centre=dict.fromkeys(data_centres, N_SLOTS)
+    )
+    spec = NodeSpec("node-a", "", "region-0", data_centres[0])
+    with running_fleet([spec], catalogue) as fleet:
         feed(fleet, _members(N_MEMBERS, "127.0.0.1", 1), None)
         time.sleep(SETTLE_S)
         pid = fleet.pids()[0]
--- a/packages/node/ibisspoke_node/organisations.py
+++ b/packages/node/ibisspoke_node/organisations.py
@@ -49,6 +49,7 @@
         self.settings = settings
         self._members_by_id = members_by_id
         self._present_members: tuple[Member, ...] | None = None
+        self._present_near_ids: tuple[str, ...] | None = None
         members_by_id.subscribe(self._note_change)
         rng = random.Random()
         directory = SlotDirectory()
@@ -103,15 +104,19 @@
 
     def _note_change(self, member_id: str) -> None:
         self._present_members = None
+        self._present_near_ids = None
 
     def _present(self) -> tuple[Member, ...]:
         if self._present_members is None:
             self._present_members = tuple(self._members_by_id.where(_is_reachable))
         return self._present_members
 
-    def _near_ids(self) -> list[str]:
-        own = self.settings.data_centre
-        return [member.id for member in self._present() if member.data_centre == own]
+    def _near_ids(self) -> tuple[str, ...]:
+        if self._present_near_ids is None:
+            own = self.settings.data_centre
+            near = [member for member in self._present() if member.data_centre == own]
+            self._present_near_ids = tuple(member.id for member in near)
+        return self._present_near_ids
 
 
 @asynccontextmanager
--- a/packages/node/ibisspoke_node/slot_holder.py
+++ b/packages/node/ibisspoke_node/slot_holder.py
@@ -66,7 +66,8 @@
 class SlotHolder:
     """Take, renew and hand back slots, and answer draws from them.
 
-    :param node_ids: returns the live nodes of this data centre.
+    :param node_ids: returns the live nodes of this data centre; the same collection
+        until they change.
     """
 
     def __init__(
@@ -88,6 +89,8 @@
         self._slots: list[SlotId] = []
         self._watch_ms = clock.now_ms()
         self._stopping = False
+        self._ranked_ids: Iterable[str] | None = None
+        self._rank_by_slot: dict[SlotId, int] = {}
 
     def __repr__(self) -> str:
         return f"SlotHolder({[str(slot) for slot in self._holdings_by_slot]})"
@@ -150,8 +153,17 @@
         )
 
     def _rank(self, slot: SlotId) -> int:
-        own = self.identity.node_id
-        return rank_of(str(slot), own, set(self._node_ids()) | {own})
+        """Return the place of this node for a slot, computed anew after a change."""
+        node_ids = self._node_ids()
+        if node_ids is not self._ranked_ids:
+            self._ranked_ids = node_ids
+            self._rank_by_slot.clear()
+        rank = self._rank_by_slot.get(slot)
+        if rank is None:
+            own = self.identity.node_id
+            rank = rank_of(str(slot), own, set(node_ids) | {own})
+            self._rank_by_slot[slot] = rank
+        return rank
 
     def _renewal_due(self, slot: SlotId) -> bool:
         held = self._holdings_by_slot[slot].held
