--- a/packages/policy/ibisspoke_policy/member_view.py
+++ b/packages/policy/ibisspoke_policy/member_view.py
@@ -1,5 +1,7 @@
 """The member table with its rings and digest kept in step."""
 
+import sys
+
 from .member import Member, MemberState, MemberTable
 from .member_digest import MemberDigest, bucket_of
 from .member_ring import MemberRing
@@ -45,6 +47,7 @@
         old = self.members.get(row.id)
         if old is not None and not row.supersedes(old):
             return False
+        row = _with_shared_strings(row)
         self.members.put(row.id, row)
         self._index(old, row)
         if row.is_present:
@@ -90,3 +93,12 @@
             ring.add(row.id)
         else:
             ring.discard(row.id)
+
+
+def _with_shared_strings(row: Member) -> Member:
+    """Return ``row`` with one string in memory for each name that rows repeat."""
+    return row._replace(
+        region=sys.intern(row.region),
+        data_centre=sys.intern(row.data_centre),
+        service=sys.intern(row.service),
+    )
