--- a/benchmarks/call_overhead.py
+++ b/benchmarks/call_overhead.py
@@ -37,12 +37,17 @@
 TARGET_MS = 0.74
 BLOCK_S = 0.5
 SEED = 7
+REFUSED = 503
 N_CONNECTIONS = 16
 N_READY_TRIES = 100
 READY_RETRY_S = 0.2
 TIMER_ERROR_S = 0.0015
 
 
+class RefusedError(RuntimeError):
+    """The admission controller refused a call."""
+
+
 class Target(NamedTuple):
     """Where one call of a path goes."""
 
@@ -85,6 +90,7 @@
                 self._targets_by_path[path].append(target)
         self._services = list(ids_by_service)
         self._pids = fleet.pids()
+        self.n_refused = 0
         self.cpu_s_by_path = dict.fromkeys(PATHS, 0.0)
 
     def cpu_s(self) -> float:
@@ -117,6 +123,8 @@
             names = [self._services[number % 2]] * (n_hops - 1)
         url = f"{target.target}/hops/{n_hops}/" + "/".join(names)
         answer = await target.caller.post(url, target.headers, body)
+        if answer.status == REFUSED:
+            raise RefusedError(f"{path}: {answer.body[:200]!r}")
         if answer.status != 200 or answer.body != body:
             raise RuntimeError(f"{path}: status {answer.status}, {answer.body[:200]!r}")
 
@@ -172,12 +180,20 @@
         calls.append(asyncio.ensure_future(_timed(bench, path, len(calls), due, body)))
         due += arrivals.expovariate(rate_per_s)
     for elapsed_us in await asyncio.gather(*calls):
-        histogram.record_value(elapsed_us)
+        if elapsed_us is None:
+            bench.n_refused += 1
+        else:
+            histogram.record_value(elapsed_us)
 
 
-async def _timed(bench: Bench, path: str, number: int, due: float, body: bytes) -> int:
+async def _timed(
+    bench: Bench, path: str, number: int, due: float, body: bytes
+) -> int | None:
     started = time.perf_counter()
-    await bench.call(path, number, 1, body)
+    try:
+        await bench.call(path, number, 1, body)
+    except RefusedError:
+        return None
     return int((time.perf_counter() - min(started, due)) * 1e6)
 
 
@@ -253,6 +269,8 @@
         results[name] = _summary(await run())
         if name.startswith("open"):
             _add_cpu(results[name], bench.cpu_s_by_path)
+            results[name]["n_refused"] = bench.n_refused
+            bench.n_refused = 0
         print(name, json.dumps(results[name]), flush=True)
     frame = await _frame_round_trip(fleet, plan.n_sequential)
     return {
