--- a/packages/node/ibisspoke_node/entry.py
+++ b/packages/node/ibisspoke_node/entry.py
@@ -24,6 +24,7 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind, outcome_unknown
 
+from ._link_protocol import out_of_memory
 from .acceptance import Acceptance, Accepted
 from .buffer_budget import BufferBudget
 from .dispatch import Dispatcher, Request
@@ -188,7 +189,7 @@
             return
         if not self._entry.budget.reserve(len(chunk)):
             self._release()
-            self._refuse(_out_of_memory())
+            self._refuse(out_of_memory(Ran.NOT_RUN))
             return
         self._n_bytes += len(chunk)
         self._parts.append(chunk)
@@ -357,13 +358,3 @@
         f"the body is larger than the {max_bytes} bytes that the call allows",
         "send a smaller body, or raise max_body_bytes of the call",
     )
-
-
-def _out_of_memory() -> Refusal:
-    return Refusal(
-        RefusalKind.OUT_OF_MEMORY,
-        Ran.NOT_RUN,
-        "the node holds as many bytes of bodies as its settings allow",
-        "retry after the time given",
-        1_000,
-    )
