--- a/packages/platform/tests/test_http_store.py
+++ b/packages/platform/tests/test_http_store.py
@@ -108,14 +108,27 @@
     assert (await memory.read("a")).is_ok()
 
 
-async def test_malformed_messages_are_refused_with_a_remedy(served):
-    _, store = served
-    client = AsyncHTTPClient()
-    answer = await client.fetch(
-        f"{store._url}/commit", method="POST", body=b"[1", raise_error=False
+@pytest.mark.parametrize(
+    ("path", "body"),
+    [
+        ("/commit", b"[1"),
+        ("/commit", b'{"checks": []}'),
+        ("/commit", b'{"checks": [], "writes": [{"key": "a", "value": "?"}]}'),
+        ("/faults", b"{}"),
+        ("/faults", b'{"kind": "tired"}'),
+        ("/rows?limit=many", None),
+        ("/rows?limit=0", None),
+    ],
+)
+async def test_malformed_messages_are_refused_with_a_remedy(served, path, body):
+    memory, store = served
+    method = "GET" if body is None else "POST"
+    answer = await AsyncHTTPClient().fetch(
+        store._url + path, method=method, body=body, raise_error=False
     )
     assert answer.code == 400
-    assert "INTERFACE" in json.loads(answer.body)["remedy"]
+    assert json.loads(answer.body)["remedy"]
+    assert memory.stats.n_commits_applied == 0
 
 
 @contextmanager
--- a/packages/standins/ibisspoke_standins/platform.py
+++ b/packages/standins/ibisspoke_standins/platform.py
@@ -5,7 +5,7 @@
 import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Annotated, TypedDict, TypeVar
+from typing import Annotated, NotRequired, TypedDict, TypeVar
 from urllib.parse import unquote
 
 import msgspec
@@ -37,14 +37,14 @@
 T = TypeVar("T")
 
 
-class FaultMessage(TypedDict, total=False):
+class FaultMessage(TypedDict):
     """Body of ``POST /faults``."""
 
     kind: FaultKind
-    scope: FaultScope
-    n_requests: int | None
-    for_ms: float | None
-    delay_ms: float
+    scope: NotRequired[FaultScope]
+    n_requests: NotRequired[int | None]
+    for_ms: NotRequired[float | None]
+    delay_ms: NotRequired[float]
 
 
 class _Handler(RequestHandler):
@@ -90,14 +90,18 @@
 class _RowsHandler(_Handler):
     async def get(self) -> None:
         after = self.get_query_argument("after", "")
-        limit = int(self.get_query_argument("limit", str(MAX_SCAN_ROWS)))
+        limit = self.get_query_argument("limit", str(MAX_SCAN_ROWS))
+        if not (limit.isascii() and limit.isdigit() and int(limit) > 0):
+            detail, remedy = f"limit is {limit!r}", "send a whole number from 1"
+            return self.fail(StoreError(StoreErrorKind.INVALID, detail, remedy))
+        n_rows = min(int(limit), MAX_SCAN_ROWS)
         answer = await self.store.scan(self.get_query_argument("prefix", ""))
         if isinstance(answer, Err):
             return self.fail(answer.err_value)
         rows = [row for row in answer.ok_value if row.key > after]
         page: RowsMessage = {
-            "rows": [row_message(row) for row in rows[:limit]],
-            "more": len(rows) > limit,
+            "rows": [row_message(row) for row in rows[:n_rows]],
+            "more": len(rows) > n_rows,
         }
         return self.send(page)
 
