--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -4,7 +4,7 @@
 import logging
 import os
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import NamedTuple
 
@@ -117,7 +117,6 @@
             clock,
         )
         self.membership.serve(self.service)
-        self.stop_hooks: list[Callable[[], Awaitable[None]]] = []
         self.dispatcher = Dispatcher(
             settings.id,
             self.router,
@@ -227,6 +226,7 @@
             now_ms = self.clock.now_ms()
             if now_ms - flushed_ms >= METRICS_MS:
                 flushed_ms = now_ms
+                self.membership.membership.note_version(self.in_force.version)
                 self.metrics.flush()
 
     async def drain(self) -> None:
@@ -243,8 +243,6 @@
         told_ms = self.clock.now_ms() - started_ms
         await asyncio.sleep(max(0.0, DRAIN_NOTICE_MS - told_ms) / 1000.0)
         await self.entry.drain(self.settings.drain_timeout_ms)
-        for hook in self.stop_hooks:
-            await hook()
         await self.membership.leave()
 
 
--- a/packages/policy/ibisspoke_policy/membership.py
+++ b/packages/policy/ibisspoke_policy/membership.py
@@ -133,6 +133,8 @@
 
     def note_version(self, catalogue_version: int) -> None:
         """Set the version in the own row without telling the fleet."""
+        if self.own.catalogue_version == catalogue_version:
+            return
         self._writer.own = self.own._replace(catalogue_version=catalogue_version)
         self.view.members.put(self.own.id, self.own)
 
