Bound the work of spreading and comparing views

At 256 nodes on one machine the start never settled: every node compared views each 2 s while rows still spread, pushed all rows of the buckets that differed and did so again after time-outs, until 2,129 of the awaited notices of drains never came. Rows are now passed on at once only up to three times a tick and in batches beyond; one comparison runs at a time, waits longer after one that failed, and pushes only newer rows; a joining node asks seeds until one answers.

--- a/packages/node/ibisspoke_node/membership_service.py
+++ b/packages/node/ibisspoke_node/membership_service.py
@@ -182,10 +182,15 @@
             rows = [row for row in await self._rows.read() if row.id != self.own.id]
             some = self._rng.sample(rows, min(N_JOIN_PEERS, len(rows)))
             addresses.extend((row.host, row.control_port) for row in some)
-        answered = [await self._exchange.exchange(*address) for address in addresses]
-        if any(answered):
+        self._rng.shuffle(addresses)
+        is_answered = False
+        for address in addresses:
+            is_answered |= await self._exchange.exchange(*address)
+            if is_answered and not self.membership.unreachable:
+                break
+        if is_answered:
             self._do(self.membership.announce(self._clock.now_ms()))
-        return any(answered) or not addresses
+        return is_answered or not addresses
 
     async def _write_row(self) -> None:
         if self._rows is not None and not self._is_row_written:
@@ -244,8 +249,10 @@
 
     async def _synchronise(self, member_id: str) -> None:
         member = self.membership.view.present(member_id)
-        if member is not None:
-            await self._exchange.exchange(member.host, member.control_port)
+        is_answered = member is not None and await self._exchange.exchange(
+            member.host, member.control_port
+        )
+        self.membership.compared(is_answered, self._clock.now_ms())
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/packages/node/ibisspoke_node/view_exchange.py
+++ b/packages/node/ibisspoke_node/view_exchange.py
@@ -87,13 +87,23 @@
             )
             return False
         reply = compared.ok_value
-        own_rows = self._view.rows_in(set(reply.differing))
+        newer = self._newer_rows(reply)
         await self._merge_in_steps(reply.rows)
-        if own_rows:
-            push = PushRequest(own_rows)
+        if newer:
+            push = PushRequest(newer)
             await self._control.call(host, port, PUSH, push, COMPARE_TIMEOUT_MS)
         return True
 
+    def _newer_rows(self, reply: CompareReply) -> list[Member]:
+        """Return the rows of which the other node has none or an older one."""
+        theirs_by_id = {row.id: row for row in reply.rows}
+        newer: list[Member] = []
+        for row in self._view.rows_in(set(reply.differing)):
+            their_row = theirs_by_id.get(row.id)
+            if their_row is None or row.supersedes(their_row):
+                newer.append(row)
+        return newer
+
     async def _answer(self, request: CompareRequest) -> CompareReply:
         differing = self._view.digest.differing(request.buckets)
         return CompareReply(sorted(differing), self._view.rows_in(differing))
--- a/packages/policy/ibisspoke_policy/membership.py
+++ b/packages/policy/ibisspoke_policy/membership.py
@@ -28,6 +28,7 @@
 from .watch_plan import RingWatch, WatchPlan
 
 FORGET_PERIOD_MS = 60_000.0
+MAX_PROMPT_SPREADS = 3
 
 
 class Membership:
@@ -66,7 +67,9 @@
         self._next_heartbeat_ms = now_ms + rng.uniform(0.0, times.heartbeat_ms)
         self._next_forget_ms = now_ms + FORGET_PERIOD_MS
         self._next_retry_ms = now_ms
-        self._comparison = ViewComparison(times.sync_ms)
+        self._comparison = ViewComparison(times.sync_ms, rng)
+        self._n_prompt_spreads = 0
+        self._unspread_ids: dict[str, None] = {}
 
     def __repr__(self) -> str:
         return f"Membership({self.own.id!r}, {len(self.view.members)} members)"
@@ -97,6 +100,7 @@
         findings = self._detector.tick()
         self._writer.is_deaf = self._detector.is_deaf
         actions = [*findings.actions, *self._take(findings.rows, now_ms)]
+        actions.extend(self._spread_rest())
         actions.extend(self._heartbeats(now_ms))
         pings, reports = self._reach.tick()
         actions.extend(pings)
@@ -175,9 +179,26 @@
         changed, actions = self._apply(rows, now_ms)
         actions.extend(Changed(row.id) for row in changed)
         if changed:
-            actions.extend(self._spread(tuple(changed)))
+            actions.extend(self._spread_soon(tuple(changed)))
         return actions
 
+    def _spread_soon(self, rows: tuple[Member, ...]) -> list[Action]:
+        """Pass rows on at once, or with the next tick when many come."""
+        if self._n_prompt_spreads >= MAX_PROMPT_SPREADS:
+            self._unspread_ids.update((row.id, None) for row in rows)
+            return []
+        self._n_prompt_spreads += 1
+        return self._spread(rows)
+
+    def _spread_rest(self) -> list[Action]:
+        self._n_prompt_spreads = 0
+        if not self._unspread_ids:
+            return []
+        found = (self.view.members.get(id) for id in self._unspread_ids)
+        rows = tuple(row for row in found if row is not None)
+        self._unspread_ids.clear()
+        return self._spread(rows)
+
     def _apply(
         self, rows: Iterable[Member], now_ms: float
     ) -> tuple[list[Member], list[Action]]:
@@ -300,6 +321,10 @@
         self._unreachable = unreachable
         return [ReachChanged(unreachable)]
 
+    def compared(self, is_answered: bool, now_ms: float) -> None:
+        """Take in whether a comparison of views came to its end."""
+        self._comparison.ended(is_answered, now_ms)
+
     def _compare(self, message: MembershipMessage, now_ms: float) -> list[Action]:
         """Ask for a comparison when views stay different."""
         if self.view.present(message.sender) is None:
--- a/packages/policy/ibisspoke_policy/view_comparison.py
+++ b/packages/policy/ibisspoke_policy/view_comparison.py
@@ -1,8 +1,11 @@
 """When to compare views with a peer whose digest stays different."""
 
+import random
+
 from .membership_messages import MembershipMessage, MessageKind
 
 MAX_DIFFERING = 64
+MAX_WAIT_MS = 30_000.0
 
 _REGULAR_KINDS = frozenset({MessageKind.HEARTBEAT, MessageKind.PING, MessageKind.ACK})
 
@@ -10,14 +13,20 @@
 class ViewComparison:
     """Choose peers to compare views with.
 
+    One comparison runs at a time. After one that failed the next waits longer, so
+    that busy nodes are not made busier.
+
     :param period_ms: least time between two comparisons; a difference must last
         half as long, since most end by the next update.
+    :param rng: source of random waits, so that nodes do not compare together.
     """
 
-    def __init__(self, period_ms: float) -> None:
+    def __init__(self, period_ms: float, rng: random.Random) -> None:
         self._period_ms = period_ms
+        self._rng = rng
+        self._wait_ms = period_ms
+        self._next_ms = float("-inf")
         self._differs_since_ms_by_id: dict[str, float] = {}
-        self._compared_ms = float("-inf")
 
     def __repr__(self) -> str:
         return f"ViewComparison({len(self._differs_since_ms_by_id)} differ)"
@@ -36,8 +45,16 @@
             self._differs_since_ms_by_id.clear()
         if now_ms - since_ms < self._period_ms / 2:
             return False
-        if now_ms - self._compared_ms < self._period_ms:
+        if now_ms < self._next_ms:
             return False
-        self._compared_ms = now_ms
+        self._next_ms = now_ms + MAX_WAIT_MS
         self._differs_since_ms_by_id.pop(message.sender, None)
         return True
+
+    def ended(self, is_answered: bool, now_ms: float) -> None:
+        """Allow the next comparison after a while."""
+        if is_answered:
+            self._wait_ms = self._period_ms
+        else:
+            self._wait_ms = min(MAX_WAIT_MS, 2.0 * self._wait_ms)
+        self._next_ms = now_ms + self._wait_ms * self._rng.uniform(0.75, 1.25)
--- a/packages/policy/tests/test_membership.py
+++ b/packages/policy/tests/test_membership.py
@@ -159,7 +159,9 @@
         return Evidence.ANSWERED, 2.0
 
     def _synchronise(self, id: str, other: str) -> None:
-        if self._is_lost(id, other) or self._is_lost(other, id):
+        is_lost = self._is_lost(id, other) or self._is_lost(other, id)
+        self.nodes_by_id[id].compared(not is_lost, self.now_ms)
+        if is_lost:
             return
         one, two = self.nodes_by_id[id], self.nodes_by_id[other]
         buckets = one.view.digest.differing(two.view.digest.buckets())
