Tell a full link between regions from a service without upstreams

Cause: an upload that only another region could take was refused as no_upstream, with a remedy that did not fit, when this node's share of the link was spent. Change: the router tells when the link has room; the refusal is overloaded with that time. Conclusion: test_dispatch.py and test_nearest_router.py hold both cases apart.

--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -210,7 +210,7 @@
                 return outcome or Err(Refused(_late(job)))
             member = self._choose(job, progress, now_ms)
             if member is None:
-                return outcome or Err(Refused(_nobody(job)))
+                return outcome or Err(Refused(self._nobody(job, progress, now_ms)))
             n_lent = allowance.lend()
             latest = await self._attempt(job, n_lent, member)
             allowance.give_back(n_lent, unused(latest, n_lent))
@@ -223,6 +223,13 @@
                 return outcome
             progress = following._replace(tried=tried)
 
+    def _nobody(self, job: Job, progress: Progress, now_ms: float) -> Refusal:
+        wait_ms = self._router.link_wait_ms(_query(job, progress), now_ms)
+        if wait_ms is None:
+            return _undelivered(job, no_upstream(job.attempt.service))
+        detail = "only another region can take it, and the link there has no room"
+        return _undelivered(job, overloaded(detail, int(wait_ms) + 1))
+
     def _choose(self, job: Job, progress: Progress, now_ms: float) -> Member | None:
         attempt = job.attempt
         if is_keyed(attempt):
@@ -334,10 +341,6 @@
     return _undelivered(job, deadline_exceeded(Ran.NOT_RUN, detail))
 
 
-def _nobody(job: Job) -> Refusal:
-    return _undelivered(job, no_upstream(job.attempt.service))
-
-
 def _undelivered(job: Job, refusal: Refusal) -> Refusal:
     """Leave open what became of a key whose owner was not asked."""
     if is_keyed(job.attempt):
--- a/packages/node/tests/test_dispatch.py
+++ b/packages/node/tests/test_dispatch.py
@@ -13,7 +13,7 @@
 from ibisspoke_policy.context import RequestContext
 from ibisspoke_policy.early_shedding import ChainLevels, EarlyShedder
 from ibisspoke_policy.member import Member, MemberState
-from ibisspoke_policy.refusal import Ran, outcome_unknown, overloaded
+from ibisspoke_policy.refusal import Ran, RefusalKind, outcome_unknown, overloaded
 from ibisspoke_policy.table import Table
 
 FULL = AdmissionLevel(1.0, 0, 0, 100)
@@ -25,12 +25,16 @@
 class ScriptedRouter:
     """Choose this node until the script of outcomes ends."""
 
-    def __init__(self, outcomes):
+    def __init__(self, outcomes, wait_ms=None):
         self.outcomes = list(outcomes)
+        self.wait_ms = wait_ms
 
     def choose(self, query, now_ms):
         return make_member("n0") if self.outcomes else None
 
+    def link_wait_ms(self, query, now_ms):
+        return self.wait_ms
+
     def sent(self, member_id, now_ms):
         pass
 
@@ -93,12 +97,12 @@
     return Request(call, context, "/orders", [], key, b"", clock.now_ms() + 60_000)
 
 
-async def run(outcomes, idempotent, key="", members=("n0",)):
+async def run(outcomes, idempotent, key="", members=("n0",), wait_ms=None):
     clock = Clock()
     members_by_id = Table("members")
     for node_id in members:
         members_by_id.put(node_id, make_member(node_id))
-    router = ScriptedRouter(outcomes)
+    router = ScriptedRouter(outcomes, wait_ms)
     shedder = EarlyShedder()
     dispatcher = Dispatcher(
         "n0",
@@ -143,3 +147,19 @@
     refusal = outcome.err_value.refusal
     assert refusal.ran is Ran.UNKNOWN
     assert refusal.may_retry
+
+
+@pytest.mark.parametrize(
+    ("wait_ms", "kind", "retry_after_ms"),
+    [
+        (None, RefusalKind.NO_UPSTREAM, 1_000),
+        (250.0, RefusalKind.OVERLOADED, 251),
+    ],
+)
+async def test_full_link_is_told_from_a_service_without_upstreams(
+    wait_ms, kind, retry_after_ms
+):
+    outcome = await run([], idempotent=True, wait_ms=wait_ms)
+    refusal = outcome.err_value.refusal
+    assert (refusal.kind, refusal.ran) == (kind, Ran.NOT_RUN)
+    assert refusal.retry_after_ms == retry_after_ms
--- a/packages/policy/ibisspoke_policy/link_budget.py
+++ b/packages/policy/ibisspoke_policy/link_budget.py
@@ -60,6 +60,14 @@
             return self._bucket.tokens >= self._bucket.burst * LARGE_BODY_FILL
         return self._bucket.tokens > 0
 
+    def wait_ms(self, n_bytes: int, now_ms: float) -> float:
+        """Return the time until a body of ``n_bytes`` may cross the link."""
+        if self.allows(n_bytes, now_ms):
+            return 0.0
+        is_large = n_bytes > LARGE_BODY_BYTES
+        needed = self._bucket.burst * LARGE_BODY_FILL if is_large else 1.0
+        return self._bucket.wait_ms(needed, now_ms)
+
     def spend(self, traffic: LinkTraffic, n_bytes: int, now_ms: float) -> None:
         """Count ``n_bytes`` on the link; calls are taken from the budget."""
         self.n_bytes_by_traffic[traffic] += n_bytes
--- a/packages/policy/ibisspoke_policy/nearest_router.py
+++ b/packages/policy/ibisspoke_policy/nearest_router.py
@@ -64,6 +64,20 @@
             member = self._choose_unlikely(tiers, query, now_ms)
         return member
 
+    def link_wait_ms(self, query: RouteQuery, now_ms: float) -> float | None:
+        """Return when the link between regions has room for the attempt.
+
+        :returns: None where the link is not what keeps the attempt from a node.
+        """
+        tiers = self._index.tiers(query.service)
+        if tiers is None:
+            return None
+        far = tiers[Distance.OTHER_REGION]
+        if not any(self._is_candidate(member, query) for member in far):
+            return None
+        wait_ms = self.budget.wait_ms(query.n_bytes, now_ms)
+        return wait_ms if wait_ms > 0 else None
+
     def shed_early(self, query: RouteQuery, now_ms: float) -> AdmissionLevel | None:
         """Return the level by which every node in reach would refuse, or None."""
         tiers = self._index.tiers(query.service)
--- a/packages/policy/ibisspoke_policy/routing.py
+++ b/packages/policy/ibisspoke_policy/routing.py
@@ -32,6 +32,12 @@
     def choose(self, query: RouteQuery, now_ms: float) -> Member | None:
         """Return the node for the attempt, or None when none takes calls."""
 
+    def link_wait_ms(self, query: RouteQuery, now_ms: float) -> float | None:
+        """Return when the link between regions has room for the attempt.
+
+        :returns: None where the link is not what keeps the attempt from a node.
+        """
+
     def shed_early(self, query: RouteQuery, now_ms: float) -> AdmissionLevel | None:
         """Return the level by which every node in reach would refuse, or None."""
 
--- a/packages/policy/tests/test_nearest_router.py
+++ b/packages/policy/tests/test_nearest_router.py
@@ -239,3 +239,15 @@
         router.sent(member.id, step * 5.0)
         load = rng.choice([0.5, 0.7, 1.05])
         router.done(member.id, IDLE._replace(load=load), step * 5.0 + 2.0)
+
+
+def test_wait_for_the_link_is_told_only_where_the_link_is_the_reason():
+    router = make_router(make_member("a", service="other"), make_member("d", "south-1"))
+    large = QUERY._replace(n_bytes=1_000_000)
+    assert router.link_wait_ms(large, 0.0) is None
+    router.count_bytes("d", 10_000_000, 0.0)
+    wait_ms = router.link_wait_ms(large, 0.0)
+    assert wait_ms is not None
+    assert router.choose(large, 0.0) is None
+    assert router.choose(large, wait_ms + 1.0).id == "d"
+    assert router.link_wait_ms(large._replace(service="none"), 0.0) is None
