--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -8,7 +8,7 @@
 from ibisspoke_policy.catalogue import Call
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.context import RequestContext
-from ibisspoke_policy.early_shedding import Candidate, EarlyShedder, rank
+from ibisspoke_policy.early_shedding import Candidate, EarlyShedder
 from ibisspoke_policy.member import Member
 from ibisspoke_policy.refusal import (
     Ran,
@@ -18,7 +18,7 @@
     overloaded,
 )
 from ibisspoke_policy.retry import Allowance
-from ibisspoke_policy.routing import RouteQuery, Router
+from ibisspoke_policy.routing import LinkRoom, Router
 
 from .claims import KeyedServices, is_keyed, key_scope, scoped_key
 from .link_pool import LinkPool
@@ -32,11 +32,10 @@
     with_unused,
 )
 from .parents import Parent, ParentTable
-from .retry_rules import Job, Progress, RetryRules
+from .retry_rules import Job, Progress, RetryRules, query_of
 from .server_link import AttemptHandler
 
 SHED_RETRY_AFTER_MS = 500
-FAR_PREFIX = "far/"
 NESTED_MARGIN = 1.75
 
 
@@ -91,6 +90,7 @@
         self._keyed = keyed
         self._clock = clock
         self.shedder = shedder
+        self.link_room: LinkRoom | None = None
         self._rules = RetryRules(clock)
 
     def __repr__(self) -> str:
@@ -156,7 +156,7 @@
             context.request_id,
         )
         is_shed = self._sheds(candidate, level, context.n_hops > 0, now_ms)
-        if is_shed and not self._may_spill(job, now_ms):
+        if is_shed and not await self._may_spill(job, now_ms):
             detail = "the services that the request needs are overloaded"
             return Err(Refused(overloaded(detail, SHED_RETRY_AFTER_MS)))
         if context.n_hops:
@@ -178,7 +178,7 @@
             return False
         return self.shedder.refuses(candidate, level, now_ms)
 
-    def _may_spill(self, job: Job, now_ms: float) -> bool:
+    async def _may_spill(self, job: Job, now_ms: float) -> bool:
         """Return whether a node in reach takes what the nearest ones shed.
 
         Where a service deeper down is the cause, no other node helps.
@@ -190,8 +190,11 @@
         )
         if chain > attempt.context.importance:
             return False
-        query = _query(job._replace(is_shed=True), Progress())
-        return self._router.shed_early(query, now_ms) is None
+        shed = job._replace(is_shed=True)
+        query = query_of(shed, Progress())
+        if self._router.shed_early(query, now_ms) is None:
+            return True
+        return await self._make_room(shed, Progress(), now_ms)
 
     def _shed_level(self, attempt: Attempt, now_ms: float) -> float:
         """Return the level by what answers told and by what this node serves."""
@@ -209,6 +212,8 @@
             if now_ms >= job.deadline_ms:
                 return outcome or Err(Refused(_late(job)))
             member = self._choose(job, progress, now_ms)
+            if member is None and await self._make_room(job, progress, now_ms):
+                continue
             if member is None:
                 return outcome or Err(Refused(self._nobody(job, progress, now_ms)))
             n_lent = allowance.lend()
@@ -223,8 +228,15 @@
                 return outcome
             progress = following._replace(tried=tried)
 
+    async def _make_room(self, job: Job, progress: Progress, now_ms: float) -> bool:
+        """Return whether room on the link came for an attempt that lacked it."""
+        query = query_of(job, progress)
+        if self.link_room is None or not self._router.lacks_room(query, now_ms):
+            return False
+        return await self.link_room.make_room(query.n_bytes, job.deadline_ms)
+
     def _nobody(self, job: Job, progress: Progress, now_ms: float) -> Refusal:
-        wait_ms = self._router.link_wait_ms(_query(job, progress), now_ms)
+        wait_ms = self._router.link_wait_ms(query_of(job, progress), now_ms)
         if wait_ms is None:
             return _undelivered(job, no_upstream(job.attempt.service))
         detail = "only another region can take it, and the link there has no room"
@@ -235,30 +247,29 @@
         if is_keyed(attempt):
             key = scoped_key(attempt)
             return self._keyed.owner(key_scope(attempt), key, now_ms)
-        query = _query(job, progress)
+        query = query_of(job, progress)
         member = self._router.choose(query, now_ms)
         if member is None and len(progress.tried) > progress.n_redirects:
             member = self._router.choose(query._replace(excluded=()), now_ms)
         return member
 
     async def _attempt(self, job: Job, n_lent: int, member: Member) -> Outcome:
-        self._router.sent(member.id, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self._router.sent(member.id, now_ms)
+        self._router.count_bytes(member.id, len(job.body), now_ms)
         outcome: Outcome | None = None
         try:
             outcome = await self._send(job, n_lent, member)
         finally:
             level = outcome_level(outcome)
             self._router.done(member.id, level, self._clock.now_ms())
-            self._count_bytes(member.id, job.body, outcome)
+            self._count_answer(member.id, outcome)
         return outcome
 
-    def _count_bytes(
-        self, member_id: str, body: bytes, outcome: Outcome | None
-    ) -> None:
-        n_bytes = len(body)
+    def _count_answer(self, member_id: str, outcome: Outcome | None) -> None:
         if isinstance(outcome, Ok):
-            n_bytes += len(outcome.ok_value.body)
-        self._router.count_bytes(member_id, n_bytes, self._clock.now_ms())
+            n_bytes = len(outcome.ok_value.body)
+            self._router.count_bytes(member_id, n_bytes, self._clock.now_ms())
 
     async def _send(self, job: Job, n_lent: int, member: Member) -> Outcome:
         ended: asyncio.Future[Outcome] = asyncio.Future()
@@ -325,17 +336,6 @@
         )
 
 
-def _query(job: Job, progress: Progress) -> RouteQuery:
-    return RouteQuery(
-        job.attempt.service,
-        job.attempt.context.importance,
-        len(job.body),
-        progress.tried,
-        job.is_shed,
-        rank(FAR_PREFIX + job.attempt.context.request_id) if job.is_shed else 1.0,
-    )
-
-
 def _late(job: Job) -> Refusal:
     detail = "the deadline passed before any attempt"
     return _undelivered(job, deadline_exceeded(Ran.NOT_RUN, detail))
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -29,6 +29,7 @@
 from .entry import Entry, EntryLimits, entry_server
 from .executor import Announcement, Executor
 from .in_force import InForce
+from .link_grant_service import LinkGrantService
 from .link_pool import LinkPool
 from .membership_service import FleetAccess, MembershipService, running_membership
 from .metrics import Metrics, StatsdSender
@@ -128,6 +129,11 @@
             shedder,
             clock,
         )
+        self.link_grants = LinkGrantService(
+            self.members_by_id, place, self.router.budget, control, clock
+        )
+        self.link_grants.register(self.service)
+        self.dispatcher.link_room = self.link_grants
         self.handler.forward = self.dispatcher.forward
         self.handler.is_cut_off = lambda: self.membership.membership.is_cut_off
         self.organisations = self._organisations(stores)
@@ -245,6 +251,7 @@
         stack.callback(node.executor.close)
         stack.callback(node.handler.close)
         stack.callback(node.links.close)
+        stack.callback(node.link_grants.close)
         if node.organisations is not None:
             node.organisations.bind(node.ports.control)
             await stack.enter_async_context(running_organisations(node.organisations))
--- a/packages/node/ibisspoke_node/retry_rules.py
+++ b/packages/node/ibisspoke_node/retry_rules.py
@@ -5,12 +5,16 @@
 from result import Ok
 
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.early_shedding import rank
 from ibisspoke_policy.retry import N_REDIRECTS, Allowance, RetryBudgets, classify
+from ibisspoke_policy.routing import RouteQuery
 
 from .claims import is_keyed
 from .messages import Attempt, Outcome, Refused
 from .outcomes import is_out, may_ask_again
 
+FAR_PREFIX = "far/"
+
 
 class Job(NamedTuple):
     """What is sent, once or more often.
@@ -80,3 +84,16 @@
         if level is not None and level.shed > job.attempt.context.importance:
             return False
         return self._budgets.spend(job.attempt.service, self._clock.now_ms())
+
+
+def query_of(job: Job, progress: Progress) -> RouteQuery:
+    """Return what a router needs to know of the next attempt."""
+    context = job.attempt.context
+    return RouteQuery(
+        job.attempt.service,
+        context.importance,
+        len(job.body),
+        progress.tried,
+        job.is_shed,
+        rank(FAR_PREFIX + context.request_id) if job.is_shed else 1.0,
+    )
--- a/packages/policy/ibisspoke_policy/nearest_router.py
+++ b/packages/policy/ibisspoke_policy/nearest_router.py
@@ -78,6 +78,14 @@
         wait_ms = self.budget.wait_ms(query.n_bytes, now_ms)
         return wait_ms if wait_ms > 0 else None
 
+    def lacks_room(self, query: RouteQuery, now_ms: float) -> bool:
+        """Return whether only the link keeps the attempt from the other region."""
+        tiers = self._index.tiers(query.service)
+        if tiers is None or self._may_reach(Distance.OTHER_REGION, query, now_ms):
+            return False
+        far = tiers[Distance.OTHER_REGION]
+        return any(self._accepts(member, query, now_ms) for member in far)
+
     def shed_early(self, query: RouteQuery, now_ms: float) -> AdmissionLevel | None:
         """Return the level by which every node in reach would refuse, or None."""
         tiers = self._index.tiers(query.service)
--- a/packages/policy/ibisspoke_policy/routing.py
+++ b/packages/policy/ibisspoke_policy/routing.py
@@ -38,6 +38,12 @@
         :returns: None where the link is not what keeps the attempt from a node.
         """
 
+    def lacks_room(self, query: RouteQuery, now_ms: float) -> bool:
+        """Return whether a node in the other region would take the attempt now.
+
+        :returns: False where the link has room for it.
+        """
+
     def shed_early(self, query: RouteQuery, now_ms: float) -> AdmissionLevel | None:
         """Return the level by which every node in reach would refuse, or None."""
 
@@ -62,3 +68,10 @@
 
     def unanswered(self, member_id: str) -> None:
         """Note that a member left several calls in a row without an answer."""
+
+
+class LinkRoom(Protocol):
+    """Draw bytes on the link between regions."""
+
+    async def make_room(self, n_bytes: int, deadline_ms: float) -> bool:
+        """Return whether a body of ``n_bytes`` may cross before the deadline."""
--- /dev/null
+++ b/packages/policy/tests/test_link_grants.py
@@ -0,0 +1,166 @@
+"""Grants of bytes on the link: order, fairness and the rate that they keep."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ibisspoke_policy.granting_node import GrantingNode
+from ibisspoke_policy.link_budget import LinkBudget, LinkTraffic
+from ibisspoke_policy.link_grants import LinkAsk, LinkGranter
+from ibisspoke_policy.member import Member, MemberState, MemberTable
+from ibisspoke_policy.rendezvous import ranked
+
+LINK_BYTES_PER_S = 100_000.0
+MAX_BODY = 400_000
+
+
+def make_granter() -> LinkGranter:
+    return LinkGranter(0.0, LINK_BYTES_PER_S)
+
+
+def make_member(id: str, region: str = "svea", state=MemberState.ALIVE) -> Member:
+    place = (region, f"{region}-1", "10.0.0.1")
+    return Member(id, 1, *place, 1, 2, 3, "ordering", 8, False, state, 1)
+
+
+def test_a_new_granter_starts_empty_and_tells_when_to_come_again():
+    granter = make_granter()
+    refused = granter.ask(LinkAsk("a", 10_000, True), 0.0)
+    assert refused.n_bytes == 0
+    early = granter.ask(LinkAsk("a", 10_000, True), refused.retry_after_ms / 2)
+    assert early.n_bytes == 0
+    due = granter.ask(LinkAsk("a", 10_000, True), refused.retry_after_ms + 2.0)
+    assert due.n_bytes == 10_000
+
+
+def test_small_asks_go_before_large_ones():
+    granter = make_granter()
+    assert granter.ask(LinkAsk("large", 50_000, True), 0.0).n_bytes == 0
+    assert granter.ask(LinkAsk("small", 40_000, False), 0.0).n_bytes == 0
+    now_ms = 50_000 / granter.rate_per_s * 1000.0 + 1.0
+    assert granter.ask(LinkAsk("large", 50_000, True), now_ms).n_bytes == 0
+    assert granter.ask(LinkAsk("small", 40_000, False), now_ms).n_bytes == 40_000
+
+
+def test_an_ask_that_is_not_repeated_holds_nothing_back_for_long():
+    granter = make_granter()
+    gone = granter.ask(LinkAsk("gone", 60_000, False), 0.0)
+    now_ms = gone.retry_after_ms + 1.0
+    assert granter.ask(LinkAsk("a", 50_000, True), now_ms).n_bytes == 0
+    now_ms += 1_000.0
+    assert granter.ask(LinkAsk("a", 50_000, True), now_ms).n_bytes == 50_000
+
+
+@settings(max_examples=50, deadline=None)
+@given(
+    sizes=st.lists(st.integers(1_000, 100_000), min_size=2, max_size=6),
+    is_large=st.booleans(),
+)
+def test_nodes_that_always_ask_get_alike_whatever_their_sizes(sizes, is_large):
+    granter = make_granter()
+    got_by_node = dict.fromkeys(range(len(sizes)), 0)
+    due_by_node = dict.fromkeys(got_by_node, 0.0)
+    for step in range(2_000):
+        now_ms = step * 20.0
+        for node in got_by_node:
+            if due_by_node[node] > now_ms:
+                continue
+            grant = granter.ask(LinkAsk(str(node), sizes[node], is_large), now_ms)
+            got_by_node[node] += grant.n_bytes
+            due_by_node[node] = now_ms + grant.retry_after_ms
+    fair = granter.rate_per_s * 40.0 / len(sizes)
+    assert min(got_by_node.values()) >= fair * 0.8 - 2 * max(sizes)
+    assert sum(got_by_node.values()) >= granter.rate_per_s * 40.0 * 0.8
+
+
+@given(
+    asks=st.lists(
+        st.tuples(
+            st.sampled_from("abc"),
+            st.integers(1, MAX_BODY),
+            st.booleans(),
+            st.booleans(),
+        ),
+        min_size=1,
+        max_size=200,
+    ),
+    step_ms=st.floats(1.0, 2_000.0),
+)
+def test_grants_keep_the_rate_over_changes_of_the_granting_node(asks, step_ms):
+    """Each change restarts the next granter; none earns before it."""
+    granters = [make_granter(), make_granter()]
+    current = 0
+    n_granted = 0
+    now_ms = 0.0
+    for node_id, n_bytes, is_large, is_changed in asks:
+        now_ms += step_ms
+        if is_changed:
+            current = 1 - current
+            granters[current].restart(now_ms)
+        ask = LinkAsk(node_id, n_bytes, is_large)
+        n_granted += granters[current].ask(ask, now_ms).n_bytes
+    granter = granters[0]
+    overdraft = max(0.0, MAX_BODY - granter.burst)
+    assert n_granted <= granter.rate_per_s * now_ms / 1000.0 + 2 * overdraft + 1.0
+
+
+@given(
+    changes=st.lists(
+        st.tuples(st.sampled_from("abcdefgh"), st.sampled_from(MemberState)),
+        max_size=40,
+    )
+)
+def test_the_granting_node_is_the_first_present_one_of_the_region(changes):
+    members: MemberTable = MemberTable("members")
+    members.put("x", make_member("x", "south"))
+    granting = GrantingNode(members, "svea")
+    for id, state in changes:
+        members.put(id, make_member(id, state=state))
+        present = [
+            row.id for row in members.rows() if row.is_present and row.region == "svea"
+        ]
+        expected = ranked("link/svea", present)[0] if present else None
+        assert granting.member_id == expected
+
+
+@pytest.fixture
+def budget() -> LinkBudget:
+    budget = LinkBudget(3_300, 0.0)
+    budget.use_grants(lambda: None, 0.0)
+    return budget
+
+
+def test_a_large_body_needs_a_grant_of_its_size(budget: LinkBudget):
+    assert budget.allows(100, 0.0)
+    assert not budget.allows(8_000_000, 0.0)
+    budget.add_grant(budget.missing(8_000_000, 0.0), 4_000.0, 0.0)
+    assert budget.allows(8_000_000, 0.0)
+    assert not budget.allows(8_000_000, 4_000.0)
+
+
+def test_grants_pay_the_debt_that_an_answer_left(budget: LinkBudget):
+    budget.spend(LinkTraffic.CALLS, 1_000_000, 0.0)
+    assert not budget.allows(100, 0.0)
+    budget.add_grant(budget.missing(0, 0.0), 4_000.0, 0.0)
+    assert budget.allows(100, 0.0)
+    assert budget.missing(50_000, 0.0) >= 49_000
+
+
+def test_without_its_granting_node_a_node_has_its_fixed_share(budget: LinkBudget):
+    budget.is_cut_from_grants = True
+    assert budget.allows(8_000_000, 0.0)
+    budget.spend(LinkTraffic.CALLS, 8_000_000, 0.0)
+    assert not budget.allows(100, 0.0)
+    assert not budget.allows(100, 3_600_000.0)
+
+
+def test_asks_are_wanted_only_when_the_room_gets_low():
+    wants: list[str] = []
+    budget = LinkBudget(3_300, 0.0)
+    budget.use_grants(lambda: wants.append("want"), 0.0)
+    assert budget.allows(100, 0.0)
+    budget.spend(LinkTraffic.CALLS, 100, 0.0)
+    budget.spend(LinkTraffic.CONTROL, 1_000_000, 0.0)
+    assert wants == []
+    budget.spend(LinkTraffic.CALLS, 8_000, 0.0)
+    assert wants
