--- a/benchmarks/call_overhead.py
+++ b/benchmarks/call_overhead.py
@@ -276,6 +276,9 @@
     return {
         "frame_p50_ms": _ms(frame, 50),
         "frame_p99_ms": _ms(frame, 99),
+        "admission_limit_after": [
+            fleet.status(spec.id)["gauges"].get("admission.limit") for spec in SPECS
+        ],
         "parts": results,
     }
 
