Start a failed loop again instead of losing it

Cause: a fault in one tick ended the task of the loop without a word: admission, membership, configuration or quota of that node would have stood still. Change: all loops run under running_loops, which logs the fault and starts again.

--- a/packages/node/ibisspoke_node/config_sync.py
+++ b/packages/node/ibisspoke_node/config_sync.py
@@ -28,6 +28,7 @@
 
 from .config_state import ConfigState
 from .control import ControlError, ControlService, Method
+from .supervise import running_loops
 
 EXCHANGE = Method("ExchangeConfig", ConfigQuery, ConfigReply)
 N_POLLERS = 2
@@ -334,15 +335,10 @@
 ) -> AsyncIterator[ConfigSync]:
     """Boot, then poll and pull while the context is open."""
     await sync.boot(seeds)
-    loops = [
-        asyncio.ensure_future(sync.run_polls()),
-        asyncio.ensure_future(sync.run_pulls()),
-    ]
     try:
-        yield sync
+        async with running_loops(sync.run_polls, sync.run_pulls):
+            yield sync
     finally:
-        for loop in loops:
-            loop.cancel()
         sync.close()
 
 
--- a/packages/node/ibisspoke_node/in_force_report.py
+++ b/packages/node/ibisspoke_node/in_force_report.py
@@ -7,8 +7,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import Sequence
 from typing import Generic, Protocol, TypeVar
 
 import msgspec
@@ -154,13 +153,3 @@
             logger.warning("row is replaced", extra={"detail": record.err_value.detail})
             return 0
         return record.ok_value.version
-
-
-@asynccontextmanager
-async def running_reports(reporter: InForceReporter[P]) -> AsyncIterator[None]:
-    """Report while the context is open."""
-    running = asyncio.ensure_future(reporter.run())
-    try:
-        yield
-    finally:
-        running.cancel()
--- a/packages/node/ibisspoke_node/membership_service.py
+++ b/packages/node/ibisspoke_node/membership_service.py
@@ -29,6 +29,7 @@
 from .datagrams import Address, DatagramSocket, datagram_socket
 from .direct_check import check_directly, serve_checks
 from .member_rows import MemberRows
+from .supervise import running_loops
 from .view_exchange import ViewExchange
 
 TICK_MS = 100.0
@@ -283,16 +284,8 @@
     """
     async with datagram_socket(secrets, service.own.host, port) as (socket, bound):
         service.attach(socket, bound)
-        tasks = [
-            asyncio.ensure_future(service.run_ticks()),
-            asyncio.ensure_future(service.run_joining()),
-        ]
-        for task in tasks:
-            task.add_done_callback(_log_failure)
         try:
-            yield
+            async with running_loops(service.run_ticks, service.run_joining):
+                yield
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
             service.stop()
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -43,6 +43,7 @@
 from .server_link import link_server
 from .settings import NodeSettings
 from .status import status_server
+from .supervise import running_loops
 
 TICK_MS = 50
 METRICS_MS = 1_000
@@ -240,8 +241,7 @@
                 node.membership, settings.secrets, settings.membership_port
             )
         )
-        ticks = asyncio.ensure_future(node.run_ticks())
-        stack.callback(ticks.cancel)
+        await stack.enter_async_context(running_loops(node.run_ticks))
         stack.callback(node.executor.close)
         stack.callback(node.handler.close)
         stack.callback(node.links.close)
--- a/packages/node/ibisspoke_node/organisations.py
+++ b/packages/node/ibisspoke_node/organisations.py
@@ -17,11 +17,12 @@
 from .config_sync import ConfigSync, PeerAddress, SyncIdentity, running_config
 from .control import ControlClient, ControlService
 from .in_force import InForce
-from .in_force_report import InForceReporter, running_reports
+from .in_force_report import InForceReporter
 from .quota_service import QuotaService, running_quota
 from .settings import NodeSettings
 from .slot_holder import HolderIdentity, SlotHolder
 from .slot_store import SlotStore
+from .supervise import running_loops
 
 
 class PlatformStores(NamedTuple):
@@ -126,7 +127,7 @@
     async with (
         running_config(services.config, seeds),
         running_quota(services.quota),
-        running_reports(services.reporter),
+        running_loops(services.reporter.run),
     ):
         yield
 
--- a/packages/node/ibisspoke_node/quota_service.py
+++ b/packages/node/ibisspoke_node/quota_service.py
@@ -19,6 +19,7 @@
 from .control import ControlError, ControlService, Method
 from .slot_holder import SlotHolder
 from .slot_store import new_nonce
+from .supervise import running_loops
 
 DRAW = Method("Draw", DrawRequest, DrawReply)
 TICK_MS = 100.0
@@ -277,11 +278,10 @@
 @asynccontextmanager
 async def running_quota(service: QuotaService) -> AsyncIterator[QuotaService]:
     """Run ticks and leases while the context is open; hand slots back at the end."""
-    task = asyncio.ensure_future(service.run())
     try:
-        yield service
+        async with running_loops(service.run):
+            yield service
     finally:
-        task.cancel()
         with suppress(TimeoutError):
             async with asyncio.timeout(RELEASE_TIMEOUT_MS / 1000.0):
                 await service.holder.release()
