--- a/benchmarks/_control_fleet.py
+++ b/benchmarks/_control_fleet.py
@@ -24,6 +24,7 @@
 )
 from ibisspoke_node.settings import NodeSettings
 from ibisspoke_platform.config_store import ChangeNote, ConfigStore
+from ibisspoke_platform.http_store import HttpStore
 from ibisspoke_policy.catalogue import Catalogue
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.member import Member, MemberState, MemberTable
@@ -123,10 +124,13 @@
     stack: AsyncExitStack
 
 
+Store = MemoryStore | HttpStore
+
+
 class BenchFleet:
     """Nodes in this process, sharing a member table."""
 
-    def __init__(self, network: Network, store: MemoryStore) -> None:
+    def __init__(self, network: Network, store: Store) -> None:
         self.network = network
         self.store = store
         self.members: MemberTable = Table("members")
@@ -135,7 +139,7 @@
 
     async def add(self, spec: DataCentreSpec) -> BenchNode:
         """Start one node."""
-        number = len(self.members)
+        number = len(self.nodes)
         stack = AsyncExitStack()
         node_id = f"{spec.id}-{number}"
         settings = NodeSettings(node_id, spec.region, spec.id, HOST, "", SECRETS)
@@ -164,6 +168,25 @@
         self.nodes.remove(node)
         await node.stack.aclose()
 
+    def join(self, member: Member) -> None:
+        """Take in a node of another process."""
+        self.network.data_centre_by_port[member.control_port] = member.data_centre
+        self.members.put(member.id, member)
+
+    async def start(self, n_slots: int) -> None:
+        """Run all nodes of this process until they know ``n_slots`` held slots."""
+        starts = [
+            node.stack.enter_async_context(running_organisations(node.services))
+            for node in self.nodes
+        ]
+        await asyncio.gather(*starts)
+        await _slots_known(self, n_slots)
+
+    async def close(self) -> None:
+        """Stop all nodes of this process."""
+        for node in list(self.nodes):
+            await self.stop(node)
+
     async def publish(self, catalogue: Catalogue) -> int:
         """Accept ``catalogue`` as the next version."""
         config = ConfigStore(self.store, self.store, self.clock)
@@ -176,23 +199,17 @@
 async def running_fleet(
     specs: list[DataCentreSpec], network: Network, catalogue: Catalogue
 ) -> AsyncIterator[BenchFleet]:
-    """Run all nodes with ``catalogue`` in force and every slot held."""
+    """Run all nodes in this process with ``catalogue`` in force."""
     fleet = BenchFleet(network, MemoryStore())
     try:
         await fleet.publish(catalogue)
         for spec in specs:
             for _ in range(spec.n_nodes):
                 await fleet.add(spec)
-        starts = [
-            node.stack.enter_async_context(running_organisations(node.services))
-            for node in fleet.nodes
-        ]
-        await asyncio.gather(*starts)
-        await _slots_known(fleet, sum(catalogue.n_slots_by_data_centre.values()))
+        await fleet.start(sum(catalogue.n_slots_by_data_centre.values()))
         yield fleet
     finally:
-        for node in list(fleet.nodes):
-            await fleet.stop(node)
+        await fleet.close()
 
 
 async def _slots_known(fleet: BenchFleet, n_slots: int) -> None:
--- a/benchmarks/_rate_baselines.py
+++ b/benchmarks/_rate_baselines.py
@@ -1,64 +1,19 @@
 """Other ways to bound a rate, deciding on the same requests as the fleet."""
 
 from collections.abc import Mapping, Sequence
-from typing import Any, NamedTuple
+from typing import Any
+
+from _rate_load import Arrival, Site, full_bucket, ideal_admitted, over_admitted
 
-from ibisspoke_policy.quota import TokenBucket
 from ibisspoke_policy.quota_messages import Limit
 
 GOSSIP_PERIOD_MS = 200.0
-TOLERANCE = 1e-6
-
-
-class Site(NamedTuple):
-    """A site of today.
-
-    :param near_ms: round trip between data centres of one region.
-    :param far_ms: round trip between regions.
-    :param rates_per_s: of each organisation, as in the example catalogue.
-    :param bursts: of each organisation.
-    """
-
-    name: str
-    data_centres: tuple[str, ...]
-    regions: tuple[str, ...]
-    n_nodes_each: int
-    near_ms: float
-    far_ms: float
-    rates_per_s: tuple[float, ...]
-    bursts: tuple[float, ...]
-
-    @property
-    def limits(self) -> dict[str, Limit]:
-        """Limits by organisation."""
-        pairs = zip(self.rates_per_s, self.bursts, strict=True)
-        return {f"org-{n}": Limit(*pair) for n, pair in enumerate(pairs)}
-
-
-class Arrival(NamedTuple):
-    """One request."""
-
-    at_ms: float
-    organisation: str
-    node: int
-
-
-def ideal_admitted(
-    arrivals: Sequence[Arrival], limits: Mapping[str, Limit]
-) -> dict[str, int]:
-    """Return what one bucket for the whole fleet admits, by organisation."""
-    buckets = {name: _bucket(limit) for name, limit in limits.items()}
-    admitted = dict.fromkeys(limits, 0)
-    for arrival in arrivals:
-        taken = buckets[arrival.organisation].take(1.0, arrival.at_ms)
-        admitted[arrival.organisation] += taken
-    return admitted
 
 
 def baseline_results(site: Site, arrivals: Sequence[Arrival]) -> dict[str, Any]:
     """Return over-admission and wrongful refusals of each other way."""
     limits = site.limits
-    n_nodes = len(site.data_centres) * site.n_nodes_each
+    n_nodes = site.n_nodes
     return {
         "static_split": _outcome(
             _static_split(arrivals, limits, n_nodes), arrivals, limits
@@ -80,24 +35,20 @@
 ) -> dict[str, float]:
     ideal = ideal_admitted(arrivals, limits)
     missing = sum(max(0, ideal[name] - len(admitted[name])) for name in limits)
-    over = sum(_over(admitted[name], limits[name]) for name in limits)
+    over = sum(over_admitted(admitted[name], limits[name]) for name in limits)
     return {
         "over_admitted": over,
         "wrongful_refusal_share": missing / sum(ideal.values()),
     }
 
 
-def _over(admitted_ms: list[float], limit: Limit) -> int:
-    burst = limit.burst + TOLERANCE
-    bucket = TokenBucket(limit.rate_per_s, burst, 0.0, burst)
-    return sum(not bucket.take(1.0 - TOLERANCE, at) for at in admitted_ms)
-
-
 def _static_split(
     arrivals: Sequence[Arrival], limits: Mapping[str, Limit], n_nodes: int
 ) -> dict[str, list[float]]:
     buckets = {
-        (name, node): _bucket(Limit(limit.rate_per_s / n_nodes, limit.burst / n_nodes))
+        (name, node): full_bucket(
+            Limit(limit.rate_per_s / n_nodes, limit.burst / n_nodes)
+        )
         for name, limit in limits.items()
         for node in range(n_nodes)
     }
@@ -112,7 +63,7 @@
 def _central_counter(
     arrivals: Sequence[Arrival], limits: Mapping[str, Limit]
 ) -> dict[str, list[float]]:
-    buckets = {name: _bucket(limit) for name, limit in limits.items()}
+    buckets = {name: full_bucket(limit) for name, limit in limits.items()}
     admitted: dict[str, list[float]] = {name: [] for name in limits}
     for arrival in arrivals:
         if buckets[arrival.organisation].take(1.0, arrival.at_ms):
@@ -128,7 +79,7 @@
 ) -> dict[str, list[float]]:
     """Each node runs a whole bucket and charges it for what others tell it later."""
     buckets = {
-        (name, node): _bucket(limit)
+        (name, node): full_bucket(limit)
         for name, limit in limits.items()
         for node in range(n_nodes)
     }
@@ -150,7 +101,3 @@
             heard_ms = period * GOSSIP_PERIOD_MS + delay_ms / 2.0
             told.append((heard_ms, arrival.organisation, arrival.node))
     return admitted
-
-
-def _bucket(limit: Limit) -> TokenBucket:
-    return TokenBucket(limit.rate_per_s, limit.burst, 0.0, limit.burst)
--- /dev/null
+++ b/benchmarks/_rate_process.py
@@ -0,0 +1,213 @@
+"""Nodes of one data centre for benchmarks/rate.py: commands in, JSON lines out."""
+
+import asyncio
+import sys
+import time
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from typing import Any, NamedTuple
+
+import msgspec
+from _control_fleet import BenchFleet, BenchNode, DataCentreSpec, Network
+from _rate_load import SITES, Arrival, arrivals_of
+
+from ibisspoke_platform.http_store import HttpStore
+from ibisspoke_policy.member import Member
+from ibisspoke_standins.memory_store import Fault, FaultKind, MemoryStore
+from ibisspoke_standins.platform import serve_platform
+
+DEADLINE_MS = 500.0
+DRAIN_MS = 1_000.0
+
+
+class SiteRun(NamedTuple):
+    """One run of a site.
+
+    :param number: of the data centre whose nodes this process runs.
+    :param platform_url: empty where this process serves the platform.
+    """
+
+    site: str
+    duration_s: float
+    overloaded: bool
+    with_faults: bool
+    number: int
+    platform_url: str
+
+
+class Start(NamedTuple):
+    """Command to begin; times are monotonic milliseconds of this machine."""
+
+    members: list[Member]
+    start_ms: float
+
+
+class Measured(NamedTuple):
+    """What the nodes of one process measured."""
+
+    admitted_by_organisation: dict[str, list[float]]
+    waits_ms: list[float]
+    n_bytes: int
+    n_calls: int
+    cpu_share: float
+
+
+class Load:
+    """Send the requests of this data centre at their times."""
+
+    def __init__(self, fleet: BenchFleet, run: SiteRun) -> None:
+        self._fleet = fleet
+        self._run = run
+        self._nodes: list[BenchNode] = list(fleet.nodes)
+        self._waits: set[asyncio.Task[None]] = set()
+        self.admitted_by_organisation: dict[str, list[float]] = {}
+        self.waits_ms: list[float] = []
+
+    async def send(self, start_ms: float) -> None:
+        """Send all requests and wait for those that ask elsewhere."""
+        clock = self._fleet.clock
+        for arrival in self._arrivals():
+            due_ms = start_ms + arrival.at_ms
+            while (now_ms := clock.now_ms()) < due_ms:
+                await asyncio.sleep((due_ms - now_ms) / 1000.0)
+            self._take(arrival, start_ms)
+        await asyncio.gather(*self._waits)
+
+    def _arrivals(self) -> Sequence[Arrival]:
+        run = self._run
+        site = SITES[run.site]
+        first = run.number * site.n_nodes_each
+        arrivals = arrivals_of(site, run.duration_s, run.overloaded)
+        return [
+            arrival._replace(node=arrival.node - first)
+            for arrival in arrivals
+            if 0 <= arrival.node - first < site.n_nodes_each
+        ]
+
+    def _take(self, arrival: Arrival, start_ms: float) -> None:
+        node = self._nodes[arrival.node]
+        if node not in self._fleet.nodes:
+            node = self._fleet.nodes[0]
+        quota = node.services.quota
+        now_ms = self._fleet.clock.now_ms()
+        decision = quota.take(arrival.organisation, now_ms)
+        if decision.granted:
+            self._admit(arrival.organisation, now_ms - start_ms)
+        elif decision.ask_elsewhere:
+            wait = asyncio.ensure_future(self._acquire(quota, arrival, start_ms))
+            self._waits.add(wait)
+            wait.add_done_callback(self._waits.discard)
+
+    async def _acquire(self, quota: Any, arrival: Arrival, start_ms: float) -> None:
+        clock = self._fleet.clock
+        asked_ms = clock.now_ms()
+        organisation = arrival.organisation
+        decision = await quota.acquire(organisation, asked_ms + DEADLINE_MS)
+        now_ms = clock.now_ms()
+        self.waits_ms.append(now_ms - asked_ms)
+        if decision.granted:
+            self._admit(organisation, now_ms - start_ms)
+
+    def _admit(self, organisation: str, at_ms: float) -> None:
+        self.admitted_by_organisation.setdefault(organisation, []).append(at_ms)
+
+
+async def bring_faults_about(fleet: BenchFleet, run: SiteRun) -> None:
+    """Cut a data centre off, stop the platform and a holder, change a rate."""
+    first = SITES[run.site].data_centres[0]
+    if run.number == 0 and isinstance(fleet.store, MemoryStore):
+        fleet.store.inject(Fault(FaultKind.DOWN, for_ms=2_000.0))
+    await asyncio.sleep(0.5)
+    fleet.network.cut.add(first)
+    await asyncio.sleep(1.5)
+    fleet.network.cut.clear()
+    await asyncio.sleep(0.5)
+    if run.number == 0:
+        await _change_rate(fleet)
+    if run.number == 1:
+        await _stop_a_holder(fleet)
+
+
+async def _change_rate(fleet: BenchFleet) -> None:
+    catalogue = fleet.nodes[0].in_force.catalogue
+    organisations = catalogue.organisations_by_id
+    row = organisations["org-1"]
+    lowered = row._replace(rate_per_s=row.rate_per_s / 2.0, burst=row.burst / 2.0)
+    changed = {**organisations, "org-1": lowered}
+    await fleet.publish(catalogue._replace(organisations_by_id=changed))
+    await asyncio.sleep(1.0)
+    await fleet.publish(catalogue)
+
+
+async def _stop_a_holder(fleet: BenchFleet) -> None:
+    holders = [node for node in fleet.nodes if node.services.quota.holder.slots]
+    await fleet.stop(holders[0])
+    for node in fleet.nodes:
+        node.services.quota.holder.watch_soon()
+
+
+async def run_process(run: SiteRun) -> None:
+    """Start the nodes, wait for the command to begin, and print what was measured."""
+    site = SITES[run.site]
+    async with AsyncExitStack() as stack:
+        memory = MemoryStore()
+        store: MemoryStore | HttpStore = memory
+        url = run.platform_url
+        if url:
+            store = HttpStore(url)
+        else:
+            port = await stack.enter_async_context(serve_platform(memory))
+            url = f"http://127.0.0.1:{port}"
+        network = Network(site.region_by_data_centre, site.near_ms, site.far_ms)
+        fleet = BenchFleet(network, store)
+        stack.push_async_callback(fleet.close)
+        if run.number == 0:
+            await fleet.publish(site.catalogue)
+        name = site.data_centres[run.number]
+        spec = DataCentreSpec(name, site.regions[run.number], site.n_nodes_each)
+        for _ in range(site.n_nodes_each):
+            await fleet.add(spec)
+        _print({"members": fleet.members.rows(), "platform_url": url})
+        for member in await _command(list[Member]):
+            fleet.join(member)
+        await fleet.start(sum(site.catalogue.n_slots_by_data_centre.values()))
+        _print("ready")
+        start_ms = await _command(float)
+        _print(await _measure(fleet, run, start_ms))
+        await _command(str)
+
+
+async def _measure(fleet: BenchFleet, run: SiteRun, start_ms: float) -> Measured:
+    load = Load(fleet, run)
+    network = fleet.network
+    await asyncio.sleep(max(0.0, start_ms - fleet.clock.now_ms()) / 1000.0)
+    loop = asyncio.get_running_loop()
+    cpu_s, began_s = _cpu_s(), loop.time()
+    network.n_calls = 0
+    with network.counting_bytes():
+        work = [load.send(start_ms)]
+        if run.with_faults:
+            work.append(bring_faults_about(fleet, run))
+        await asyncio.gather(*work)
+    share = (_cpu_s() - cpu_s) / (loop.time() - began_s)
+    admitted = load.admitted_by_organisation
+    return Measured(admitted, load.waits_ms, network.n_bytes, network.n_calls, share)
+
+
+def _cpu_s() -> float:
+
+    return time.process_time()
+
+
+async def _command(kind: Any) -> Any:
+    loop = asyncio.get_running_loop()
+    line = await loop.run_in_executor(None, sys.stdin.readline)
+    return msgspec.json.decode(line, type=kind)
+
+
+def _print(message: Any) -> None:
+    print(msgspec.json.encode(message).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(run_process(msgspec.json.decode(sys.argv[1], type=SiteRun)))
--- a/benchmarks/rate.py
+++ b/benchmarks/rate.py
@@ -1,57 +1,48 @@
 """Rate of organisations over a whole fleet: exactness, refusals, cost.
 
-Both sites run with real control connections on loopback. Every run is compared with
-one bucket for the whole fleet that sees each request at once. Static split, central
+Both sites run with one process for each data centre and real control connections on
+loopback, delayed as between the sites' data centres. Every run is compared with one
+bucket for the whole fleet that sees each request at once. Static split, central
 counter and gossip of counts decide on the same requests.
 """
 
 import argparse
-import asyncio
 import json
-import random
 import time
 from collections.abc import Callable, Sequence
+from contextlib import ExitStack
 from typing import Any, NamedTuple
 
-from _control_fleet import BenchFleet, DataCentreSpec, Network, running_fleet
-from _rate_baselines import Arrival, Site, baseline_results, ideal_admitted
+import msgspec
+from _harness import Child, child
+from _rate_baselines import baseline_results
+from _rate_load import (
+    HARMATTAN,
+    LOCKBACKEN,
+    Arrival,
+    Site,
+    arrivals_of,
+    ideal_admitted,
+    over_admitted,
+)
+from _rate_process import Measured, SiteRun
 
-from ibisspoke_policy.catalogue import EMPTY_CATALOGUE, Catalogue, Organisation
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.local_tokens import LocalTokens
+from ibisspoke_policy.member import Member
 from ibisspoke_policy.quota import TokenBucket
 from ibisspoke_policy.quota_messages import DrawReply, Limit, SlotId, TokenGrant
-from ibisspoke_standins.memory_store import Fault, FaultKind
 
-N_SLOTS = 2
-DEADLINE_MS = 500.0
-WARM_UP_S = 1.5
 N_TAKES = 100_000
-TOLERANCE = 1e-6
-UTILISATION = 0.85
-OVERLOAD = 6.0
-FAVOURITE_SHARE = 0.7
-
-LOCKBACKEN = Site(
-    "lockbacken",
-    ("svea-1", "svea-2", "gota-1", "gota-2"),
-    ("svealand", "svealand", "gotaland", "gotaland"),
-    4,
-    2.0,
-    40.0,
-    (800.0, 600.0, 400.0, 80.0, 80.0, 60.0, 30.0, 20.0),
-    (400.0, 300.0, 200.0, 60.0, 60.0, 40.0, 30.0, 10.0),
-)
-HARMATTAN = Site(
-    "harmattan",
-    ("lagos-1", "lagos-2", "abuja-1", "abuja-2"),
-    ("lagos", "lagos", "abuja", "abuja"),
-    4,
-    3.0,
-    40.0,
-    (900.0, 700.0, 300.0, 80.0, 60.0, 60.0, 30.0, 20.0),
-    (500.0, 400.0, 200.0, 60.0, 40.0, 60.0, 20.0, 10.0),
-)
+LEAD_MS = 500.0
+QUICK_S = 4.5
+FULL_S = 30.0
+
+RUNS: dict[str, tuple[bool, bool]] = {
+    "skewed": (False, False),
+    "overload": (True, False),
+    "faults": (True, True),
+}
 
 
 class RunResult(NamedTuple):
@@ -59,6 +50,8 @@
 
     :param wrongful_refusal_share: requests refused although one bucket for the whole
         fleet had a token, by number, as a share of those it admits.
+    :param worst_organisation_share: what the worst-served organisation got of what
+        one bucket admits.
     """
 
     over_admitted: int
@@ -66,194 +59,94 @@
     worst_organisation_share: float
     n_requests: int
     n_admitted: int
-    acquire_p99_ms: float
+    n_asked_elsewhere: int
+    ask_p50_ms: float
+    ask_p99_ms: float
     control_bytes_per_s: float
     control_calls_per_s: float
-
-
-class Recorder:
-    """Admissions of one run."""
-
-    def __init__(self) -> None:
-        self.admitted_by_organisation: dict[str, list[float]] = {}
-        self.waits_ms: list[float] = []
-
-    def admit(self, organisation: str, at_ms: float) -> None:
-        """Note one admission."""
-        self.admitted_by_organisation.setdefault(organisation, []).append(at_ms)
-
-
-def catalogue_of(site: Site) -> Catalogue:
-    """Return the organisations of a site."""
-    organisations = [
-        Organisation(name, limit.rate_per_s, limit.burst)
-        for name, limit in site.limits.items()
-    ]
-    return EMPTY_CATALOGUE._replace(
-        organisations_by_id={row.id: row for row in organisations},
-        n_slots_by_data_centre=dict.fromkeys(site.data_centres, N_SLOTS),
-    )
-
-
-def arrivals_of(site: Site, duration_s: float, overloaded: bool) -> list[Arrival]:
-    """Return Poisson arrivals; most of an organisation's enter at one node."""
-    rng = random.Random(7)
-    n_nodes = len(site.data_centres) * site.n_nodes_each
-    arrivals = []
-    for number, rate in enumerate(site.rates_per_s):
-        is_overloaded = overloaded and number == 0
-        offered = rate * (OVERLOAD if is_overloaded else UTILISATION)
-        favourite = rng.randrange(n_nodes)
-        at_s = rng.expovariate(offered)
-        while at_s < duration_s:
-            near = rng.random() < FAVOURITE_SHARE
-            node = favourite if near else rng.randrange(n_nodes)
-            arrivals.append(Arrival(at_s * 1000.0, f"org-{number}", node))
-            at_s += rng.expovariate(offered)
-    return sorted(arrivals)
-
-
-async def run_arrivals(
-    fleet: BenchFleet, arrivals: Sequence[Arrival], faults: Sequence[Any]
-) -> Recorder:
-    """Send the requests at their times, and bring the faults about."""
-    recorder = Recorder()
-    nodes = list(fleet.nodes)
-    start_ms = fleet.clock.now_ms()
-    waits: set[asyncio.Task[None]] = set()
-    fault_tasks = [asyncio.ensure_future(fault(fleet)) for fault in faults]
-    for arrival in arrivals:
-        due_ms = start_ms + arrival.at_ms
-        while fleet.clock.now_ms() < due_ms:
-            await asyncio.sleep(max(0.0, due_ms - fleet.clock.now_ms()) / 1000.0)
-        node = nodes[arrival.node]
-        if node not in fleet.nodes:
-            node = next(n for n in fleet.nodes if n.data_centre == node.data_centre)
-        quota = node.services.quota
-        now_ms = fleet.clock.now_ms()
-        decision = quota.take(arrival.organisation, now_ms)
-        if decision.granted:
-            recorder.admit(arrival.organisation, now_ms)
-        elif decision.ask_elsewhere:
-            wait = _acquire(fleet.clock, quota, arrival.organisation, recorder)
-            task = asyncio.ensure_future(wait)
-            waits.add(task)
-            task.add_done_callback(waits.discard)
-    await asyncio.gather(*waits, *fault_tasks)
-    return recorder
-
-
-async def _acquire(
-    clock: Clock, quota: Any, organisation: str, recorder: Recorder
-) -> None:
-    asked_ms = clock.now_ms()
-    decision = await quota.acquire(organisation, asked_ms + DEADLINE_MS)
-    now_ms = clock.now_ms()
-    recorder.waits_ms.append(now_ms - asked_ms)
-    if decision.granted:
-        recorder.admit(organisation, now_ms)
-
-
-def over_admitted(admitted_ms: list[float], limit: Limit) -> int:
-    """Return by how many requests some window exceeded burst + rate x window."""
-    burst = limit.burst + TOLERANCE
-    bucket = TokenBucket(limit.rate_per_s, burst, 0.0, burst)
-    return sum(not bucket.take(1.0 - TOLERANCE, at) for at in sorted(admitted_ms))
+    cpu_share_of_a_process: float
+    missing_by_organisation: dict[str, int]
+
+
+def run_processes(site: Site, run: SiteRun) -> list[Measured]:
+    """Run the nodes of each data centre in a process, all at the same time."""
+    with ExitStack() as stack:
+        children: list[Child] = []
+        for number in range(len(site.data_centres)):
+            url = children[0].ready["platform_url"] if children else ""
+            spec = run._replace(number=number, platform_url=url)
+            argument = msgspec.json.encode(spec).decode()
+            children.append(stack.enter_context(child("_rate_process.py", argument)))
+        members = [
+            msgspec.convert(row, Member)
+            for process in children
+            for row in process.ready["members"]
+        ]
+        _tell_all(children, members)
+        _tell_all(children, time.monotonic() * 1000.0 + LEAD_MS)
+        return [msgspec.convert(reply, Measured) for reply in _replies(children)]
+
+
+def _tell_all(children: Sequence[Child], command: Any) -> None:
+    for process in children:
+        assert process.process.stdin is not None
+        process.process.stdin.write(msgspec.json.encode(command).decode() + "\n")
+        process.process.stdin.flush()
+    if isinstance(command, list):
+        _replies(children)
+
+
+def _replies(children: Sequence[Child]) -> list[Any]:
+    replies = []
+    for process in children:
+        assert process.process.stdout is not None
+        replies.append(json.loads(process.process.stdout.readline()))
+    return replies
 
 
 def result_of(
     site: Site,
     arrivals: Sequence[Arrival],
-    recorder: Recorder,
-    network: Network,
+    measured: Sequence[Measured],
     duration_s: float,
 ) -> RunResult:
     """Compare a run with one bucket for the whole fleet."""
-    limits = site.limits
-    ideal = ideal_admitted(arrivals, limits)
-    admitted = recorder.admitted_by_organisation
-    ours = {name: len(admitted.get(name, [])) for name in limits}
-    missing = sum(max(0, ideal[name] - ours[name]) for name in limits)
-    over = sum(over_admitted(admitted.get(name, []), limits[name]) for name in limits)
-    waits = sorted(recorder.waits_ms) or [0.0]
-    n_nodes = len(site.data_centres) * site.n_nodes_each
+    ideal = ideal_admitted(arrivals, site.limits)
+    admitted: dict[str, list[float]] = {name: [] for name in site.limits}
+    for part in measured:
+        for name, times in part.admitted_by_organisation.items():
+            admitted[name].extend(times)
+    missing = {name: max(0, ideal[name] - len(admitted[name])) for name in site.limits}
+    over = sum(
+        over_admitted(admitted[name], limit) for name, limit in site.limits.items()
+    )
+    waits = sorted(wait for part in measured for wait in part.waits_ms) or [0.0]
+    node_seconds = site.n_nodes * duration_s
     return RunResult(
         over,
-        missing / sum(ideal.values()),
-        min(ours[name] / ideal[name] for name in limits),
+        sum(missing.values()) / sum(ideal.values()),
+        min(len(admitted[name]) / ideal[name] for name in site.limits),
         len(arrivals),
-        sum(ours.values()),
+        sum(map(len, admitted.values())),
+        len(waits),
+        round(waits[len(waits) // 2], 1),
         round(waits[int(len(waits) * 0.99)], 1),
-        round(network.n_bytes / duration_s / n_nodes, 1),
-        round(network.n_calls / duration_s / n_nodes, 2),
+        round(sum(part.n_bytes for part in measured) / node_seconds, 1),
+        round(sum(part.n_calls for part in measured) / node_seconds, 2),
+        round(max(part.cpu_share for part in measured), 2),
+        {name: n for name, n in missing.items() if n},
     )
 
 
-async def cut_off_one_data_centre(fleet: BenchFleet) -> None:
-    """Cut one data centre off from all others for a while."""
-    await asyncio.sleep(0.5)
-    fleet.network.cut.add(fleet.nodes[0].data_centre)
-    await asyncio.sleep(2.0)
-    fleet.network.cut.clear()
-
-
-async def platform_down(fleet: BenchFleet) -> None:
-    """Take the platform down for a while."""
-    fleet.store.inject(Fault(FaultKind.DOWN, for_ms=2_000.0))
-
-
-async def stop_a_holder(fleet: BenchFleet) -> None:
-    """Stop a node that holds a slot, as planned."""
-    await asyncio.sleep(3.0)
-    holder = next(n for n in fleet.nodes if n.services.quota.holder.slots)
-    await fleet.stop(holder)
-    for node in fleet.nodes:
-        node.services.quota.holder.watch_soon()
-
-
-async def change_rates(fleet: BenchFleet) -> None:
-    """Lower the rate of one organisation and raise it again, under load."""
-    await asyncio.sleep(2.5)
-    catalogue = fleet.nodes[0].in_force.catalogue
-    organisations = catalogue.organisations_by_id
-    row = organisations["org-1"]
-    lowered = row._replace(rate_per_s=row.rate_per_s / 2.0, burst=row.burst / 2.0)
-    changed = {**organisations, "org-1": lowered}
-    await fleet.publish(catalogue._replace(organisations_by_id=changed))
-    await asyncio.sleep(1.0)
-    await fleet.publish(catalogue)
-
-
-RUNS: dict[str, tuple[bool, tuple[Callable[[BenchFleet], Any], ...]]] = {
-    "skewed": (False, ()),
-    "overload": (True, ()),
-    "faults": (
-        True,
-        (cut_off_one_data_centre, platform_down, stop_a_holder, change_rates),
-    ),
-}
-
-
-async def run_site(site: Site, duration_s: float) -> dict[str, Any]:
+def run_site(site: Site, duration_s: float) -> dict[str, Any]:
     """Run one site: skewed entries, one organisation at six times, and faults."""
-    regions = dict(zip(site.data_centres, site.regions, strict=True))
-    specs = [
-        DataCentreSpec(name, region, site.n_nodes_each)
-        for name, region in regions.items()
-    ]
     results: dict[str, Any] = {}
-    for name, (overloaded, faults) in RUNS.items():
-        network = Network(regions, site.near_ms, site.far_ms)
-        async with running_fleet(specs, network, catalogue_of(site)) as fleet:
-            arrivals = arrivals_of(site, duration_s, overloaded)
-            with network.counting_bytes():
-                network.n_calls = 0
-                recorder = await run_arrivals(fleet, arrivals, faults)
-        result = result_of(site, arrivals, recorder, network, duration_s)
-        results[name] = {
-            **result._asdict(),
-            "baselines": baseline_results(site, arrivals),
-        }
+    for name, (overloaded, with_faults) in RUNS.items():
+        arrivals = arrivals_of(site, duration_s, overloaded)
+        run = SiteRun(site.name, duration_s, overloaded, with_faults, 0, "")
+        result = result_of(site, arrivals, run_processes(site, run), duration_s)
+        baselines = baseline_results(site, arrivals)
+        results[name] = {**result._asdict(), "baselines": baselines}
     return results
 
 
@@ -263,7 +156,7 @@
     tokens.configure({"svea": Limit(1e9, 1e9)})
     slot = SlotId("svea-1", 0)
     request = tokens.request(slot, [])
-    grants = [TokenGrant("svea", 1e9, False, 1e9, 0.0)]
+    grants = [TokenGrant("svea", 1e9, False, 1e9, 0.0, 0.0)]
     tokens.absorb(slot, DrawReply(request.sequence, True, grants), 0.0)
     bucket = TokenBucket(1e9, 1e9, 0.0, 1e9)
     ours = _time_ns(lambda: tokens.take("svea", 1.0))
@@ -281,11 +174,9 @@
     return round(best, 1)
 
 
-async def measure(duration_s: float) -> dict[str, Any]:
+def measure(duration_s: float) -> dict[str, Any]:
     """Run both sites and summarise."""
-    sites = {
-        site.name: await run_site(site, duration_s) for site in (LOCKBACKEN, HARMATTAN)
-    }
+    sites = {site.name: run_site(site, duration_s) for site in (LOCKBACKEN, HARMATTAN)}
     fair = [runs[name] for runs in sites.values() for name in ("skewed", "overload")]
     runs = [run for site in sites.values() for run in site.values()]
     static = [run["baselines"]["static_split"] for run in fair]
@@ -312,8 +203,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true", help="run under a minute")
     arguments = parser.parse_args()
-    duration_s = 5.0 if arguments.quick else 30.0
-    print(json.dumps(asyncio.run(measure(duration_s))))
+    print(json.dumps(measure(QUICK_S if arguments.quick else FULL_S)))
 
 
 if __name__ == "__main__":
--- a/packages/node/ibisspoke_node/quota_service.py
+++ b/packages/node/ibisspoke_node/quota_service.py
@@ -4,12 +4,13 @@
 import logging
 from collections.abc import AsyncIterator, Collection
 from contextlib import asynccontextmanager, suppress
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from result import Err, Result
 
 from ibisspoke_policy.catalogue import Catalogue
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.local_account import SlotDistance
 from ibisspoke_policy.local_tokens import GRANTED, LocalTokens
 from ibisspoke_policy.quota import QuotaDecision
 from ibisspoke_policy.quota_messages import DrawReply, DrawRequest, SlotId
@@ -19,6 +20,7 @@
 from .control import ControlError, ControlService, Method
 from .slot_holder import SlotHolder
 from .slot_store import new_nonce
+from .token_queue import TokenQueue
 
 DRAW = Method("Draw", DrawRequest, DrawReply)
 TICK_MS = 100.0
@@ -26,7 +28,10 @@
 NEAR_TIMEOUT_MS = 250.0
 FAR_TIMEOUT_MS = 500.0
 UNREACHABLE_MS = 1_000.0
-CLOSE_ROUND_TRIP_MS = 10.0
+UNKNOWN_ROUND_TRIP_MS = 10.0
+ROUND_TRIP_OF_FULL_SLOT_MS = 50.0
+N_SINGLE_ASKS = 2
+MAX_ROUND_WAIT_MS = 25.0
 MIN_LIFETIME_MS = 50.0
 ROUND_TRIP_WEIGHT = 0.2
 RELEASE_TIMEOUT_MS = 3_000.0
@@ -48,6 +53,13 @@
         """Send ``request`` and wait for its reply."""
 
 
+class _Batch(NamedTuple):
+    """Organisations for which the next message to a slot draws."""
+
+    organisations: set[str]
+    task: asyncio.Task[None]
+
+
 class QuotaService:
     """Spend tokens of this node, and draw more from the holders of slots.
 
@@ -66,9 +78,10 @@
         requester = f"{identity.node_id}-{new_nonce()}"
         self.tokens = LocalTokens(requester, clock, self)
         self._locks_by_slot: dict[SlotId, asyncio.Lock] = {}
-        self._locks_by_organisation: dict[str, asyncio.Lock] = {}
+        self._queues_by_organisation: dict[str, TokenQueue] = {}
         self._round_trip_by_data_centre: dict[str, float] = {}
         self._avoid_until_by_slot: dict[SlotId, float] = {}
+        self._batches_by_slot: dict[SlotId, _Batch] = {}
         self._draws: set[asyncio.Task[None]] = set()
         self.n_messages = 0
 
@@ -111,17 +124,10 @@
         return self.tokens.tokens(organisation) > before
 
     async def acquire(self, organisation: str, deadline_ms: float) -> QuotaDecision:
-        """Ask the holders of this data centre, then all others, for one token.
-
-        Requests of one organisation share a round of questions.
-        """
-        self.tokens.wait(organisation, 1)
-        try:
-            granted = await self._ask_in_turn(organisation, deadline_ms)
-        finally:
-            self.tokens.wait(organisation, -1)
-        self._give_back(organisation)
-        if granted:
+        """Ask the holders of slots, nearest and fullest first, for one token."""
+        remaining_ms = deadline_ms - self._clock.now_ms()
+        queue = self._queue(organisation)
+        if await queue.wait(max(0.0, remaining_ms)):
             return GRANTED
         wait_ms = self.tokens.refused_ms(organisation, self._clock.now_ms())
         return QuotaDecision(False, False, int(wait_ms) + 1)
@@ -130,11 +136,9 @@
         """Draw ahead of need and give surplus back."""
         now_ms = self._clock.now_ms()
         self.tokens.measure(now_ms)
-        slots = self._slots_by_distance()
-        able = [slot for slot in slots if self._may_ask(slot, now_ms)]
+        able = [row for row in self._distances() if self._may_ask(row.slot, now_ms)]
         for slot, organisations in self.tokens.plan(able, now_ms).items():
-            if not self._lock(slot).locked():
-                self._start_draw(slot, organisations)
+            self._start_draw(slot, organisations)
 
     async def run(self) -> None:
         """Run ticks and lease steps, until cancelled."""
@@ -155,91 +159,107 @@
         except Exception:
             logger.exception("lease step failed")
 
+    def _queue(self, organisation: str) -> TokenQueue:
+        queue = self._queues_by_organisation.get(organisation)
+        if queue is None:
+            queue = TokenQueue(
+                organisation,
+                self.tokens,
+                self._ask_round,
+                self._refuse,
+                self._give_back,
+            )
+            self._queues_by_organisation[organisation] = queue
+        return queue
+
+    async def _ask_round(self, organisation: str) -> AsyncIterator[None]:
+        """Ask one slot after the other, then all the rest at once."""
+        now_ms = self._clock.now_ms()
+        distances = self._distances()
+        slots = self.tokens.order(organisation, distances, now_ms)
+        able = [
+            slot
+            for slot in slots
+            if self._may_ask(slot, now_ms)
+            and self.tokens.may_have(organisation, slot, now_ms)
+        ]
+        if not able:
+            wait_ms = self.tokens.expected_ms(organisation, slots, now_ms)
+            await asyncio.sleep(min(MAX_ROUND_WAIT_MS, wait_ms) / 1000.0)
+            yield
+            return
+        for slot in able[:N_SINGLE_ASKS]:
+            await self._draw_next(slot, [organisation])
+            yield
+        rest = able[N_SINGLE_ASKS:]
+        await asyncio.gather(*(self._draw_next(slot, [organisation]) for slot in rest))
+        yield
+
+    def _refuse(self, organisation: str) -> None:
+        slots = self.directory.preferred(self._data_centre, self._name)
+        self.tokens.refuse(organisation, slots, self._clock.now_ms())
+
     def _give_back(self, organisation: str) -> None:
         for slot in self.tokens.surplus_slots(organisation):
             self._start_draw(slot, [organisation])
 
     def _start_draw(self, slot: SlotId, organisations: list[str]) -> None:
-        draw = asyncio.ensure_future(self._draw_ahead(slot, organisations))
+        draw = asyncio.ensure_future(self._draw_next(slot, organisations))
         self._draws.add(draw)
         draw.add_done_callback(self._draws.discard)
 
-    async def _ask_in_turn(self, organisation: str, deadline_ms: float) -> bool:
-        lock = self._lock_of_organisation(organisation)
-        try:
-            async with asyncio.timeout(self._remaining_s(deadline_ms)):
-                async with lock:
-                    if self.tokens.retake(organisation):
-                        return True
-                    now_ms = self._clock.now_ms()
-                    if self.tokens.refused_ms(organisation, now_ms) > 0.0:
-                        return False
-                    return await self._ask_all(organisation, deadline_ms)
-        except TimeoutError:
-            return self.tokens.retake(organisation)
-
-    async def _ask_all(self, organisation: str, deadline_ms: float) -> bool:
-        slots = self._slots_by_distance()
-        n_single = sum(self._is_close(slot) for slot in slots) + 1
-        groups = [[slot] for slot in slots[:n_single]] + [slots[n_single:]]
-        for group in groups:
-            asks = [self._ask(slot, organisation, deadline_ms) for slot in group]
-            await asyncio.gather(*asks)
-            if self.tokens.retake(organisation):
-                return True
-        self.tokens.refuse(organisation, slots, self._clock.now_ms())
-        return False
-
-    def _slots_by_distance(self) -> list[SlotId]:
+    def _distances(self) -> list[SlotDistance]:
         slots = self.directory.preferred(self._data_centre, self._name)
-        return sorted(slots, key=self._round_trip_ms)
+        return [
+            SlotDistance(slot, self._round_trip_ms(slot) / ROUND_TRIP_OF_FULL_SLOT_MS)
+            for slot in slots
+        ]
 
     def _round_trip_ms(self, slot: SlotId) -> float:
         if slot.data_centre == self._data_centre:
             return 0.0
         known = self._round_trip_by_data_centre.get(slot.data_centre)
-        return CLOSE_ROUND_TRIP_MS if known is None else known
-
-    def _is_close(self, slot: SlotId) -> bool:
-        return self._round_trip_ms(slot) < CLOSE_ROUND_TRIP_MS
-
-    async def _ask(self, slot: SlotId, organisation: str, deadline_ms: float) -> None:
-        now_ms = self._clock.now_ms()
-        if not self._may_ask(slot, now_ms):
-            return
-        if not self.tokens.may_have(organisation, slot, now_ms):
-            return
+        return UNKNOWN_ROUND_TRIP_MS if known is None else known
+
+    async def _draw_next(self, slot: SlotId, organisations: Collection[str]) -> None:
+        """Draw with the next message to ``slot``, which many may share."""
+        batch = self._batches_by_slot.get(slot)
+        if batch is None:
+            wanted: set[str] = set()
+            task = asyncio.ensure_future(self._draw_batch(slot, wanted))
+            batch = self._batches_by_slot[slot] = _Batch(wanted, task)
+        batch.organisations.update(organisations)
+        await asyncio.shield(batch.task)
+
+    async def _draw_batch(self, slot: SlotId, organisations: set[str]) -> None:
         async with self._lock(slot):
-            remaining_ms = deadline_ms - self._clock.now_ms()
-            if remaining_ms > 0.0:
-                await self._draw(slot, [organisation], remaining_ms)
+            del self._batches_by_slot[slot]
+            await self._draw(slot, sorted(organisations))
 
-    async def _draw_ahead(self, slot: SlotId, organisations: list[str]) -> None:
-        async with self._lock(slot):
-            await self._draw(slot, organisations, FAR_TIMEOUT_MS)
-
-    async def _draw(
-        self, slot: SlotId, organisations: Collection[str], within_ms: float
-    ) -> None:
+    async def _draw(self, slot: SlotId, organisations: Collection[str]) -> None:
         address = self.directory.get(slot)
         if address is None:
             return
         lifetime_ms = MIN_LIFETIME_MS + 2.0 * self._round_trip_ms(slot)
         request = self.tokens.request(slot, organisations, lifetime_ms)
-        reply = await self._send(address, request, within_ms)
+        reply = await self._send(address, request)
         now_ms = self._clock.now_ms()
         if reply is None or not reply.accepted:
             self._avoid_until_by_slot[slot] = now_ms + UNREACHABLE_MS
             return
         self.tokens.absorb(slot, reply, now_ms)
+        for organisation in organisations:
+            queue = self._queues_by_organisation.get(organisation)
+            if queue is not None:
+                queue.serve()
 
     async def _send(
-        self, address: SlotAddress, request: DrawRequest, within_ms: float
+        self, address: SlotAddress, request: DrawRequest
     ) -> DrawReply | None:
         if request.slot in self.holder.slots:
             return self.holder.draw(request)
         near = request.slot.data_centre == self._data_centre
-        timeout_ms = min(within_ms, NEAR_TIMEOUT_MS if near else FAR_TIMEOUT_MS)
+        timeout_ms = NEAR_TIMEOUT_MS if near else FAR_TIMEOUT_MS
         self.n_messages += 1
         sent_ms = self._clock.now_ms()
         result = await self._control.call(
@@ -258,15 +278,6 @@
     def _may_ask(self, slot: SlotId, now_ms: float) -> bool:
         return self._avoid_until_by_slot.get(slot, 0.0) <= now_ms
 
-    def _remaining_s(self, deadline_ms: float) -> float:
-        return max(0.0, deadline_ms - self._clock.now_ms()) / 1000.0
-
-    def _lock_of_organisation(self, organisation: str) -> asyncio.Lock:
-        lock = self._locks_by_organisation.get(organisation)
-        if lock is None:
-            lock = self._locks_by_organisation[organisation] = asyncio.Lock()
-        return lock
-
     def _lock(self, slot: SlotId) -> asyncio.Lock:
         lock = self._locks_by_slot.get(slot)
         if lock is None:
--- a/packages/policy/ibisspoke_policy/local_tokens.py
+++ b/packages/policy/ibisspoke_policy/local_tokens.py
@@ -8,6 +8,12 @@
 from typing import Protocol
 
 from .clock import Clock
+from .local_account import (
+    MIN_AHEAD,
+    MIN_REFUSAL_MS,
+    LocalAccount,
+    SlotDistance,
+)
 from .quota import QuotaDecision
 from .quota_messages import (
     MAX_LIFETIME_MS,
@@ -15,17 +21,12 @@
     DrawRequest,
     Limit,
     SlotId,
-    TokenGrant,
     TokenRequest,
 )
 
 DEMAND_TIME_CONSTANT_MS = 1_000.0
-TARGET_MS = 750.0
-LOW_SHARE = 0.4
-MIN_AHEAD = 3.0
-AHEAD_SHARE_OF_BURST = 0.1
+LOW_SHARE = 0.6
 MAX_RETRY_MS = 60_000.0
-MIN_REFUSAL_MS = 5.0
 MAX_REFUSAL_MS = 200.0
 
 GRANTED = QuotaDecision(True, False, 0)
@@ -39,73 +40,6 @@
         """Draw tokens for one take; return whether any came."""
 
 
-class _Holding:
-    """Tokens drawn from one slot."""
-
-    __slots__ = ("expires_elapsed_ms", "tokens")
-
-    def __init__(self) -> None:
-        self.tokens = 0.0
-        self.expires_elapsed_ms = 0.0
-
-    def alive(self, elapsed_ms: float) -> float:
-        """Return the tokens that can be spent."""
-        return self.tokens if self.expires_elapsed_ms > elapsed_ms else 0.0
-
-
-class _Account:
-    """Tokens and demand of one organisation."""
-
-    def __init__(self, limit: Limit) -> None:
-        self.limit = limit
-        self.holdings_by_slot: dict[SlotId, _Holding] = {}
-        self.empty_until_by_slot: dict[SlotId, float] = {}
-        self.n_takes = 0
-        self.n_waiting = 0
-        self.demand_per_s = 0.0
-        self.n_slots_ahead = 1
-        self.refuse_until_ms = 0.0
-        self.refusal_ms = MIN_REFUSAL_MS
-
-    def is_empty(self, slot: SlotId, now_ms: float) -> bool:
-        """Return whether ``slot`` said that it has no token before ``now_ms``."""
-        return self.empty_until_by_slot.get(slot, 0.0) > now_ms
-
-    def target(self) -> float:
-        """Return how many tokens to hold for the demand expected soon."""
-        expected_per_s = min(self.demand_per_s, self.limit.rate_per_s)
-        expected = expected_per_s * TARGET_MS / 1000.0
-        return min(expected, self.limit.burst * AHEAD_SHARE_OF_BURST)
-
-    def alive(self, elapsed_ms: float) -> float:
-        """Return the tokens that can be spent."""
-        holdings = self.holdings_by_slot.values()
-        return sum(holding.alive(elapsed_ms) for holding in holdings)
-
-    def note_grant(
-        self, slot: SlotId, grant: TokenGrant, sent_elapsed_ms: float
-    ) -> None:
-        """Keep the tokens of a reply to a request sent at ``sent_elapsed_ms``."""
-        holding = self.holdings_by_slot.get(slot)
-        if holding is None:
-            holding = self.holdings_by_slot[slot] = _Holding()
-        if not grant.renewed:
-            holding.tokens = 0.0
-        holding.tokens += grant.tokens
-        holding.expires_elapsed_ms = sent_elapsed_ms + grant.lifetime_ms
-
-    def note_shortage(
-        self, slot: SlotId, grant: TokenGrant, wanted: float, now_ms: float
-    ) -> None:
-        """Remember for how long ``slot`` is not worth asking."""
-        if wanted <= 0.0:
-            return
-        if grant.tokens >= wanted:
-            self.empty_until_by_slot.pop(slot, None)
-        else:
-            self.empty_until_by_slot[slot] = now_ms + grant.retry_after_ms
-
-
 class _Draws:
     """The last request to one slot."""
 
@@ -128,7 +62,7 @@
         self._requester = requester
         self._clock = clock
         self._local = local
-        self._accounts_by_organisation: dict[str, _Account] = {}
+        self._accounts_by_organisation: dict[str, LocalAccount] = {}
         self._draws_by_slot: dict[SlotId, _Draws] = {}
         self._demand_ms = clock.now_ms()
 
@@ -141,7 +75,7 @@
         for organisation in [name for name in accounts if name not in limits]:
             del accounts[organisation]
         for organisation, limit in limits.items():
-            account = accounts.setdefault(organisation, _Account(limit))
+            account = accounts.setdefault(organisation, LocalAccount(limit))
             account.limit = limit
 
     def take(self, organisation: str, now_ms: float) -> QuotaDecision:
@@ -150,12 +84,11 @@
         if account is None:
             return UNKNOWN
         account.n_takes += 1
-        if self._spend(account):
-            return GRANTED
-        local = self._local
-        if local is not None and local.draw_now(organisation) and self._spend(account):
+        if account.n_waiting == 0 and self._spend_or_draw(organisation, account):
             return GRANTED
         wait_ms = account.refuse_until_ms - now_ms
+        if account.n_waiting >= account.max_waiting:
+            wait_ms = max(wait_ms, MIN_REFUSAL_MS)
         if wait_ms > 0:
             return QuotaDecision(False, False, int(wait_ms) + 1)
         return QuotaDecision(False, True, 0)
@@ -163,10 +96,29 @@
     def retake(self, organisation: str) -> bool:
         """Spend one token for a request whose take was counted before."""
         account = self._accounts_by_organisation.get(organisation)
-        if account is None or not self._spend(account):
-            return False
-        account.refusal_ms = MIN_REFUSAL_MS
-        return True
+        return account is not None and self._spend(account)
+
+    def is_overloaded(self, organisation: str) -> bool:
+        """Return whether requests have been refused and none served since."""
+        account = self._accounts_by_organisation.get(organisation)
+        return account is None or account.refusal_ms > MIN_REFUSAL_MS
+
+    def expected_ms(
+        self, organisation: str, slots: Collection[SlotId], now_ms: float
+    ) -> float:
+        """Return when the first of ``slots`` expects a token."""
+        account = self._accounts_by_organisation.get(organisation)
+        if account is None:
+            return MAX_RETRY_MS
+        empty_until = account.empty_until_by_slot
+        first_ms = min((empty_until.get(slot, 0.0) for slot in slots), default=0.0)
+        return max(0.0, first_ms - now_ms)
+
+    def served(self, organisation: str) -> None:
+        """Note that every waiting request got a token."""
+        account = self._accounts_by_organisation.get(organisation)
+        if account is not None:
+            account.refusal_ms = MIN_REFUSAL_MS
 
     def wait(self, organisation: str, change: int) -> None:
         """Count requests that wait for a token."""
@@ -208,6 +160,15 @@
         holding = account.holdings_by_slot.get(slot) if account is not None else None
         return 0.0 if holding is None else holding.alive(self._clock.elapsed_ms())
 
+    def order(
+        self, organisation: str, distances: Sequence[SlotDistance], now_ms: float
+    ) -> list[SlotId]:
+        """Return slots by expected tokens and distance, the best first."""
+        account = self._accounts_by_organisation.get(organisation)
+        if account is None:
+            return []
+        return account.order(distances, now_ms)
+
     def may_have(self, organisation: str, slot: SlotId, now_ms: float) -> bool:
         """Return whether it is worth to ask ``slot`` for ``organisation``."""
         account = self._accounts_by_organisation.get(organisation)
@@ -236,14 +197,13 @@
             account.n_takes = 0
             account.demand_per_s += share * (seen_per_s - account.demand_per_s)
 
-    def plan(self, slots: Sequence[SlotId], now_ms: float) -> dict[SlotId, list[str]]:
-        """Return which organisations to draw ahead of need, by slot.
-
-        :param slots: slots from most to least preferred.
-        """
+    def plan(
+        self, distances: Sequence[SlotDistance], now_ms: float
+    ) -> dict[SlotId, list[str]]:
+        """Return which organisations to draw ahead of need, by slot."""
         organisations_by_slot: dict[SlotId, list[str]] = {}
         for organisation, account in self._accounts_by_organisation.items():
-            for slot in self._plan_account(organisation, account, slots, now_ms):
+            for slot in self._plan_account(organisation, account, distances, now_ms):
                 organisations_by_slot.setdefault(slot, []).append(organisation)
         return organisations_by_slot
 
@@ -285,7 +245,15 @@
             wanted = draws.wanted_by_organisation.get(grant.organisation, 0.0)
             account.note_shortage(slot, grant, wanted, now_ms)
 
-    def _spend(self, account: _Account) -> bool:
+    def _spend_or_draw(self, organisation: str, account: LocalAccount) -> bool:
+        if self._spend(account):
+            return True
+        local = self._local
+        return local is not None and (
+            local.draw_now(organisation) and self._spend(account)
+        )
+
+    def _spend(self, account: LocalAccount) -> bool:
         elapsed_ms = self._clock.elapsed_ms()
         for holding in account.holdings_by_slot.values():
             if holding.tokens >= 1.0 and holding.expires_elapsed_ms > elapsed_ms:
@@ -293,7 +261,7 @@
                 return True
         return self._spend_parts(account, elapsed_ms)
 
-    def _spend_parts(self, account: _Account, elapsed_ms: float) -> bool:
+    def _spend_parts(self, account: LocalAccount, elapsed_ms: float) -> bool:
         if account.alive(elapsed_ms) < 1.0:
             return False
         missing = 1.0
@@ -306,8 +274,8 @@
     def _plan_account(
         self,
         organisation: str,
-        account: _Account,
-        slots: Sequence[SlotId],
+        account: LocalAccount,
+        distances: Sequence[SlotDistance],
         now_ms: float,
     ) -> list[SlotId]:
         elapsed_ms = self._clock.elapsed_ms()
@@ -321,6 +289,7 @@
         if target < MIN_AHEAD or held >= target * LOW_SHARE:
             account.n_slots_ahead = max(1, account.n_slots_ahead - 1)
             return []
+        slots = account.order(distances, now_ms)
         able = [slot for slot in slots if not account.is_empty(slot, now_ms)]
         chosen = able[: account.n_slots_ahead]
         account.n_slots_ahead = min(max(1, len(slots)), account.n_slots_ahead * 2)
@@ -344,7 +313,7 @@
         expects_more = target >= MIN_AHEAD
         ahead = max(0.0, target - total) if expects_more else 0.0
         if expects_more:
-            lifetime_ms = MAX_LIFETIME_MS
+            lifetime_ms = account.lifetime_ms
         return TokenRequest(
             organisation, held - returned, returned, needed, ahead, lifetime_ms
         )
--- a/packages/policy/ibisspoke_policy/quota_messages.py
+++ b/packages/policy/ibisspoke_policy/quota_messages.py
@@ -62,6 +62,7 @@
         the requester must drop it.
     :param lifetime_ms: how long the requester may spend what it held and what it
         got, counted from before it sent the request.
+    :param level: tokens left in the slot.
     :param retry_after_ms: when the slot expects to hold a token again.
     """
 
@@ -69,6 +70,7 @@
     tokens: float
     renewed: bool
     lifetime_ms: float
+    level: float
     retry_after_ms: float
 
 
--- a/packages/policy/ibisspoke_policy/slot_ledger.py
+++ b/packages/policy/ibisspoke_policy/slot_ledger.py
@@ -124,7 +124,7 @@
     def _grant(self, requester: str, item: TokenRequest, now_ms: float) -> TokenGrant:
         account = self._accounts_by_organisation.get(item.organisation)
         if account is None:
-            return TokenGrant(item.organisation, 0.0, False, 0.0, MAX_RETRY_MS)
+            return TokenGrant(item.organisation, 0.0, False, 0.0, 0.0, MAX_RETRY_MS)
         lifetime_ms = min(MAX_LIFETIME_MS, item.lifetime_ms)
         account.advance(now_ms)
         renewed = account.settle(requester, item.held, item.returned)
@@ -132,7 +132,9 @@
         counted_ms = lifetime_ms * (1.0 + LIFETIME_DRIFT) + LIFETIME_MARGIN_MS
         account.grant(requester, tokens, now_ms + counted_ms)
         retry_ms = min(MAX_RETRY_MS, max(MIN_RETRY_MS, account.wait_ms(now_ms)))
-        return TokenGrant(item.organisation, tokens, renewed, lifetime_ms, retry_ms)
+        return TokenGrant(
+            item.organisation, tokens, renewed, lifetime_ms, account.tokens, retry_ms
+        )
 
     def _forget_requesters(self, now_ms: float) -> None:
         # Requesters stand in order of their last message.
--- a/packages/policy/tests/test_local_tokens.py
+++ b/packages/policy/tests/test_local_tokens.py
@@ -1,8 +1,10 @@
 from ibisspoke_policy.clock import ManualClock
+from ibisspoke_policy.local_account import SlotDistance
 from ibisspoke_policy.local_tokens import LocalTokens
 from ibisspoke_policy.quota_messages import DrawReply, Limit, SlotId, TokenGrant
 
 SLOTS = [SlotId("svea-1", n) for n in range(3)]
+NEAR = [SlotDistance(slot, 0.0) for slot in SLOTS]
 LIMIT = Limit(100.0, 100.0)
 
 
@@ -12,8 +14,8 @@
     return tokens
 
 
-def _reply(sequence, tokens, renewed=True, retry_after_ms=10.0):
-    grants = [TokenGrant("svea", tokens, renewed, 2_000.0, retry_after_ms)]
+def _reply(sequence, tokens, renewed=True, retry_after_ms=10.0, level=0.0):
+    grants = [TokenGrant("svea", tokens, renewed, 2_000.0, level, retry_after_ms)]
     return DrawReply(sequence, True, grants)
 
 
@@ -106,14 +108,14 @@
         for _ in range(5):
             node.take("svea", clock.now_ms())
         node.measure(clock.now_ms())
-    assert list(node.plan(SLOTS, clock.now_ms())) == SLOTS[:1]
-    assert node.request(SLOTS[0], ["svea"]).items[0].ahead == 10.0
+    assert list(node.plan(NEAR, clock.now_ms())) == SLOTS[:1]
+    assert node.request(SLOTS[0], ["svea"]).items[0].ahead > 20.0
     _fill(node, clock, 30.0)
     for _ in range(150):
         clock.advance(10.0)
         node.measure(clock.now_ms())
     clock.advance(1.0)
-    assert list(node.plan(SLOTS, clock.now_ms())) == SLOTS[:1]
+    assert list(node.plan(NEAR, clock.now_ms())) == SLOTS[:1]
     item = node.request(SLOTS[0], ["svea"]).items[0]
     assert item.returned > 0
     assert node.tokens("svea") == item.held
