--- a/packages/node/ibisspoke_node/entry.py
+++ b/packages/node/ibisspoke_node/entry.py
@@ -22,8 +22,9 @@
 from tornado.netutil import bind_sockets
 
 from ibisspoke_policy.clock import Clock
-from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind
+from ibisspoke_policy.refusal import Ran, Refusal, RefusalKind, outcome_unknown
 
+from ._link_protocol import out_of_memory
 from .acceptance import Acceptance, Accepted
 from .buffer_budget import BufferBudget
 from .dispatch import Dispatcher, Request
@@ -188,7 +189,7 @@
             return
         if not self._entry.budget.reserve(len(chunk)):
             self._release()
-            self._refuse(_out_of_memory())
+            self._refuse(out_of_memory(Ran.NOT_RUN))
             return
         self._n_bytes += len(chunk)
         self._parts.append(chunk)
@@ -201,7 +202,7 @@
             self._answer(to_answer(self._refusal, self._request_id))
             return
         self._connection.set_close_callback(self._caller_left)
-        self._task = EagerTask(self._run())
+        self._task = EagerTask(self._run_guarded())
 
     def on_connection_close(self) -> None:
         self._end()
@@ -217,6 +218,16 @@
         self._entry.budget.answers.release(self._n_answer_bytes)
         self._n_answer_bytes = 0
 
+    async def _run_guarded(self) -> None:
+        try:
+            await self._run()
+        except Exception:
+            logger.exception("request failed", extra={"request": self._request_id})
+            refusal = outcome_unknown("the node failed while it handled the request")
+            self._refuse(refusal)
+            if not self._answered:
+                self._answer(to_answer(refusal, self._request_id))
+
     async def _run(self) -> None:
         accepted = self._accepted
         assert accepted is not None
@@ -347,13 +358,3 @@
         f"the body is larger than the {max_bytes} bytes that the call allows",
         "send a smaller body, or raise max_body_bytes of the call",
     )
-
-
-def _out_of_memory() -> Refusal:
-    return Refusal(
-        RefusalKind.OUT_OF_MEMORY,
-        Ran.NOT_RUN,
-        "the node holds as many bytes of bodies as its settings allow",
-        "retry after the time given",
-        1_000,
-    )
--- a/packages/policy/ibisspoke_policy/idempotency.py
+++ b/packages/policy/ibisspoke_policy/idempotency.py
@@ -11,6 +11,7 @@
 from .rendezvous import score
 from .table import Table
 
+DATA_CENTRE_SEPARATOR = ":"
 UUID_TEXT_LENGTH = 36
 UUID_VERSION_AT = 14
 MAX_KEY_LENGTH = 128
@@ -206,6 +207,9 @@
     def __repr__(self) -> str:
         return f"KeyOwners({len(self._joined_ms_by_id)} nodes)"
 
+    def __contains__(self, node_id: object) -> bool:
+        return node_id in self._joined_ms_by_id
+
     def update(self, node_ids: frozenset[str], now_ms: float) -> None:
         """Take in the nodes that serve at present."""
         for node_id in list(self._joined_ms_by_id):
@@ -246,8 +250,14 @@
     return max(node_ids, key=lambda name: (score(key, name), name), default=None)
 
 
+def data_centre_of(key: str) -> str:
+    """Return the data centre that a key names before a colon, or nothing."""
+    return key.rpartition(DATA_CENTRE_SEPARATOR)[0]
+
+
 def issued_wall_ms(key: str) -> int | None:
     """Return when a time-ordered UUID (version 7) was issued, else None."""
+    key = key.rpartition(DATA_CENTRE_SEPARATOR)[2]
     if len(key) != UUID_TEXT_LENGTH or key[UUID_VERSION_AT] != "7":
         return None
     try:
--- a/packages/standins/ibisspoke_standins/demo_catalogue.py
+++ b/packages/standins/ibisspoke_standins/demo_catalogue.py
@@ -7,6 +7,7 @@
 
 TRAFFIC_MS = 20_000.0
 STUCK_NODE = "svealand-1-ordering"
+CUTTING_NODE = "svealand-1-catalogue"
 DRAINED_NODE = "gotaland-1-catalogue"
 STOPPED_NODE = "svealand-2-imaging"
 
@@ -15,6 +16,7 @@
     "glasbruket": Allowance(60.0, 30.0),
 }
 CHANGED_RATE_PER_S = 240.0
+MAX_RETRIES = 2
 
 PLACES = [
     Place("svealand", "svealand-1", "catalogue"),
@@ -48,7 +50,7 @@
     ],
 }
 
-_CALLS = """
+_CALLS = f"""
 [calls."catalogue.find-lid"]
 service = "catalogue"
 method = "GET"
@@ -57,6 +59,7 @@
 importance = "normal"
 idempotent = true
 timeout_ms = 2000
+max_retries = {MAX_RETRIES}
 
 [calls."ordering.place-order"]
 service = "ordering"
@@ -66,6 +69,7 @@
 importance = "critical"
 idempotent = false
 timeout_ms = 4000
+max_retries = {MAX_RETRIES}
 
 [calls."imaging.submit-photograph"]
 service = "imaging"
@@ -75,6 +79,7 @@
 importance = "low"
 idempotent = false
 timeout_ms = 6000
+max_retries = {MAX_RETRIES}
 max_body_bytes = 8388608
 max_answer_bytes = 8388608
 """
