--- a/benchmarks/_control_fleet.py
+++ b/benchmarks/_control_fleet.py
@@ -130,7 +130,8 @@
 class BenchFleet:
     """Nodes in this process, sharing a member table."""
 
-    def __init__(self, network: Network, store: Store) -> None:
+    def __init__(self, network: Network, store: Store, number: int = 0) -> None:
+        self._number = number
         self.network = network
         self.store = store
         self.members: MemberTable = Table("members")
@@ -141,7 +142,7 @@
         """Start one node."""
         number = len(self.nodes)
         stack = AsyncExitStack()
-        node_id = f"{spec.id}-{number}"
+        node_id = f"{spec.id}-{self._number}-{number}"
         settings = NodeSettings(node_id, spec.region, spec.id, HOST, "", SECRETS)
         client = await stack.enter_async_context(control_client(SECRETS))
         control: Any = DelayedControl(client, self.network, spec.id)
--- a/benchmarks/_harness.py
+++ b/benchmarks/_harness.py
@@ -390,3 +390,21 @@
     path = folder / f"{spec.id}.toml"
     path.write_bytes(msgspec.toml.encode(sections))
     return str(path)
+
+
+def tell_all(children: Sequence[Child], command: Any) -> None:
+    """Send one command to every child without waiting for replies."""
+    line = msgspec.json.encode(command).decode() + "\n"
+    for process in children:
+        assert process.process.stdin is not None
+        process.process.stdin.write(line)
+        process.process.stdin.flush()
+
+
+def replies_of(children: Sequence[Child]) -> list[Any]:
+    """Return the next reply of every child."""
+    replies = []
+    for process in children:
+        assert process.process.stdout is not None
+        replies.append(json.loads(process.process.stdout.readline()))
+    return replies
--- a/benchmarks/rate.py
+++ b/benchmarks/rate.py
@@ -14,7 +14,7 @@
 from typing import Any, NamedTuple
 
 import msgspec
-from _harness import Child, child
+from _harness import Child, child, replies_of, tell_all
 from _rate_baselines import baseline_results
 from _rate_load import (
     HARMATTAN,
@@ -29,7 +29,6 @@
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.local_tokens import LocalTokens
-from ibisspoke_policy.member import Member
 from ibisspoke_policy.quota import TokenBucket
 from ibisspoke_policy.quota_messages import DrawReply, Limit, SlotId, TokenGrant
 
@@ -77,31 +76,11 @@
             spec = run._replace(number=number, platform_url=url)
             argument = msgspec.json.encode(spec).decode()
             children.append(stack.enter_context(child("_rate_process.py", argument)))
-        members = [
-            msgspec.convert(row, Member)
-            for process in children
-            for row in process.ready["members"]
-        ]
-        _tell_all(children, members)
-        _tell_all(children, time.monotonic() * 1000.0 + LEAD_MS)
-        return [msgspec.convert(reply, Measured) for reply in _replies(children)]
-
-
-def _tell_all(children: Sequence[Child], command: Any) -> None:
-    for process in children:
-        assert process.process.stdin is not None
-        process.process.stdin.write(msgspec.json.encode(command).decode() + "\n")
-        process.process.stdin.flush()
-    if isinstance(command, list):
-        _replies(children)
-
-
-def _replies(children: Sequence[Child]) -> list[Any]:
-    replies = []
-    for process in children:
-        assert process.process.stdout is not None
-        replies.append(json.loads(process.process.stdout.readline()))
-    return replies
+        members = [row for process in children for row in process.ready["members"]]
+        tell_all(children, members)
+        replies_of(children)
+        tell_all(children, time.monotonic() * 1000.0 + LEAD_MS)
+        return [msgspec.convert(reply, Measured) for reply in replies_of(children)]
 
 
 def result_of(
