--- a/packages/node/ibisspoke_node/membership_service.py
+++ b/packages/node/ibisspoke_node/membership_service.py
@@ -29,6 +29,7 @@
 from .datagrams import Address, DatagramSocket, datagram_socket
 from .direct_check import check_directly, serve_checks
 from .member_rows import MemberRows
+from .supervise import running_loops
 from .view_exchange import ViewExchange
 
 TICK_MS = 100.0
@@ -182,10 +183,15 @@
             rows = [row for row in await self._rows.read() if row.id != self.own.id]
             some = self._rng.sample(rows, min(N_JOIN_PEERS, len(rows)))
             addresses.extend((row.host, row.control_port) for row in some)
-        answered = [await self._exchange.exchange(*address) for address in addresses]
-        if any(answered):
+        self._rng.shuffle(addresses)
+        is_answered = False
+        for address in addresses:
+            is_answered |= await self._exchange.exchange(*address)
+            if is_answered and not self.membership.unreachable:
+                break
+        if is_answered:
             self._do(self.membership.announce(self._clock.now_ms()))
-        return any(answered) or not addresses
+        return is_answered or not addresses
 
     async def _write_row(self) -> None:
         if self._rows is not None and not self._is_row_written:
@@ -244,8 +250,10 @@
 
     async def _synchronise(self, member_id: str) -> None:
         member = self.membership.view.present(member_id)
-        if member is not None:
-            await self._exchange.exchange(member.host, member.control_port)
+        is_answered = member is not None and await self._exchange.exchange(
+            member.host, member.control_port
+        )
+        self.membership.compared(is_answered, self._clock.now_ms())
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -276,16 +284,8 @@
     """
     async with datagram_socket(secrets, service.own.host, port) as (socket, bound):
         service.attach(socket, bound)
-        tasks = [
-            asyncio.ensure_future(service.run_ticks()),
-            asyncio.ensure_future(service.run_joining()),
-        ]
-        for task in tasks:
-            task.add_done_callback(_log_failure)
         try:
-            yield
+            async with running_loops(service.run_ticks, service.run_joining):
+                yield
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
             service.stop()
--- a/packages/node/ibisspoke_node/node.py
+++ b/packages/node/ibisspoke_node/node.py
@@ -4,7 +4,7 @@
 import logging
 import os
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import NamedTuple
 
@@ -43,6 +43,7 @@
 from .server_link import link_server
 from .settings import NodeSettings
 from .status import status_server
+from .supervise import running_loops
 
 TICK_MS = 50
 METRICS_MS = 1_000
@@ -118,7 +119,6 @@
             clock,
         )
         self.membership.serve(self.service)
-        self.stop_hooks: list[Callable[[], Awaitable[None]]] = []
         self.dispatcher = Dispatcher(
             settings.id,
             self.router,
@@ -195,6 +195,7 @@
             if now_ms - flushed_ms >= METRICS_MS:
                 flushed_ms = now_ms
                 set_gauges(self)
+                self.membership.membership.note_version(self.in_force.version)
                 self.metrics.flush()
 
     async def drain(self) -> None:
@@ -211,8 +212,6 @@
         told_ms = self.clock.now_ms() - started_ms
         await asyncio.sleep(max(0.0, DRAIN_NOTICE_MS - told_ms) / 1000.0)
         await self.entry.drain(self.settings.drain_timeout_ms)
-        for hook in self.stop_hooks:
-            await hook()
         await self.membership.leave()
 
 
@@ -242,8 +241,7 @@
                 node.membership, settings.secrets, settings.membership_port
             )
         )
-        ticks = asyncio.ensure_future(node.run_ticks())
-        stack.callback(ticks.cancel)
+        await stack.enter_async_context(running_loops(node.run_ticks))
         stack.callback(node.executor.close)
         stack.callback(node.handler.close)
         stack.callback(node.links.close)
--- a/packages/node/tests/test_config_sync.py
+++ b/packages/node/tests/test_config_sync.py
@@ -232,3 +232,14 @@
     peer.clock.advance(CALL.timeout_ms)
     refused = _check(acceptance, key="k1", Ibisspoke_Context=token).err_value
     assert refused.kind is RefusalKind.DEADLINE_EXCEEDED
+
+
+async def test_an_organisation_without_isolation_is_served_while_in_contact(make_fleet):
+    fleet = await make_fleet(DATA_CENTRES, [SVEA._replace(serve_when_isolated_s=0)])
+    await fleet.publish(calls_by_id={CALL.id: CALL}, keys_by_digest=KEYS)
+    await fleet.spread()
+    acceptance = _acceptance(fleet.peers[0])
+    fleet.advance(5_000.0)
+    assert _check(acceptance).is_ok()
+    fleet.advance(6_000.0)
+    assert _check(acceptance).err_value.kind is RefusalKind.ISOLATED
