Hand a slot over at once on a planned stop

Cause: the next holder of a slot that was handed back saw it up to 30 s later. Conclusion: the heir holds the slot in the step after the push; tests pass.

--- a/packages/node/ibisspoke_node/config_sync.py
+++ b/packages/node/ibisspoke_node/config_sync.py
@@ -15,10 +15,7 @@
 
 from result import Err, Ok, Result
 
-from ibisspoke_platform.config_records import CurrentVersion
-from ibisspoke_platform.store import StoreError
 from ibisspoke_policy.backoff import Backoff
-from ibisspoke_policy.catalogue import Catalogue
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.config_messages import ConfigQuery, ConfigReply
 from ibisspoke_policy.isolation import IsolationWatch
@@ -29,6 +26,7 @@
 from .config_state import ConfigState
 from .control import ControlError, ControlService, Method
 from .supervise import running_loops
+from .version_reader import VersionReader
 
 EXCHANGE = Method("ExchangeConfig", ConfigQuery, ConfigReply)
 N_POLLERS = 2
@@ -58,18 +56,6 @@
     address: PeerAddress
 
 
-class VersionReader(Protocol):
-    """Read versions of the catalogue from the platform."""
-
-    async def read_version(self) -> Result[CurrentVersion, StoreError]:
-        """Return the current version."""
-
-    async def read_snapshot(
-        self, current: CurrentVersion, known: Catalogue
-    ) -> Result[Catalogue, StoreError]:
-        """Return the catalogue of a version, led on from ``known`` where it can."""
-
-
 class ConfigCaller(Protocol):
     """Send control messages to other nodes."""
 
@@ -254,9 +240,17 @@
             if far:
                 await self.exchange(_address(self._rng.choice(far)))
 
+    async def push(self) -> None:
+        """Push now what has changed since the last push, before a planned stop."""
+        self._spread_addresses.update(self.directory.take_changes())
+        await self._send_changes()
+
     async def _push(self) -> None:
         await asyncio.sleep(SPREAD_DELAY_MS / 1000.0)
         self._spreading = False
+        await self._send_changes()
+
+    async def _send_changes(self) -> None:
         query = self._describe(with_latest=self.state.version > self._spread_version)
         query = query._replace(addresses=sorted(self._spread_addresses))
         self._spread_version = self.state.version
--- a/packages/node/ibisspoke_node/organisations.py
+++ b/packages/node/ibisspoke_node/organisations.py
@@ -1,8 +1,9 @@
 """Quota and configuration of one node, assembled."""
 
+import asyncio
 import random
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import NamedTuple
 
 from ibisspoke_platform.config_reader import ConfigReader
@@ -24,6 +25,8 @@
 from .slot_store import SlotStore
 from .supervise import running_loops
 
+LAST_PUSH_MS = 500.0
+
 
 class PlatformStores(NamedTuple):
     """The platform as a node uses it."""
@@ -124,12 +127,15 @@
 async def running_organisations(services: Organisations) -> AsyncIterator[None]:
     """Run configuration and quota; hand slots back at the end."""
     seeds = [_peer(seed) for seed in services.settings.seeds]
-    async with (
-        running_config(services.config, seeds),
-        running_quota(services.quota),
-        running_loops(services.reporter.run),
-    ):
-        yield
+    async with running_config(services.config, seeds):
+        async with (
+            running_quota(services.quota),
+            running_loops(services.reporter.run),
+        ):
+            yield
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LAST_PUSH_MS / 1000.0):
+                await services.config.push()
 
 
 def stores_of(settings: NodeSettings) -> PlatformStores | None:
--- a/packages/node/ibisspoke_node/slot_holder.py
+++ b/packages/node/ibisspoke_node/slot_holder.py
@@ -132,7 +132,8 @@
                 await self._retire(slot)
             elif self._renewal_due(slot):
                 await self._renew(self._holdings_by_slot[slot])
-        if self._clock.now_ms() >= self._watch_ms and self._is_candidate():
+        due = self._clock.now_ms() >= self._watch_ms and self._is_candidate()
+        if due or self._has_heritage():
             await self._watch_slots()
 
     async def release(self) -> None:
@@ -153,6 +154,14 @@
             for slot in self._slots
         )
 
+    def _has_heritage(self) -> bool:
+        """Return whether a slot was handed back for which this node comes first."""
+        return any(
+            self.directory.is_free(slot) and not self._rank(slot)
+            for slot in self._slots
+            if slot.data_centre == self.identity.data_centre
+        )
+
     def _rank(self, slot: SlotId) -> int:
         """Return the place of this node for a slot, computed anew after a change."""
         node_ids = self._node_ids()
--- /dev/null
+++ b/packages/node/ibisspoke_node/version_reader.py
@@ -0,0 +1,21 @@
+"""The reading side of the platform's configuration, as a node needs it."""
+
+from typing import Protocol
+
+from result import Result
+
+from ibisspoke_platform.config_records import CurrentVersion
+from ibisspoke_platform.store import StoreError
+from ibisspoke_policy.catalogue import Catalogue
+
+
+class VersionReader(Protocol):
+    """Read versions of the catalogue from the platform."""
+
+    async def read_version(self) -> Result[CurrentVersion, StoreError]:
+        """Return the current version."""
+
+    async def read_snapshot(
+        self, current: CurrentVersion, known: Catalogue
+    ) -> Result[Catalogue, StoreError]:
+        """Return the catalogue of a version, led on from ``known`` where it can."""
--- a/packages/node/tests/test_quota_service.py
+++ b/packages/node/tests/test_quota_service.py
@@ -144,14 +144,17 @@
         await record.run(fleet.peers, 2, 20)
 
 
-async def test_a_planned_stop_hands_over_without_a_refusal(make_fleet):
+async def test_a_planned_stop_hands_over_at_once(make_fleet):
     fleet = await make_fleet(DATA_CENTRES, [SVEA])
     holder = next(peer for peer in fleet.peers if peer.quota.holder.slots)
     (slot,) = holder.quota.holder.slots
     await holder.quota.holder.release()
+    await holder.config.push()
     holder.stopped = True
-    fleet.advance(60_000.0)
-    await fleet.spread(4)
+    for peer in fleet.peers:
+        if not peer.stopped:
+            await peer.quota.holder.step()
     heirs = [peer for peer in fleet.peers if slot in peer.quota.holder.slots]
     assert len(heirs) == 1 and heirs[0] is not holder
+    await fleet.spread(2)
     assert await heirs[0].admit("svea", 40) == 40
--- a/packages/policy/ibisspoke_policy/slot_directory.py
+++ b/packages/policy/ibisspoke_policy/slot_directory.py
@@ -52,6 +52,11 @@
         address = self._addresses_by_slot.get(slot)
         return address if address is not None and address.host else None
 
+    def is_free(self, slot: SlotId) -> bool:
+        """Return whether the last holder of ``slot`` has handed it back."""
+        address = self._addresses_by_slot.get(slot)
+        return address is not None and not address.host
+
     def merge(self, addresses: Iterable[SlotAddress]) -> bool:
         """Keep those that are later; return whether any was."""
         changed = False
