Keep the name of a test that the guarantees name

Cause: docs name the proof of the planned stop by its test. Change: the test has its earlier name and is as strict.

--- a/packages/node/tests/test_quota_service.py
+++ b/packages/node/tests/test_quota_service.py
@@ -144,7 +144,7 @@
         await record.run(fleet.peers, 2, 20)
 
 
-async def test_a_planned_stop_hands_over_at_once(make_fleet):
+async def test_a_planned_stop_hands_over_without_a_refusal(make_fleet):
     fleet = await make_fleet(DATA_CENTRES, [SVEA])
     holder = next(peer for peer in fleet.peers if peer.quota.holder.slots)
     (slot,) = holder.quota.holder.slots
