--- a/benchmarks/_worker_pool.py
+++ b/benchmarks/_worker_pool.py
@@ -76,6 +76,7 @@
         self.workers: list[Worker] = []
         self.started: list[Worker] = []
         self.seeds: list[str] = []
+        self._seeded: set[str] = set()
 
     @property
     def n_nodes(self) -> int:
@@ -87,7 +88,9 @@
         worker = await start_worker(nodes, self.seeds, **options)
         self.workers.append(worker)
         self.started.append(worker)
-        if len(self.seeds) < 3:
+        data_centre = nodes[0]["data_centre"]
+        if data_centre not in self._seeded:
+            self._seeded.add(data_centre)
             port = next(iter(worker.ports_by_id.values()))["control_port"]
             self.seeds.append(f"127.0.0.1:{port}")
         return worker
