--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -23,19 +23,30 @@
     machine,
     mechanism_bytes,
     node_settings,
+    publish,
     running_fleet,
+    running_platform,
     usage_of,
 )
 
 from ibisspoke_policy.catalogue import Catalogue, Key, Organisation
 from ibisspoke_policy.member import Member, MemberState
 
+SPEC = NodeSpec("node-a")
+N_MEMBERS = 6_600
+N_SLOTS = 16
 KEY_HEADER = {"Authorization": f"Bearer {KEY}"}
 TARGETS = {"rss_mb": 32.0, "control_cpu_percent": 1.9, "control_bytes_per_s": 10_000}
 UPLOAD_BYTES = 8_388_608
 BUFFER_BYTES = 67_108_864
 N_NODES_PER_PROCESS = 16
 SETTLE_S = 4.0
+N_CHANGES = 8
+CHANGE_PERIOD_S = 2.5
+SOAK_S = 600.0
+SOAK_PER_S = 130.0
+N_READY_TRIES = 600
+N_READY_ANSWERS = 10
 DRIP_S = 4.0
 DRIP_STEP_S = 0.005
 
@@ -45,24 +56,25 @@
 
     :param idle_s: how long idle nodes are watched.
     :param n_nodes: sizes of fleets without calls.
-    :param soak_s: length of the soak; 0 leaves it out.
     """
 
     idle_s: float
     n_nodes: tuple[int, ...]
     load_s: float
-    soak_s: float
 
 
-QUICK = Plan(4.0, (16, 64), 3.0, 0.0)
-FULL = Plan(20.0, (16, 64, 256), 10.0, 0.0)
+QUICK = Plan(4.0, (16, 64), 3.0)
+FULL = Plan(20.0, (16, 64, 256), 10.0)
 
 
 def measure_idle(plan: Plan) -> dict[str, float]:
     """Watch the program ``ibisspoke-node`` alone, as it is installed."""
-    with node_settings(NodeSpec("node-a")) as path:
+    catalogue = benchmark_catalogue(["alpha"])
+    with running_platform(catalogue) as url, node_settings(SPEC, url) as path:
+        with child("-m", "ibisspoke_node.main", path):
+            pass
         with child("-m", "ibisspoke_node.main", path) as node:
-            time.sleep(1.0)
+            time.sleep(SETTLE_S)
             before = usage_of(node.pid)
             time.sleep(plan.idle_s)
             after = usage_of(node.pid)
@@ -79,7 +91,12 @@
     """Return memory by member, organisation with a key, and call in the catalogue."""
     calls = [f"service-{number}" for number in range(2_000)]
     steps: list[tuple[str, int, list[Member], Catalogue]] = [
-        ("kb_per_member", 6_600, _members(6_600), benchmark_catalogue(["alpha"], 2)),
+        (
+            "kb_per_member",
+            N_MEMBERS,
+            _members(N_MEMBERS),
+            benchmark_catalogue(["alpha"], 2),
+        ),
         ("kb_per_organisation", 4_000, [], _with_organisations(4_000, 2)),
         ("kb_per_catalogue_call", 2_000, [], benchmark_catalogue(calls, 2)),
     ]
@@ -96,17 +113,44 @@
     return slopes
 
 
-def _members(n_members: int) -> list[Member]:
+def measure_large_view(plan: Plan) -> dict[str, float]:
+    """Watch one node whose table holds a fleet of full size that never answers.
+
+    Configuration and quota run; heartbeats to these members do not.
+    """
+    data_centres = [f"data-centre-{number}" for number in range(5)]
+    services = [f"service-{number}" for number in range(370)]
+    catalogue = benchmark_catalogue(services, data_centres=data_centres)
+    catalogue = catalogue._replace(
+        n_slots_by_data_centre=dict.fromkeys(data_centres, N_SLOTS)
+    )
+    spec = NodeSpec("node-a", "", "region-0", data_centres[0])
+    with running_fleet([spec], catalogue) as fleet:
+        feed(fleet, _members(N_MEMBERS, "127.0.0.1", 1), None)
+        time.sleep(SETTLE_S)
+        pid = fleet.pids()[0]
+        before = usage_of(pid)
+        time.sleep(plan.idle_s)
+        after = usage_of(pid)
+    cpu_percent = (after.cpu_s - before.cpu_s) / plan.idle_s * 100
+    return {
+        "n_members": N_MEMBERS,
+        "rss_mb": round(after.rss_mb, 2),
+        "cpu_percent": round(cpu_percent, 3),
+    }
+
+
+def _members(n_members: int, host: str = "", port: int = 7_001) -> list[Member]:
     return [
         Member(
             f"node-{number}",
             1_700_000_000_000 + number,
             f"region-{number % 2}",
             f"data-centre-{number % 5}",
-            f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}",
-            7_001,
-            7_002,
-            7_003,
+            host or f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}",
+            port,
+            port,
+            port,
             f"service-{number % 370}",
             50,
             False,
@@ -131,6 +175,19 @@
     return await caller.post(target, KEY_HEADER, body)
 
 
+async def _wait_until_answered(fleet: Fleet) -> None:
+    """Call until the node has its share of the rate."""
+    caller = Caller(fleet.url_port("node-a"))
+    n_answered = 0
+    for _ in range(N_READY_TRIES):
+        answer = await _post(fleet, "/alpha/hops/1/", b"", caller)
+        n_answered = n_answered + 1 if answer.status == 200 else 0
+        if n_answered == N_READY_ANSWERS:
+            return
+        await asyncio.sleep(0.1)
+    raise RuntimeError(f"the node does not answer: {answer.body.decode()}")
+
+
 async def _drip(port: int, ends_s: float) -> int:
     """Send the body of one call in small parts; return the status."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -250,14 +307,22 @@
         "uploads": lambda fleet: _uploads(fleet, 24),
         "throughput": lambda fleet: _throughput(fleet, plan.load_s, 16),
     }
-    if plan.soak_s:
-        parts["soak"] = lambda fleet: _soak(fleet, plan.soak_s, 130.0)
+    return _run_parts(parts)
+
+
+def measure_soak(soak_s: float) -> dict[str, Any]:
+    """Return the memory of a node under steady calls."""
+    return _run_parts({"soak": lambda fleet: _soak(fleet, soak_s, SOAK_PER_S)})
+
+
+def _run_parts(parts: dict[str, Callable[[Fleet], Any]]) -> dict[str, Any]:
     results = {}
     settings = {"limits": {"max_buffer_bytes": BUFFER_BYTES}}
     for name, run in parts.items():
         catalogue = benchmark_catalogue(["alpha"])
         specs = [NodeSpec("node-a", "alpha")]
         with running_fleet(specs, catalogue, settings=settings) as fleet:
+            asyncio.run(_wait_until_answered(fleet))
             results[name] = asyncio.run(run(fleet))
         print(name, json.dumps(results[name]), flush=True)
     return results
@@ -301,17 +366,83 @@
     }
 
 
+def measure_changes(n_nodes: int) -> dict[str, Any]:
+    """Change one call of a large catalogue again and again."""
+    data_centres = [f"dc-{number}" for number in range(4)]
+    services = [f"service-{number}" for number in range(370)]
+    catalogue = benchmark_catalogue(services, data_centres=data_centres)
+    specs = [
+        NodeSpec(f"node-{number}", "", f"r{number % 2}", f"dc-{number % 4}")
+        for number in range(n_nodes)
+    ]
+    with running_fleet(specs, catalogue, N_NODES_PER_PROCESS) as fleet:
+        time.sleep(SETTLE_S)
+        quiet = _window(fleet, None)
+        in_force_ms: list[float] = []
+        changing = _window(fleet, _changer(fleet, catalogue, in_force_ms))
+    spent = {name: changing[name] - quiet[name] for name in quiet}
+    per_change = 1.0 / n_nodes / N_CHANGES
+    return {
+        "n_nodes": n_nodes,
+        "n_changes": N_CHANGES,
+        "n_catalogue_calls": len(services),
+        "bytes_per_change_per_node": round(spent["connections"] * per_change, 1),
+        "cpu_ms_per_change_per_node": round(spent["cpu_ms"] * per_change, 3),
+        "in_force_everywhere_ms": [round(value) for value in in_force_ms],
+    }
+
+
+def _window(fleet: Fleet, change: Callable[[int], None] | None) -> dict[str, float]:
+    """Return what the nodes spend while changes are made, or in as long a time."""
+    before = _spent(fleet)
+    for number in range(N_CHANGES):
+        ends_s = time.monotonic() + CHANGE_PERIOD_S
+        if change is not None:
+            change(number)
+        time.sleep(max(0.0, ends_s - time.monotonic()))
+    return {name: value - before[name] for name, value in _spent(fleet).items()}
+
+
+def _spent(fleet: Fleet) -> dict[str, float]:
+    cpu_ms = sum(usage_of(pid).cpu_s for pid in fleet.pids()) * 1000
+    return {**mechanism_bytes(fleet), "cpu_ms": cpu_ms}
+
+
+def _changer(
+    fleet: Fleet, catalogue: Catalogue, in_force_ms: list[float]
+) -> Callable[[int], None]:
+    def change(number: int) -> None:
+        call = catalogue.calls_by_id["service-0.any"]
+        changed = call._replace(timeout_ms=call.timeout_ms + 1 + number)
+        calls_by_id = {**catalogue.calls_by_id, call.id: changed}
+        started = time.monotonic()
+        following = catalogue._replace(calls_by_id=calls_by_id)
+        version = asyncio.run(publish(fleet.platform_url, following))
+        while any(
+            fleet.status(node_id)["catalogue_version"] < version
+            for node_id in fleet.nodes_by_id
+        ):
+            time.sleep(0.02)
+        in_force_ms.append((time.monotonic() - started) * 1000)
+
+    return change
+
+
 def report(plan: Plan) -> dict[str, Any]:
     """Run every part and return the JSON of one run."""
     idle = measure_idle(plan)
     print("idle", json.dumps(idle), flush=True)
     slopes = measure_slopes()
     print("slopes", json.dumps(slopes), flush=True)
+    large_view = measure_large_view(plan)
+    print("large_view", json.dumps(large_view), flush=True)
     load = measure_load(plan)
     fleets = []
     for n_nodes, with_platform in itertools.product(plan.n_nodes, (False, True)):
         fleets.append(measure_fleet(n_nodes, plan, with_platform))
         print("fleet", json.dumps(fleets[-1]), flush=True)
+    changes = measure_changes(plan.n_nodes[1])
+    print("changes", json.dumps(changes), flush=True)
     largest = fleets[-1]
     return {
         "benchmark": "control_cost",
@@ -321,8 +452,10 @@
         "control_bytes_per_s": sum(largest["bytes_per_s_per_node"].values()),
         "idle": idle,
         "slopes": slopes,
+        "large_view": large_view,
         **load,
         "fleets": fleets,
+        "changes": changes,
         "machine": machine(),
     }
 
@@ -330,12 +463,14 @@
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true", help="under a minute")
-    parser.add_argument("--soak", action="store_true", help="add ten minutes of calls")
+    parser.add_argument("--soak", action="store_true", help="only ten minutes of calls")
     arguments = parser.parse_args()
     gc.freeze()
     plan = QUICK if arguments.quick else FULL
     if arguments.soak:
-        plan = plan._replace(soak_s=600.0)
+        measured = measure_soak(SOAK_S)
+        print(json.dumps({"benchmark": "soak", **measured, "machine": machine()}))
+        return
     print(json.dumps(report(plan)))
 
 
--- a/packages/node/ibisspoke_node/dispatch.py
+++ b/packages/node/ibisspoke_node/dispatch.py
@@ -20,7 +20,7 @@
 from ibisspoke_policy.retry import Allowance
 from ibisspoke_policy.routing import RouteQuery, Router
 
-from .claims import KeyedServices, is_keyed, scoped_key
+from .claims import KeyedServices, is_keyed, key_scope, scoped_key
 from .link_pool import LinkPool
 from .messages import Attempt, Header, Outcome, Refused
 from .outcomes import (
@@ -37,6 +37,7 @@
 
 SHED_RETRY_AFTER_MS = 500
 FAR_PREFIX = "far/"
+NESTED_MARGIN = 1.75
 
 
 class Request(NamedTuple):
@@ -170,10 +171,10 @@
     ) -> bool:
         """Return whether to refuse a request at once.
 
-        Work has been done for a nested call: it is refused only when all of its
-        importance is shed, and takes its chance in the queue otherwise.
+        Work has been done for a nested call: it is refused only when far below the
+        level, and takes its chance in the queue otherwise.
         """
-        if is_nested and level < candidate.importance + 1:
+        if is_nested and level < candidate.importance + NESTED_MARGIN:
             return False
         return self.shedder.refuses(candidate, level, now_ms)
 
@@ -209,7 +210,7 @@
                 return outcome or Err(Refused(_late(job)))
             member = self._choose(job, progress, now_ms)
             if member is None:
-                return outcome or Err(Refused(_nobody(job)))
+                return outcome or Err(Refused(self._nobody(job, progress, now_ms)))
             n_lent = allowance.lend()
             latest = await self._attempt(job, n_lent, member)
             allowance.give_back(n_lent, unused(latest, n_lent))
@@ -222,11 +223,18 @@
                 return outcome
             progress = following._replace(tried=tried)
 
+    def _nobody(self, job: Job, progress: Progress, now_ms: float) -> Refusal:
+        wait_ms = self._router.link_wait_ms(_query(job, progress), now_ms)
+        if wait_ms is None:
+            return _undelivered(job, no_upstream(job.attempt.service))
+        detail = "only another region can take it, and the link there has no room"
+        return _undelivered(job, overloaded(detail, int(wait_ms) + 1))
+
     def _choose(self, job: Job, progress: Progress, now_ms: float) -> Member | None:
         attempt = job.attempt
         if is_keyed(attempt):
             key = scoped_key(attempt)
-            return self._keyed.owner(attempt.service, key, now_ms)
+            return self._keyed.owner(key_scope(attempt), key, now_ms)
         query = _query(job, progress)
         member = self._router.choose(query, now_ms)
         if member is None and len(progress.tried) > progress.n_redirects:
@@ -333,10 +341,6 @@
     return _undelivered(job, deadline_exceeded(Ran.NOT_RUN, detail))
 
 
-def _nobody(job: Job) -> Refusal:
-    return _undelivered(job, no_upstream(job.attempt.service))
-
-
 def _undelivered(job: Job, refusal: Refusal) -> Refusal:
     """Leave open what became of a key whose owner was not asked."""
     if is_keyed(job.attempt):
--- a/packages/node/ibisspoke_node/organisations.py
+++ b/packages/node/ibisspoke_node/organisations.py
@@ -1,7 +1,7 @@
 """Quota and configuration of one node, assembled."""
 
 import random
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
@@ -17,11 +17,12 @@
 from .config_sync import ConfigSync, PeerAddress, SyncIdentity, running_config
 from .control import ControlClient, ControlService
 from .in_force import InForce
-from .in_force_report import InForceReporter, running_reports
+from .in_force_report import InForceReporter
 from .quota_service import QuotaService, running_quota
 from .settings import NodeSettings
 from .slot_holder import HolderIdentity, SlotHolder
 from .slot_store import SlotStore
+from .supervise import running_loops
 
 
 class PlatformStores(NamedTuple):
@@ -48,6 +49,9 @@
     ) -> None:
         self.settings = settings
         self._members_by_id = members_by_id
+        self._present_members: tuple[Member, ...] | None = None
+        self._present_near_ids: tuple[str, ...] | None = None
+        members_by_id.subscribe(self._note_change)
         rng = random.Random()
         directory = SlotDirectory()
         self.isolation = IsolationWatch(clock)
@@ -99,12 +103,21 @@
         address = PeerAddress(settings.host, control_port)
         return SyncIdentity(settings.id, settings.data_centre, address)
 
-    def _present(self) -> Sequence[Member]:
-        return self._members_by_id.where(_is_reachable)
+    def _note_change(self, member_id: str) -> None:
+        self._present_members = None
+        self._present_near_ids = None
 
-    def _near_ids(self) -> list[str]:
-        own = self.settings.data_centre
-        return [member.id for member in self._present() if member.data_centre == own]
+    def _present(self) -> tuple[Member, ...]:
+        if self._present_members is None:
+            self._present_members = tuple(self._members_by_id.where(_is_reachable))
+        return self._present_members
+
+    def _near_ids(self) -> tuple[str, ...]:
+        if self._present_near_ids is None:
+            own = self.settings.data_centre
+            near = [member for member in self._present() if member.data_centre == own]
+            self._present_near_ids = tuple(member.id for member in near)
+        return self._present_near_ids
 
 
 @asynccontextmanager
@@ -114,7 +127,7 @@
     async with (
         running_config(services.config, seeds),
         running_quota(services.quota),
-        running_reports(services.reporter),
+        running_loops(services.reporter.run),
     ):
         yield
 
--- a/packages/node/ibisspoke_node/slot_holder.py
+++ b/packages/node/ibisspoke_node/slot_holder.py
@@ -10,6 +10,7 @@
 from ibisspoke_platform.store import Check
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.quota_messages import (
+    MAX_LIFETIME_MS,
     DrawReply,
     DrawRequest,
     Limit,
@@ -29,7 +30,7 @@
     next_weight,
     target_weight,
 )
-from ibisspoke_policy.slot_ledger import GRANT_LIFETIME_MS, QUIET_MS, SlotLedger
+from ibisspoke_policy.slot_ledger import QUIET_MS, SlotLedger
 
 from .slot_store import SlotStore, StoredRow, new_nonce
 
@@ -66,7 +67,8 @@
 class SlotHolder:
     """Take, renew and hand back slots, and answer draws from them.
 
-    :param node_ids: returns the live nodes of this data centre.
+    :param node_ids: returns the live nodes of this data centre; the same collection
+        until they change.
     """
 
     def __init__(
@@ -88,6 +90,8 @@
         self._slots: list[SlotId] = []
         self._watch_ms = clock.now_ms()
         self._stopping = False
+        self._ranked_ids: Iterable[str] | None = None
+        self._rank_by_slot: dict[SlotId, int] = {}
 
     def __repr__(self) -> str:
         return f"SlotHolder({[str(slot) for slot in self._holdings_by_slot]})"
@@ -111,7 +115,7 @@
         holding = self._holdings_by_slot.get(request.slot)
         if holding is None:
             return refused_draw(request)
-        if not holding.held.covers(self._clock.elapsed_ms(), GRANT_LIFETIME_MS):
+        if not holding.held.covers(self._clock.elapsed_ms(), MAX_LIFETIME_MS):
             return refused_draw(request)
         return holding.ledger.draw(request, self._clock.now_ms())
 
@@ -150,8 +154,17 @@
         )
 
     def _rank(self, slot: SlotId) -> int:
-        own = self.identity.node_id
-        return rank_of(str(slot), own, set(self._node_ids()) | {own})
+        """Return the place of this node for a slot, computed anew after a change."""
+        node_ids = self._node_ids()
+        if node_ids is not self._ranked_ids:
+            self._ranked_ids = node_ids
+            self._rank_by_slot.clear()
+        rank = self._rank_by_slot.get(slot)
+        if rank is None:
+            own = self.identity.node_id
+            rank = rank_of(str(slot), own, set(node_ids) | {own})
+            self._rank_by_slot[slot] = rank
+        return rank
 
     def _renewal_due(self, slot: SlotId) -> bool:
         held = self._holdings_by_slot[slot].held
