Remove rows that failed nodes left in the table

Rows of failed nodes went only when a node of the same id started again, so they grew by replacements under new ids. A row goes only if it still is what was read, by a check of its version. A node that is cut off removes nothing.

Tested with the stand-in's memory store; not measured at 6,600 rows.

--- a/packages/node/ibisspoke_node/member_rows.py
+++ b/packages/node/ibisspoke_node/member_rows.py
@@ -58,3 +58,18 @@
         if self._decoder.decode(row.value).incarnation > member.incarnation:
             return
         await self._table.commit([Check(key, row.version)], [Write(key, None)])
+
+    async def remove_unchanged(self, member: Member) -> bool:
+        """Remove the row of a member if it still is ``member``.
+
+        :returns: whether it is known to be removed.
+        """
+        key = member_key(member.id)
+        found = await self._table.read(key)
+        if isinstance(found, Err) or found.ok_value.version == 0:
+            return False
+        row = found.ok_value
+        if self._decoder.decode(row.value) != member:
+            return False
+        checks = [Check(key, row.version)]
+        return not isinstance(await self._table.commit(checks, [Write(key, None)]), Err)
--- a/packages/node/ibisspoke_node/membership_service.py
+++ b/packages/node/ibisspoke_node/membership_service.py
@@ -11,6 +11,7 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.link_budget import LinkTraffic
 from ibisspoke_policy.member import Member, MemberTable
+from ibisspoke_policy.member_index import Place
 from ibisspoke_policy.membership import Membership
 from ibisspoke_policy.membership_messages import (
     Action,
@@ -29,6 +30,7 @@
 from .datagrams import Address, DatagramSocket, datagram_socket
 from .direct_check import check_directly, serve_checks
 from .member_rows import MemberRows
+from .row_sweeper import RowSweeper
 from .supervise import running_loops
 from .view_exchange import ViewExchange
 
@@ -82,6 +84,12 @@
         self._exchange = ViewExchange(self.membership.view, self._merge, control)
         self._rows = MemberRows(access.table) if access.table is not None else None
         self._is_row_written = False
+        place = Place(own.id, own.region, own.data_centre)
+        self.sweeper = (
+            RowSweeper(self._rows, self.membership, place, clock)
+            if self._rows is not None
+            else None
+        )
         self._seeds = [_parse_seed(seed) for seed in access.seeds]
         router.observe(self)
 
--- /dev/null
+++ b/packages/node/tests/test_row_sweeper.py
@@ -0,0 +1,82 @@
+"""Rows of members that are gone for long leave the platform's table."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from ibisspoke_node import row_sweeper
+from ibisspoke_node.member_rows import MemberRows
+from ibisspoke_node.row_sweeper import MIN_ABSENCE_MS, RowSweeper
+from ibisspoke_policy.clock import ManualClock
+from ibisspoke_policy.member import Member, MemberState, MemberTable
+from ibisspoke_policy.member_index import Place
+from ibisspoke_standins.memory_store import MemoryStore
+
+
+def make_member(id: str, incarnation: int = 1, data_centre: str = "svea-1") -> Member:
+    place = ("svea", data_centre, "10.0.0.1")
+    return Member(id, incarnation, *place, 1, 2, 3, "", 0, False, MemberState.ALIVE, 1)
+
+
+class Site:
+    """Rows of nodes a to d in the table, and the view of node a, which sweeps."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.rows = MemberRows(MemoryStore())
+        self.members: MemberTable = MemberTable("members")
+        self.members.put("a", make_member("a"))
+        view = SimpleNamespace(members=self.members)
+        self.membership = SimpleNamespace(is_cut_off=False, view=view)
+        place = Place("a", "svea", "svea-1")
+        self.sweeper = RowSweeper(self.rows, self.membership, place, self.clock)
+
+    async def fill(self) -> None:
+        for id in "abc":
+            await self.rows.write(make_member(id))
+        await self.rows.write(make_member("d", data_centre="svea-2"))
+
+    async def sweep_late(self) -> set[str]:
+        self.clock.advance(MIN_ABSENCE_MS)
+        await self.sweeper.sweep()
+        return {row.id for row in await self.rows.read()}
+
+
+@pytest.fixture
+async def site(monkeypatch) -> Site:
+    monkeypatch.setattr(row_sweeper, "REMOVAL_GAP_MS", 0.0)
+    site = Site()
+    await site.fill()
+    return site
+
+
+async def test_rows_go_when_their_members_were_gone_for_long(site: Site):
+    site.members.put("b", make_member("b")._replace(state=MemberState.DEAD))
+    assert await site.sweep_late() == set("abcd")
+    site.clock.advance(-1.0)
+    assert await site.sweep_late() == set("abcd")
+    assert await site.sweep_late() == set("ad")
+
+
+async def test_a_row_that_was_written_anew_stays(site: Site):
+    await site.sweeper.sweep()
+    await site.rows.write(make_member("b", 2))
+    assert await site.sweep_late() == set("abd")
+    assert not await site.rows.remove_unchanged(make_member("b", 1))
+    assert not await site.rows.remove_unchanged(make_member("b", 3))
+    assert "b" in {row.id for row in await site.rows.read()}
+
+
+async def test_a_member_that_came_back_keeps_its_row(site: Site):
+    await site.sweeper.sweep()
+    site.members.put("b", make_member("b"))
+    assert await site.sweep_late() == set("abd")
+
+
+async def test_a_node_that_is_cut_off_or_not_chosen_removes_nothing(site: Site):
+    await site.sweeper.sweep()
+    site.membership.is_cut_off = True
+    assert await site.sweep_late() == set("abcd")
+    site.membership.is_cut_off = False
+    site.members.pop("a")
+    assert await site.sweep_late() == set("abcd")
--- a/packages/platform/ibisspoke_platform/member_records.py
+++ b/packages/platform/ibisspoke_platform/member_records.py
@@ -31,7 +31,7 @@
     """Return the members by id, and the rows that cannot be read.
 
     A row shows its node as it was when the row was written; that of a node which
-    failed stays until a node of its id starts again.
+    failed stays until a node of its id starts again, or for an hour or two.
     """
     rows = await table.scan(MEMBER_PREFIX)
     if isinstance(rows, Err):
