Say unknown when a keyed request is refused before its owner was asked

Cause: a repeat of an order that had run was refused for its rate as not_run. Found by reading; wait_for in Python 3.11 can lose a cancellation, and each node of a split region read all member rows once a minute. Change: refusals of the entry leave a key open; the connection to the upstream uses asyncio.timeout; only relays look for unreachable data centres in the table.

--- a/packages/node/ibisspoke_node/entry.py
+++ b/packages/node/ibisspoke_node/entry.py
@@ -224,9 +224,8 @@
         except Exception:
             logger.exception("request failed", extra={"request": self._request_id})
             refusal = outcome_unknown("the node failed while it handled the request")
-            self._refuse(refusal)
             if not self._answered:
-                self._answer(to_answer(refusal, self._request_id))
+                self._refuse_now(refusal)
 
     async def _run(self) -> None:
         accepted = self._accepted
@@ -234,8 +233,7 @@
         if accepted.quota_name:
             refusal = await self._entry.acceptance.acquire(accepted)
             if refusal is not None:
-                self._refuse(refusal)
-                self._answer(to_answer(refusal, self._request_id))
+                self._refuse_now(refusal)
                 return
         body = self._take_body()
         request = Request(
@@ -263,19 +261,31 @@
         accepted = self._accepted
         if accepted is None or n_bytes <= accepted.call.max_body_bytes:
             return
-        self._refuse(_body_too_large(accepted.call.max_body_bytes))
+        refusal = _body_too_large(accepted.call.max_body_bytes)
         if n_bytes > MAX_DISCARDED_BYTES:
-            assert self._refusal is not None
-            self._answer(to_answer(self._refusal, self._request_id))
+            self._refuse_now(refusal)
+        else:
+            self._refuse(refusal)
+
+    def _refuse_now(self, refusal: Refusal) -> None:
+        self._refuse(refusal)
+        assert self._refusal is not None
+        self._answer(to_answer(self._refusal, self._request_id))
 
     def _refuse(self, refusal: Refusal) -> None:
         if self._refusal is not None:
             return
-        self._refusal = refusal
+        self._refusal = self._undelivered(refusal)
         if not self._request_id:
             self._request_id = self._entry.acceptance.next_id()
         self._entry.metrics.count(f"refused.{refusal.kind.value}")
 
+    def _undelivered(self, refusal: Refusal) -> Refusal:
+        """Leave open what an earlier request with the same key came to."""
+        if not self._headers.get(IDEMPOTENCY_HEADER):
+            return refusal
+        return refusal._replace(ran=Ran.UNKNOWN)
+
     def _answer(self, answer: Answer) -> None:
         self._answered = True
         self._n_answer_bytes = len(answer.body)
--- a/packages/node/ibisspoke_node/membership_service.py
+++ b/packages/node/ibisspoke_node/membership_service.py
@@ -159,7 +159,8 @@
             period_ms = TABLE_PERIOD_MS * self._rng.uniform(0.75, 1.25)
             await asyncio.sleep(period_ms / 1000.0)
             await self._write_row()
-            if self._is_alone or self.membership.unreachable:
+            is_split = self.membership.is_relay and self.membership.unreachable
+            if self._is_alone or is_split:
                 await self._join()
 
     def stop(self) -> None:
--- a/packages/node/ibisspoke_node/upstream_client.py
+++ b/packages/node/ibisspoke_node/upstream_client.py
@@ -236,8 +236,9 @@
         return None
 
     async def _connect(self) -> IOStream:
-        connecting = self._tcp.connect(self.host, self.port)
-        stream = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_MS / 1000.0)
+        # wait_for loses a cancellation that comes together with the connection.
+        async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):
+            stream = await self._tcp.connect(self.host, self.port)
         keep_nodelay(stream)
         return stream
 
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -204,3 +204,26 @@
         problem = json.loads(response.body)
         assert (response.code, problem["ran"]) == (502, "unknown")
         assert fleet.entry.entry.n_open == 0
+
+
+@pytest.mark.parametrize(
+    ("method", "key", "ran"),
+    [("POST", "o1", "unknown"), ("POST", "", "not_run"), ("GET", "", "not_run")],
+)
+async def test_repeat_refused_at_the_entry_leaves_open_what_the_first_came_to(
+    method, key, ran
+):
+    path = "/ordering/orders" if method == "POST" else "/ordering/orders/7"
+    headers = {"Idempotency-Key": key} if key else {}
+    body = b"{}" if method == "POST" else None
+    async with running_fleet() as fleet:
+        organisation = Organisation("svea", 0.0, 0.0)
+        limited = CATALOGUE._replace(
+            version=2, organisations_by_id={"svea": organisation}
+        )
+        fleet.entry.in_force.adopt(limited)
+        await fleet.fetch("GET", "/ordering/orders/1")
+        response = await fleet.fetch(method, path, body=body, headers=headers)
+        problem = json.loads(response.body)
+        assert (response.code, problem["kind"]) == (429, "rate_exceeded")
+        assert problem["ran"] == ran
