--- a/packages/node/ibisspoke_node/acceptance.py
+++ b/packages/node/ibisspoke_node/acceptance.py
@@ -21,6 +21,7 @@
 KEY_SCHEME = "bearer "
 NO_CATALOGUE_RETRY_MS = 1_000
 ISOLATED_RETRY_MS = 5_000
+MIN_ISOLATED_MS = 10_000.0
 
 
 class Accepted(NamedTuple):
@@ -141,7 +142,7 @@
         if organisation is None:
             return Err(_unknown_key())
         limit_s = organisation.serve_when_isolated_s
-        if self._isolation.isolated_ms > limit_s * 1000.0:
+        if self._isolation.isolated_ms > max(MIN_ISOLATED_MS, limit_s * 1000.0):
             return Err(_isolated(limit_s))
         return Ok(organisation.id)
 
