--- a/packages/node/ibisspoke_node/membership_service.py
+++ b/packages/node/ibisspoke_node/membership_service.py
@@ -26,6 +26,7 @@
 from ibisspoke_policy.nearest_router import NearestRouter
 from ibisspoke_policy.watch_plan import WatchPlan
 
+from .addresses import NodeAddress, parse_address
 from .control import ControlClient, ControlService
 from .datagrams import Address, DatagramSocket, datagram_socket
 from .direct_check import check_directly, serve_checks
@@ -38,6 +39,7 @@
 JOIN_RETRY_MS = 1_000.0
 MAX_JOIN_RETRY_MS = 10_000.0
 TABLE_PERIOD_MS = 60_000.0
+ROW_PERIOD_MS = 1_800_000.0
 GOODBYE_MS = 200.0
 N_JOIN_PEERS = 3
 
@@ -83,14 +85,14 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._exchange = ViewExchange(self.membership.view, self._merge, control)
         self._rows = MemberRows(access.table) if access.table is not None else None
-        self._is_row_written = False
+        self._row_written_ms: float | None = None
         place = Place(own.id, own.region, own.data_centre)
         self.sweeper = (
             RowSweeper(self._rows, self.membership, place, clock)
             if self._rows is not None
             else None
         )
-        self._seeds = [_parse_seed(seed) for seed in access.seeds]
+        self._seeds = [parse_address(seed) for seed in access.seeds]
         router.observe(self)
 
     def __repr__(self) -> str:
@@ -166,7 +168,7 @@
         while True:
             period_ms = TABLE_PERIOD_MS * self._rng.uniform(0.75, 1.25)
             await asyncio.sleep(period_ms / 1000.0)
-            await self._write_row()
+            await self.write_row()
             is_split = self.membership.is_relay and self.membership.unreachable
             if self._is_alone or is_split:
                 await self._join()
@@ -185,13 +187,13 @@
 
         :returns: whether another node answered, or there is none to ask.
         """
-        await self._write_row()
+        await self.write_row()
         own_address = (self.own.host, self.own.control_port)
         addresses = [seed for seed in self._seeds if seed != own_address]
         if self._rows is not None:
             rows = [row for row in await self._rows.read() if row.id != self.own.id]
             some = self._rng.sample(rows, min(N_JOIN_PEERS, len(rows)))
-            addresses.extend((row.host, row.control_port) for row in some)
+            addresses.extend(NodeAddress(row.host, row.control_port) for row in some)
         self._rng.shuffle(addresses)
         is_answered = False
         for address in addresses:
@@ -202,9 +204,15 @@
             self._do(self.membership.announce(self._clock.now_ms()))
         return is_answered or not addresses
 
-    async def _write_row(self) -> None:
-        if self._rows is not None and not self._is_row_written:
-            self._is_row_written = await self._rows.write(self.own)
+    async def write_row(self) -> None:
+        """Write the own row if it is due; a sweep may have removed the last one."""
+        now_ms = self._clock.now_ms()
+        written_ms = self._row_written_ms
+        is_fresh = written_ms is not None and now_ms - written_ms < ROW_PERIOD_MS
+        if self._rows is None or is_fresh:
+            return
+        if await self._rows.write(self.own):
+            self._row_written_ms = now_ms
 
     def _merge(self, rows: list[Member]) -> None:
         self._do(self.membership.merge(rows, self._clock.now_ms()))
@@ -271,13 +279,6 @@
         task.add_done_callback(_log_failure)
 
 
-def _parse_seed(seed: str) -> Address:
-    host, _, port = seed.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"seed {seed!r} is no address; write it as host:port")
-    return host, int(port)
-
-
 def _log_failure(task: "asyncio.Task[None]") -> None:
     if not task.cancelled() and task.exception() is not None:
         logger.error("membership failed", exc_info=task.exception())
--- a/packages/node/ibisspoke_node/organisations.py
+++ b/packages/node/ibisspoke_node/organisations.py
@@ -14,6 +14,7 @@
 from ibisspoke_policy.member import Member, MemberTable
 from ibisspoke_policy.slot_directory import SlotDirectory
 
+from .addresses import parse_address
 from .config_state import ConfigState
 from .config_sync import ConfigSync, PeerAddress, SyncIdentity, running_config
 from .control import ControlClient, ControlService
@@ -126,7 +127,7 @@
 @asynccontextmanager
 async def running_organisations(services: Organisations) -> AsyncIterator[None]:
     """Run configuration and quota; hand slots back at the end."""
-    seeds = [_peer(seed) for seed in services.settings.seeds]
+    seeds = [PeerAddress(*parse_address(seed)) for seed in services.settings.seeds]
     async with running_config(services.config, seeds):
         async with (
             running_quota(services.quota),
@@ -148,8 +149,3 @@
 
 def _is_reachable(member: Member) -> bool:
     return member.is_present and member.control_port > 0
-
-
-def _peer(seed: str) -> PeerAddress:
-    host, _, port = seed.rpartition(":")
-    return PeerAddress(host, int(port))
--- a/packages/node/tests/test_row_sweeper.py
+++ b/packages/node/tests/test_row_sweeper.py
@@ -1,15 +1,22 @@
 """Rows of members that are gone for long leave the platform's table."""
 
+import random
 from types import SimpleNamespace
 
 import pytest
 
 from ibisspoke_node import row_sweeper
 from ibisspoke_node.member_rows import MemberRows
+from ibisspoke_node.membership_service import (
+    ROW_PERIOD_MS,
+    FleetAccess,
+    MembershipService,
+)
 from ibisspoke_node.row_sweeper import MIN_ABSENCE_MS, RowSweeper
 from ibisspoke_policy.clock import ManualClock
 from ibisspoke_policy.member import Member, MemberState, MemberTable
 from ibisspoke_policy.member_index import Place
+from ibisspoke_policy.nearest_router import NearestRouter
 from ibisspoke_standins.memory_store import MemoryStore
 
 
@@ -23,7 +30,8 @@
 
     def __init__(self) -> None:
         self.clock = ManualClock()
-        self.rows = MemberRows(MemoryStore())
+        self.store = MemoryStore()
+        self.rows = MemberRows(self.store)
         self.members: MemberTable = MemberTable("members")
         self.members.put("a", make_member("a"))
         view = SimpleNamespace(members=self.members)
@@ -80,3 +88,20 @@
     site.membership.is_cut_off = False
     site.members.pop("a")
     assert await site.sweep_late() == set("abcd")
+
+
+async def test_a_node_writes_its_row_anew_after_it_was_removed(site: Site):
+    access = FleetAccess((b"fleet secret",), (), site.store)
+    place = Place("a", "svea", "svea-1")
+    members = MemberTable("members")
+    router = NearestRouter(members, place, random.Random(1), 0.0)
+    service = MembershipService(
+        make_member("a"), members, router, None, access, site.clock
+    )
+    await service.write_row()
+    await site.rows.remove(make_member("a"))
+    await service.write_row()
+    assert "a" not in {row.id for row in await site.rows.read()}
+    site.clock.advance(ROW_PERIOD_MS)
+    await service.write_row()
+    assert "a" in {row.id for row in await site.rows.read()}
--- a/packages/policy/ibisspoke_policy/catalogue.py
+++ b/packages/policy/ibisspoke_policy/catalogue.py
@@ -63,7 +63,7 @@
 
 
 class Organisation(NamedTuple):
-    """A tenant, its fleet-wide rate, and what a cut-off data centre does for it.
+    """An organisation, its fleet-wide rate, and what a cut-off data centre does for it.
 
     :param rate_per_s: root requests a second over all VMs together.
     :param burst: requests above the rate that may come at once.
