--- a/packages/node/tests/test_entry.py
+++ b/packages/node/tests/test_entry.py
@@ -3,13 +3,8 @@
 import asyncio
 from contextlib import suppress
 
-from ibisspoke_node.entry import (
-    BODY_TIMEOUT_MS,
-    IDLE_TIMEOUT_MS,
-    SWEEP_MS,
-    EntryLimits,
-    entry_server,
-)
+from ibisspoke_node.entry import SWEEP_MS, EntryLimits, entry_server
+from ibisspoke_node.exchange import BODY_TIMEOUT_MS, IDLE_TIMEOUT_MS
 from ibisspoke_node.node import Node
 from ibisspoke_node.settings import NodeSettings
 from ibisspoke_policy.clock import ManualClock
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -9,7 +9,7 @@
 import pytest
 from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
-from ibisspoke_node.entry import BODY_TIMEOUT_MS
+from ibisspoke_node.exchange import BODY_TIMEOUT_MS
 from ibisspoke_node.node import Node, running_node
 from ibisspoke_node.settings import NodeSettings
 from ibisspoke_policy.catalogue import (
