Share one sample member between tests

Cause: two test files built the same row; a test class had a name of no meaning. Change: sample_member in the stand-ins; the class is named for what it is.

--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -73,7 +73,7 @@
         self.id = f"{data_centre}-{port}"
         self.stopped = False
         self.clock = ManualClock()
-        self.store = _Gate(fleet.store)
+        self.store = _ReachedStore(fleet.store)
         self.in_force = InForce()
         self.isolation = IsolationWatch(self.clock)
         control = fleet.network.sender(data_centre)
@@ -117,14 +117,13 @@
         return n_admitted
 
 
-class _Gate:
+class _ReachedStore:
     """The platform as one node reaches it."""
 
     def __init__(self, store):
         self._store = store
         self.down = False
         self._none = MemoryStore()
-
         self._none.inject(Fault(FaultKind.DOWN))
 
     def __getattr__(self, name):
--- a/packages/node/tests/test_claims.py
+++ b/packages/node/tests/test_claims.py
@@ -4,8 +4,8 @@
 
 from ibisspoke_node.claims import KeyedServices, KeyScope
 from ibisspoke_policy.idempotency import data_centre_of, issued_wall_ms
-from ibisspoke_policy.member import Member, MemberState
 from ibisspoke_policy.table import Table
+from ibisspoke_standins.sample_member import sample_member
 
 HORIZON_MS = 30_000.0
 N_KEYS = 200
@@ -18,28 +18,10 @@
     for data_centre in data_centres:
         for number in range(n_nodes):
             node_id = f"{data_centre}-{number}"
-            members.put(node_id, make_member(node_id, data_centre))
+            members.put(node_id, sample_member(node_id, data_centre))
     return members
 
 
-def make_member(node_id, data_centre):
-    return Member(
-        id=node_id,
-        incarnation=1,
-        region="svealand",
-        data_centre=data_centre,
-        host="127.0.0.1",
-        call_port=1,
-        control_port=1,
-        entry_port=1,
-        service="ordering",
-        n_slots=1,
-        draining=False,
-        state=MemberState.ALIVE,
-        catalogue_version=0,
-    )
-
-
 def owners(members, scope):
     services = KeyedServices(members, HORIZON_MS)
     return [services.owner(scope, f"svea/{number}", 0.0) for number in range(N_KEYS)]
--- a/packages/node/tests/test_dispatch.py
+++ b/packages/node/tests/test_dispatch.py
@@ -12,9 +12,9 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.context import RequestContext
 from ibisspoke_policy.early_shedding import ChainLevels, EarlyShedder
-from ibisspoke_policy.member import Member, MemberState
 from ibisspoke_policy.refusal import Ran, RefusalKind, outcome_unknown, overloaded
 from ibisspoke_policy.table import Table
+from ibisspoke_standins.sample_member import sample_member
 
 FULL = AdmissionLevel(1.0, 0, 0, 100)
 UNKNOWN = Err(Refused(outcome_unknown("the connection broke"), FULL))
@@ -30,7 +30,7 @@
         self.wait_ms = wait_ms
 
     def choose(self, query, now_ms):
-        return make_member("n0") if self.outcomes else None
+        return sample_member("n0") if self.outcomes else None
 
     def link_wait_ms(self, query, now_ms):
         return self.wait_ms
@@ -65,24 +65,6 @@
         return None
 
 
-def make_member(node_id):
-    return Member(
-        id=node_id,
-        incarnation=1,
-        region="svealand",
-        data_centre="svealand-1",
-        host="127.0.0.1",
-        call_port=1,
-        control_port=1,
-        entry_port=1,
-        service="ordering",
-        n_slots=1,
-        draining=False,
-        state=MemberState.ALIVE,
-        catalogue_version=0,
-    )
-
-
 def make_request(clock, idempotent, key=""):
     call = Call(
         "ordering.look",
@@ -101,7 +83,7 @@
     clock = Clock()
     members_by_id = Table("members")
     for node_id in members:
-        members_by_id.put(node_id, make_member(node_id))
+        members_by_id.put(node_id, sample_member(node_id))
     router = ScriptedRouter(outcomes, wait_ms)
     shedder = EarlyShedder()
     dispatcher = Dispatcher(
