--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 VENV := .venv
 STAMP := $(VENV)/.installed
-PACKAGES := policy platform node ctl standins
+PACKAGES := policy storage mesh node ctl standins
 
 .PHONY: env test check demo clean
 
--- a/benchmarks/_control_fleet.py
+++ b/benchmarks/_control_fleet.py
@@ -23,8 +23,8 @@
     running_organisations,
 )
 from ibisspoke_node.settings import NodeSettings
-from ibisspoke_platform.config_store import ChangeNote, ConfigStore
-from ibisspoke_platform.http_store import HttpStore
+from ibisspoke_storage.config_store import ChangeNote, ConfigStore
+from ibisspoke_storage.http_store import HttpStore
 from ibisspoke_policy.catalogue import Catalogue
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.member import Member, MemberState, MemberTable
--- a/benchmarks/_harness.py
+++ b/benchmarks/_harness.py
@@ -20,8 +20,8 @@
 import msgspec
 import psutil
 
-from ibisspoke_platform.config_store import ChangeNote, ConfigStore
-from ibisspoke_platform.http_store import HttpStore
+from ibisspoke_storage.config_store import ChangeNote, ConfigStore
+from ibisspoke_storage.http_store import HttpStore
 from ibisspoke_policy.catalogue import (
     Call,
     Catalogue,
--- a/benchmarks/_propagation_process.py
+++ b/benchmarks/_propagation_process.py
@@ -9,7 +9,7 @@
 import msgspec
 from _control_fleet import BenchFleet, DataCentreSpec, Network
 
-from ibisspoke_platform.http_store import HttpStore
+from ibisspoke_storage.http_store import HttpStore
 from ibisspoke_policy.catalogue import EMPTY_CATALOGUE, Catalogue, Key, Organisation
 from ibisspoke_policy.member import Member
 from ibisspoke_standins.memory_store import MemoryStore
--- a/benchmarks/catalogue_storage.py
+++ b/benchmarks/catalogue_storage.py
@@ -13,13 +13,13 @@
 
 import msgspec
 
-from ibisspoke_platform.config_records import (
+from ibisspoke_storage.config_records import (
     CHANGE_PREFIX,
     SNAPSHOT_INTERVAL,
     change_name,
     snapshot_name,
 )
-from ibisspoke_platform.config_store import ChangeNote, ConfigStore
+from ibisspoke_storage.config_store import ChangeNote, ConfigStore
 from ibisspoke_policy.catalogue import (
     EMPTY_CATALOGUE,
     Call,
--- a/packages/ctl/ibisspoke_ctl/apply.py
+++ b/packages/ctl/ibisspoke_ctl/apply.py
@@ -6,8 +6,8 @@
 import typer
 from result import Err, Ok, Result
 
-from ibisspoke_platform.config_store import ChangeNote, PublishConflict
-from ibisspoke_platform.store import StoreError
+from ibisspoke_storage.config_store import ChangeNote, PublishConflict
+from ibisspoke_storage.store import StoreError
 from ibisspoke_policy.catalogue import Catalogue
 from ibisspoke_policy.difference import Change, difference
 
--- a/packages/ctl/ibisspoke_ctl/exit_code.py
+++ b/packages/ctl/ibisspoke_ctl/exit_code.py
@@ -2,7 +2,7 @@
 
 from enum import IntEnum
 
-from ibisspoke_platform.store import StoreErrorKind
+from ibisspoke_storage.store import StoreErrorKind
 
 
 class ExitCode(IntEnum):
--- a/packages/ctl/ibisspoke_ctl/history.py
+++ b/packages/ctl/ibisspoke_ctl/history.py
@@ -5,7 +5,7 @@
 import typer
 from result import Err
 
-from ibisspoke_platform.config_records import AuditRecord
+from ibisspoke_storage.config_records import AuditRecord
 from ibisspoke_policy.difference import Change
 
 from .exit_code import ExitCode
--- a/packages/ctl/ibisspoke_ctl/keys.py
+++ b/packages/ctl/ibisspoke_ctl/keys.py
@@ -7,8 +7,8 @@
 import typer
 from result import Err, Ok, Result
 
-from ibisspoke_platform.config_store import ChangeNote, PublishConflict, Published
-from ibisspoke_platform.store import StoreError, StoreErrorKind
+from ibisspoke_storage.config_store import ChangeNote, PublishConflict, Published
+from ibisspoke_storage.store import StoreError, StoreErrorKind
 from ibisspoke_policy.catalogue import Catalogue, Key, digest_key
 from ibisspoke_policy.difference import N_SHOWN_DIGEST_CHARACTERS
 
--- a/packages/ctl/ibisspoke_ctl/nodes.py
+++ b/packages/ctl/ibisspoke_ctl/nodes.py
@@ -7,7 +7,7 @@
 import typer
 from result import Err
 
-from ibisspoke_platform.member_records import read_members
+from ibisspoke_storage.member_records import read_members
 from ibisspoke_policy.member import Member
 
 from .exit_code import ExitCode
--- a/packages/ctl/ibisspoke_ctl/output.py
+++ b/packages/ctl/ibisspoke_ctl/output.py
@@ -7,8 +7,8 @@
 
 import typer
 
-from ibisspoke_platform.config_store import PublishConflict
-from ibisspoke_platform.store import StoreError
+from ibisspoke_storage.config_store import PublishConflict
+from ibisspoke_storage.store import StoreError
 
 from .exit_code import EXIT_CODE_BY_KIND, ExitCode
 
--- a/packages/ctl/ibisspoke_ctl/show.py
+++ b/packages/ctl/ibisspoke_ctl/show.py
@@ -7,7 +7,7 @@
 import typer
 from result import Err, Result
 
-from ibisspoke_platform.store import StoreError
+from ibisspoke_storage.store import StoreError
 from ibisspoke_policy.catalogue import Catalogue
 from ibisspoke_policy.catalogue_file import to_document
 from ibisspoke_policy.difference import difference
--- a/packages/ctl/ibisspoke_ctl/status.py
+++ b/packages/ctl/ibisspoke_ctl/status.py
@@ -7,7 +7,7 @@
 from result import Err
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
-from ibisspoke_platform.config_records import InForceRecord
+from ibisspoke_storage.config_records import InForceRecord
 from ibisspoke_policy.catalogue import Catalogue
 
 from .exit_code import ExitCode
--- /dev/null
+++ b/packages/mesh/ibisspoke_mesh/config_state.py
@@ -0,0 +1,98 @@
+"""The configuration in force at this node, and the proof that it is current."""
+
+from collections.abc import Callable
+
+from result import Err, Result
+
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.freshness import Freshness
+from ibisspoke_policy.route_table import RouteTable
+
+from .decision_log import DecisionLog
+from .frames import ConfigReply
+from .store import Changes
+
+Decoder = Callable[[bytes], Result[RouteTable, str]]
+
+
+class ConfigState:
+    """Adopt newer versions only, from the store or from other nodes.
+
+    :param key: the row that holds the configuration.
+    :param decode: turns the row's value into a table, or tells what is wrong.
+    :param on_adopted: called after each change.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        decode: Decoder,
+        clock: Clock,
+        log: DecisionLog,
+        on_adopted: Callable[[RouteTable], None],
+    ) -> None:
+        self.table: RouteTable | None = None
+        self.freshness = Freshness()
+        self._key = key
+        self._decode = decode
+        self._clock = clock
+        self._log = log
+        self._on_adopted = on_adopted
+        self._document = b""
+
+    def __repr__(self) -> str:
+        return f"ConfigState({self.table!r})"
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before any is known."""
+        return self.table.version if self.table else 0
+
+    def take_changes(
+        self, changes: Changes, is_snapshot: bool, started_ms: float
+    ) -> None:
+        """Take in what a watch of the store has brought."""
+        is_read = True
+        for row in changes.rows:
+            if row.key == self._key:
+                is_read = self._adopt(row.value, "store")
+        if is_read and self.version:
+            self.freshness.prove(self.version, started_ms)
+
+    def take_reply(self, reply: ConfigReply) -> None:
+        """Take in a configuration that another node sent."""
+        if reply.version > self.version:
+            self._adopt(reply.document, "node")
+
+    def reply(self) -> ConfigReply | None:
+        """Return the configuration in force for another node."""
+        if self.table is None:
+            return None
+        return ConfigReply(self.version, self._document)
+
+    def proof_age_ms(self) -> float:
+        """Return how old the proof is that the configuration is current."""
+        return self.freshness.age_ms(self.version, self._clock.elapsed_ms())
+
+    def _adopt(self, document: bytes, source: str) -> bool:
+        decoded = self._decode(document)
+        if isinstance(decoded, Err):
+            self._log.write(
+                "configuration unreadable",
+                source=source,
+                detail=decoded.err_value,
+                in_force=self.version,
+            )
+            return False
+        table = decoded.ok_value
+        if table.version > self.version:
+            self.table = table
+            self._document = document
+            self._log.write(
+                "configuration adopted",
+                version=table.version,
+                source=source,
+                n_routes=len(table.routes),
+            )
+            self._on_adopted(table)
+        return True
--- /dev/null
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -0,0 +1,337 @@
+"""Assembly of one node from its parts, its ticks and its stop."""
+
+import asyncio
+import logging
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from typing import NamedTuple
+
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.route_table import CallerLimits, RouteTable
+from ibisspoke_policy.shared_rate import SharedRates
+
+from .caller_server import (
+    DEFAULT_LIMITS,
+    CallerAnswer,
+    CallerConnection,
+    CallerRequest,
+    Handler,
+    ServerState,
+)
+from .config_state import ConfigState, Decoder
+from .decision_log import DecisionLog, PipeHandler
+from .dialect import Dialect
+from .entry import Entry
+from .fleet import Fleet, MemberRecord
+from .gate import Gate
+from .member_rows import MEMBER_TABLE, MemberRows
+from .metrics_page import RequestMetrics
+from .peer_link import Origin
+from .peer_server import PeerCalls, PeerConnection
+from .settings import NodeSettings
+from .status_datagrams import StatusExchange
+from .store import WatchedTables
+from .table_watch import TableWatch
+from .upstream_pool import UpstreamPool
+
+TICK_MS = 25.0  # bounds how late a wait is noticed; a tick costs some 0.1 ms
+CONFIG_WAIT_MS = 2_000  # a proof is as old as the start of the call that gave it
+MEMBER_WAIT_MS = 5_000  # status datagrams are faster; a silent connection ends with it
+BACKLOG = 1_024  # callers open many connections at once after an outage
+STOP_MIN_MS = 3_000.0  # readiness must be seen as gone before the listener is
+STOP_CLOSING_SHARE = 0.6  # of the stop time: later requests are refused
+STOP_END_SHARE = 0.96  # of the stop time: what still runs is given up
+RETRY_RATIO_SHARE = 0.5  # of the promised ratio: runs again repeat their own calls
+RETRY_SLACK_SHARE = 0.5
+
+logger = logging.getLogger("ibisspoke")
+
+
+class Adapter(NamedTuple):
+    """What a platform's adapter gives to a node.
+
+    :param config_table: the table of the row that holds the configuration.
+    :param announcements: returns the handler of what the upstream says of itself.
+    """
+
+    dialect: Dialect
+    store: WatchedTables
+    config_table: str
+    config_key: str
+    decode_config: Decoder
+    announcements: Callable[[Gate], Handler]
+
+
+class Node:
+    """All parts of one node."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        adapter: Adapter,
+        clock: Clock,
+        metrics: RequestMetrics,
+        pipe: PipeHandler | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.log = DecisionLog(clock)
+        self.metrics = metrics
+        self._pipe = pipe
+        rng = random.Random()
+        origin = Origin(settings.host, int(clock.wall_ms()))
+        self._incarnation = origin.incarnation
+        self._revision = 0
+        self._stopping_ms: float | None = None
+        self._lag_ms = 0.0
+        self.rates = SharedRates()
+        self.config = ConfigState(
+            adapter.config_key, adapter.decode_config, clock, self.log, self._adopted
+        )
+        self.fleet = Fleet(
+            settings, origin, clock, self.log, rng, self.config.take_reply
+        )
+        self.pool = UpstreamPool(*settings.upstream, adapter.dialect, clock)
+        self.gate = Gate(
+            settings.service,
+            self.pool,
+            adapter.dialect,
+            clock,
+            self.log,
+            settings.heartbeat_ms,
+            settings.drain_ms,
+        )
+        self.gate.on_change = self._tell_change
+        self.fleet.own_load = self.gate.load
+        self.calls = PeerCalls(self.gate, clock, self.log, self.config.reply)
+        self.entry = Entry(
+            settings,
+            adapter.dialect,
+            lambda: self.config.table,
+            self.config.freshness,
+            self.fleet,
+            self.gate,
+            self.rates,
+            clock,
+            rng,
+            self.log,
+            metrics,
+        )
+        self.rows = MemberRows(adapter.store, self.fleet, self.log)
+        self.status = StatusExchange(
+            self.fleet,
+            self.config,
+            self.rates,
+            clock,
+            rng,
+            lambda: self.gate.cold_until_ms - clock.now_ms(),
+        )
+        self.watches = [
+            TableWatch(
+                adapter.store,
+                adapter.config_table,
+                CONFIG_WAIT_MS,
+                clock,
+                self.log,
+                self.config.take_changes,
+            ),
+            TableWatch(
+                adapter.store,
+                MEMBER_TABLE,
+                MEMBER_WAIT_MS,
+                clock,
+                self.log,
+                self.rows.take_changes,
+            ),
+        ]
+        self.servers: list[ServerState] = []
+        self.callers = self.server(self.entry.handle)
+        self._tell_change()
+
+    def __repr__(self) -> str:
+        return f"Node({self.settings.id!r}, {self.gate!r}, {self.config!r})"
+
+    def server(self, handler: Handler) -> ServerState:
+        """Return the state of one more listener."""
+        state = ServerState(handler, self.clock, self._limits)
+        self.servers.append(state)
+        return state
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers on this VM should send their requests here."""
+        return self.config.table is not None and self._stopping_ms is None
+
+    async def readiness(self, request: CallerRequest) -> CallerAnswer:
+        """Answer the platform's question whether this node is ready."""
+        return CallerAnswer(200 if self.is_ready else 503, b"", b"")
+
+    async def metrics_answer(self, request: CallerRequest) -> CallerAnswer:
+        """Answer with the metrics."""
+        self._set_gauges()
+        headers = b"content-type: text/plain; version=0.0.4\r\n"
+        return CallerAnswer(200, headers, self.metrics.page())
+
+    async def run_ticks(self) -> None:
+        """Run the systems each tick, until cancelled."""
+        while True:
+            due_ms = self.clock.now_ms() + TICK_MS
+            await asyncio.sleep(TICK_MS / 1000.0)
+            now_ms = self.clock.now_ms()
+            self._lag_ms = max(now_ms - due_ms, 0.95 * self._lag_ms)
+            self.gate.tick()
+            self.calls.tick()
+            self.fleet.own_cold_until_ms = self.gate.cold_until_ms
+            self.fleet.tick()
+            self.status.tick()
+            self.log.tick()
+            for server in self.servers:
+                server.tick()
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Put changed settings in force; addresses stay until a restart."""
+        self.log.write("settings reloaded", service=settings.service)
+        self.settings = settings
+        self.entry.settings = settings
+        self._set_retry_budget()
+
+    async def stop(self) -> None:
+        """Stop without cutting a request."""
+        started_ms = self._stopping_ms = self.clock.now_ms()
+        stop_ms = self.settings.stop_ms
+        logger.info("node stops", extra={"n_active": self.callers.n_active})
+        self.gate.is_stopping = True
+        self.callers.is_stopping = True
+        self._tell_change()
+        self.callers.close_idle()
+        removal = asyncio.ensure_future(self.rows.remove())
+        while (elapsed_ms := self.clock.now_ms() - started_ms) < (
+            stop_ms * STOP_END_SHARE
+        ):
+            if elapsed_ms > stop_ms * STOP_CLOSING_SHARE:
+                self.entry.is_closing = True
+            is_idle = self.callers.n_active == 0 and self.gate.is_idle
+            if elapsed_ms >= STOP_MIN_MS and is_idle:
+                break
+            await asyncio.sleep(TICK_MS / 1000.0)
+        removal.cancel()
+        with suppress(asyncio.CancelledError):
+            await removal
+        logger.info("node stopped", extra={"n_active": self.callers.n_active})
+
+    def _limits(self) -> CallerLimits:
+        table = self.config.table
+        return table.limits if table is not None else DEFAULT_LIMITS
+
+    def _adopted(self, table: RouteTable) -> None:
+        limits_by_name = {
+            holder.organisation: (holder.rate_per_s, holder.burst)
+            for holder in table.holders_by_key.values()
+            if holder.rate_per_s > 0
+        }
+        self.rates.configure(limits_by_name, self.clock.now_ms())
+        self.entry.splitter.keep_only(table.routes)
+        self._set_retry_budget()
+
+    def _set_retry_budget(self) -> None:
+        settings = self.settings
+        n_nodes = len(self.fleet.peers_by_id) + 1
+        self.entry.retries.ratio = settings.retry_ratio * RETRY_RATIO_SHARE
+        self.entry.retries.slack = settings.retry_slack * RETRY_SLACK_SHARE / n_nodes
+
+    def _tell_change(self) -> None:
+        """Tell the fleet what has changed at this node."""
+        settings, life = self.settings, self.gate.life
+        self._revision += 1
+        self.fleet.own = MemberRecord(
+            settings.host,
+            self._incarnation,
+            self._revision,
+            settings.region,
+            settings.data_centre,
+            settings.peers[1],
+            settings.status_port,
+            self.gate.service,
+            self.gate.instance,
+            life.latest.n_slots if life.latest else 0,
+            self.gate.state,
+        )
+        self._set_retry_budget()
+        self.status.broadcast()
+        if life.latest is not None and self._stopping_ms is None:
+            self.rows.publish()
+
+    def _set_gauges(self) -> None:
+        now_ms = self.clock.now_ms()
+        load = self.gate.load()
+        n_alive = sum(p.is_alive(now_ms) for p in self.fleet.peers_by_id.values())
+        values = {
+            "config_version": self.config.version,
+            "config_proof_age_seconds": self.config.proof_age_ms() / 1000.0,
+            "requests_running": load.n_running,
+            "requests_queued": load.n_queued,
+            "upstream_limit": load.limit,
+            "upstream_service_seconds": load.service_ms / 1000.0,
+            "peers_alive": n_alive,
+            "loop_lag_seconds": self._lag_ms / 1000.0,
+            "log_lines_lost": self._pipe.n_lost if self._pipe else 0,
+            "connections_opened": self.pool.n_opened,
+        }
+        for name, value in values.items():
+            self.metrics.gauges[name].set(value)
+
+
+@asynccontextmanager
+async def running_node(node: Node, announcements: Handler) -> AsyncIterator[Node]:
+    """Run a node while the context is open."""
+    settings = node.settings
+    loop = asyncio.get_running_loop()
+    async with AsyncExitStack() as stack:
+        host = settings.host
+        await _listen_http(stack, node.server(node.readiness), settings.readiness)
+        await _listen_http(stack, node.server(announcements), settings.announcements)
+        metrics = node.server(node.metrics_answer)
+        await _listen_http(stack, metrics, (host, settings.metrics_port))
+        peers = await loop.create_server(
+            lambda: PeerConnection(node.calls), *settings.peers, backlog=BACKLOG
+        )
+        stack.callback(peers.close)
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: node.status, local_addr=(host, settings.status_port)
+        )
+        stack.callback(transport.close)
+        await _listen_http(stack, node.callers, settings.callers)
+        jobs: list[Callable[[], Awaitable[None]]] = [
+            node.run_ticks,
+            node.rows.run,
+            *(watch.run for watch in node.watches),
+        ]
+        for job in jobs:
+            task = asyncio.ensure_future(_supervised(job))
+            stack.callback(task.cancel)
+        stack.callback(node.fleet.close)
+        logger.info("node started", extra={"service": settings.service})
+        yield node
+
+
+async def _listen_http(
+    stack: AsyncExitStack, state: ServerState, address: tuple[str, int]
+) -> None:
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: CallerConnection(state), *address, backlog=BACKLOG
+    )
+    stack.callback(server.close)
+
+
+async def _supervised(job: Callable[[], Awaitable[None]]) -> None:
+    """Run a loop again after a fault in it, which is logged."""
+    while True:
+        try:
+            await job()
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            logger.exception("loop failed", extra={"job": repr(job)})
+            await asyncio.sleep(TICK_MS / 1000.0)
--- /dev/null
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -0,0 +1,253 @@
+"""Calls to another node over one multiplexed connection."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple, cast
+
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.upstream_queue import Load
+
+from .decision_log import DecisionLog
+from .frames import (
+    Attempt,
+    Call,
+    Cancel,
+    ConfigReply,
+    ConfigRequest,
+    Frame,
+    FrameReader,
+    Hello,
+    Outcome,
+    OutcomeKind,
+    Ping,
+    Recover,
+    Reply,
+    encode_frame,
+)
+from .sockets import watch_liveness
+
+CONNECT_TIMEOUT_MS = 600  # some 15 round trips of the slowest link
+PING_AFTER_MS = 300.0  # without a byte while calls wait
+SILENT_MS = 700.0  # after a ping without an answer: the connection is dead
+RECOVER_MS = 1_500.0  # to learn over a new connection what became of a call
+UNREACHABLE_MS = 400.0  # a node that refused a connection is not tried again for it
+RETRY_AFTER_MS = 150.0
+
+
+class Origin(NamedTuple):
+    """Who calls: a node in one life."""
+
+    node: str
+    incarnation: int
+
+
+OnLoad = Callable[[Load], None]
+OnConfig = Callable[[ConfigReply], None]
+
+
+class _Pending:
+    __slots__ = ("attempt", "ended", "lost_ms")
+
+    def __init__(self, attempt: Attempt) -> None:
+        self.attempt = attempt
+        self.ended: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        self.lost_ms: float | None = None
+
+
+class _LinkProtocol(asyncio.Protocol):
+    """One connection of a link."""
+
+    def __init__(self, link: "PeerLink") -> None:
+        self._link = link
+        self._reader = FrameReader(link.receive)
+        self.transport: asyncio.Transport | None = None
+        self.heard_ms = 0.0
+        self.pinged_ms: float | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        watch_liveness(transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_ms = self._link.clock.now_ms()
+        self.pinged_ms = None
+        try:
+            self._reader.feed(data)
+        except ValueError as error:
+            self._link.log.write("link broken", peer=self._link.name, reason=str(error))
+            assert self.transport is not None
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._link.lost(self, exc)
+
+
+class PeerLink:
+    """A connection to one node, opened again when it breaks.
+
+    A call whose connection broke is asked for over the next one. What the other node
+    has never seen did not run and never will.
+
+    :param on_load: called with the load that comes with each reply.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        origin: Origin,
+        clock: Clock,
+        log: DecisionLog,
+        on_load: OnLoad,
+        on_config: OnConfig,
+    ) -> None:
+        self.name = name
+        self.clock = clock
+        self.log = log
+        self._host = host
+        self._port = port
+        self._origin = origin
+        self._on_load = on_load
+        self._on_config = on_config
+        self._connection: _LinkProtocol | None = None
+        self._opening: asyncio.Task[None] | None = None
+        self._pending: dict[int, _Pending] = {}
+        self.unreachable_until_ms = 0.0
+
+    def __repr__(self) -> str:
+        return f"PeerLink({self.name!r}, n_pending={len(self._pending)})"
+
+    @property
+    def n_pending(self) -> int:
+        """Calls without an outcome."""
+        return len(self._pending)
+
+    async def call(self, stream: int, attempt: Attempt) -> Outcome:
+        """Send an attempt and return its outcome.
+
+        Cancelling the caller's task cancels the attempt.
+        """
+        if self._connection is None:
+            if self.clock.now_ms() < self.unreachable_until_ms:
+                return _not_connected("the node cannot be reached")
+            await self._opened()
+        connection = self._connection
+        if connection is None or connection.transport is None:
+            return _not_connected("no connection to the node")
+        pending = self._pending[stream] = _Pending(attempt)
+        connection.transport.write(encode_frame(Call(stream, attempt)))
+        try:
+            return await pending.ended
+        except asyncio.CancelledError:
+            self._send(Cancel(stream))
+            raise
+        finally:
+            self._pending.pop(stream, None)
+
+    def ask_config(self, version: int) -> None:
+        """Ask for a configuration newer than ``version``."""
+        if self._connection is None:
+            if self.clock.now_ms() >= self.unreachable_until_ms:
+                self._start_opening()
+            return
+        self._send(ConfigRequest(version))
+
+    def receive(self, frame: Frame) -> None:
+        """Take in a frame of the other node."""
+        if isinstance(frame, Reply):
+            self._on_load(frame.load)
+            pending = self._pending.get(frame.stream)
+            if pending is not None and not pending.ended.done():
+                pending.ended.set_result(frame.outcome)
+        elif isinstance(frame, ConfigReply):
+            self._on_config(frame)
+
+    def lost(self, connection: _LinkProtocol, exc: Exception | None) -> None:
+        """Note that a connection has ended."""
+        if connection is not self._connection:
+            return
+        self._connection = None
+        if not self._pending:
+            return
+        now_ms = self.clock.now_ms()
+        reason = str(exc) if exc else "closed by the other node"
+        self.log.write(
+            "link lost", peer=self.name, n_pending=len(self._pending), reason=reason
+        )
+        for pending in self._pending.values():
+            pending.lost_ms = now_ms
+        self._start_opening()
+
+    def tick(self) -> None:
+        """Ping a connection that is silent, and give up calls that cannot return."""
+        now_ms = self.clock.now_ms()
+        connection = self._connection
+        if connection is not None and self._pending:
+            self._check_silence(connection, now_ms)
+        for pending in list(self._pending.values()):
+            lost_ms = pending.lost_ms
+            if lost_ms is None or pending.ended.done():
+                continue
+            if now_ms - lost_ms > RECOVER_MS:
+                reason = "the node went silent while it had the request"
+                pending.ended.set_result(Outcome(OutcomeKind.FAILED, reason=reason))
+            elif self._connection is None:
+                self._start_opening()
+
+    def close(self) -> None:
+        """Close the connection; pending calls fail."""
+        if self._opening is not None:
+            self._opening.cancel()
+        if self._connection is not None and self._connection.transport is not None:
+            self._connection.transport.abort()
+
+    def _check_silence(self, connection: _LinkProtocol, now_ms: float) -> None:
+        if connection.pinged_ms is None:
+            if now_ms - connection.heard_ms > PING_AFTER_MS:
+                connection.pinged_ms = now_ms
+                self._send(Ping())
+        elif now_ms - connection.pinged_ms > SILENT_MS:
+            assert connection.transport is not None
+            connection.transport.abort()
+
+    def _send(self, frame: Frame) -> None:
+        connection = self._connection
+        if connection is not None and connection.transport is not None:
+            connection.transport.write(encode_frame(frame))
+
+    async def _opened(self) -> None:
+        self._start_opening()
+        if self._opening is not None:
+            await asyncio.wait([self._opening])
+
+    def _start_opening(self) -> None:
+        if self._connection is None and self._opening is None:
+            self._opening = asyncio.ensure_future(self._open())
+
+    async def _open(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):
+                transport, connection = await loop.create_connection(
+                    lambda: _LinkProtocol(self), self._host, self._port
+                )
+        except (OSError, TimeoutError) as error:
+            self.unreachable_until_ms = self.clock.now_ms() + UNREACHABLE_MS
+            self.log.write(
+                "node unreachable", peer=self.name, reason=str(error) or "timed out"
+            )
+            return
+        finally:
+            self._opening = None
+        connection.heard_ms = self.clock.now_ms()
+        transport.write(encode_frame(Hello(*self._origin)))
+        self._connection = connection
+        for stream, pending in self._pending.items():
+            if pending.lost_ms is not None:
+                pending.lost_ms = None
+                transport.write(encode_frame(Recover(stream)))
+
+
+def _not_connected(reason: str) -> Outcome:
+    return Outcome(OutcomeKind.REFUSED, reason=reason, retry_after_ms=RETRY_AFTER_MS)
--- /dev/null
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -0,0 +1,237 @@
+"""Calls of other nodes for the upstream of this VM."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple, Protocol, cast
+
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.upstream_queue import Load
+
+from .decision_log import DecisionLog
+from .frames import (
+    Attempt,
+    Call,
+    Cancel,
+    ConfigReply,
+    ConfigRequest,
+    Frame,
+    FrameReader,
+    Hello,
+    Outcome,
+    OutcomeKind,
+    Ping,
+    Pong,
+    Recover,
+    Reply,
+    encode_frame,
+)
+from .sockets import watch_liveness
+
+ORPHAN_MS = 1_500.0  # a call whose link broke is dropped unless it is asked for by then
+REMEMBERED_MS = 6_000.0  # outcomes that were sent, in case the link broke before
+RETRY_AFTER_MS = 100.0
+
+
+class AttemptRunner(Protocol):
+    """Runs attempts at the upstream of this VM."""
+
+    def submit(self, attempt: Attempt, on_outcome: Callable[[Outcome], None]) -> int:
+        """Start an attempt, and return its number."""
+
+    def cancel(self, number: int) -> bool:
+        """Drop an attempt without an outcome."""
+
+    def load(self) -> Load:
+        """Return the load of the upstream."""
+
+
+class _CallKey(NamedTuple):
+    node: str
+    incarnation: int
+    stream: int
+
+
+class _CallState:
+    """A call of another node.
+
+    :param outcome: known once it has ended; also a mark for a call that may not start.
+    """
+
+    __slots__ = ("changed_ms", "connection", "idempotent", "number", "outcome")
+
+    def __init__(self, connection: "PeerConnection", changed_ms: float) -> None:
+        self.connection: PeerConnection | None = connection
+        self.number: int | None = None
+        self.outcome: Outcome | None = None
+        self.idempotent = True
+        self.changed_ms = changed_ms
+
+
+class PeerCalls:
+    """The calls of all other nodes, by caller and stream.
+
+    :param config_document: returns the configuration in force, for nodes that ask.
+    """
+
+    def __init__(
+        self,
+        runner: AttemptRunner,
+        clock: Clock,
+        log: DecisionLog,
+        config_document: Callable[[], ConfigReply | None],
+    ) -> None:
+        self.clock = clock
+        self.log = log
+        self.config_document = config_document
+        self._runner = runner
+        self._calls_by_key: dict[_CallKey, _CallState] = {}
+        self._ended: OrderedDict[_CallKey, float] = OrderedDict()
+        self.connections: set[PeerConnection] = set()
+
+    def __repr__(self) -> str:
+        return f"PeerCalls(n_calls={len(self._calls_by_key)})"
+
+    def call(self, key: _CallKey, attempt: Attempt, origin: "PeerConnection") -> None:
+        """Start a call, unless it was declared as never run."""
+        if key in self._calls_by_key:
+            return
+        state = _CallState(origin, self.clock.now_ms())
+        state.idempotent = attempt.idempotent
+        self._calls_by_key[key] = state
+
+        def on_outcome(outcome: Outcome) -> None:
+            self._end(key, state, outcome)
+
+        state.number = self._runner.submit(attempt, on_outcome)
+
+    def cancel(self, key: _CallKey) -> None:
+        """Drop a call that nobody waits for.
+
+        A request that may run only once is left to end at the upstream.
+        """
+        state = self._calls_by_key.get(key)
+        if state is None or state.outcome is not None or state.number is None:
+            return
+        self._drop(key, state)
+
+    def recover(self, key: _CallKey, connection: "PeerConnection") -> None:
+        """Tell what became of a call whose link broke."""
+        state = self._calls_by_key.get(key)
+        if state is None:
+            state = _CallState(connection, self.clock.now_ms())
+            outcome = Outcome(
+                OutcomeKind.REFUSED,
+                reason="the request was lost on its way to the node",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+            self._calls_by_key[key] = state
+            self._end(key, state, outcome)
+            return
+        state.connection = connection
+        state.changed_ms = self.clock.now_ms()
+        if state.outcome is not None:
+            connection.send(Reply(key.stream, state.outcome, self._runner.load()))
+
+    def disconnected(self, connection: "PeerConnection") -> None:
+        """Note that a link has broken."""
+        self.connections.discard(connection)
+        now_ms = self.clock.now_ms()
+        for state in self._calls_by_key.values():
+            if state.connection is connection:
+                state.connection = None
+                state.changed_ms = now_ms
+
+    def tick(self) -> None:
+        """Drop calls whose node does not come back, and forget old outcomes."""
+        now_ms = self.clock.now_ms()
+        for key, state in list(self._calls_by_key.items()):
+            is_orphan = state.connection is None and state.outcome is None
+            if is_orphan and now_ms - state.changed_ms > ORPHAN_MS:
+                self._drop(key, state)
+        while self._ended:
+            key, ended_ms = next(iter(self._ended.items()))
+            if now_ms - ended_ms < REMEMBERED_MS:
+                break
+            del self._ended[key]
+            self._calls_by_key.pop(key, None)
+
+    def _drop(self, key: _CallKey, state: _CallState) -> None:
+        assert state.number is not None
+        may_have_run = self._runner.cancel(state.number)
+        kind = OutcomeKind.FAILED if may_have_run else OutcomeKind.REFUSED
+        state.outcome = Outcome(kind, reason="cancelled by the calling node")
+        self._ended[key] = self.clock.now_ms()
+
+    def _end(self, key: _CallKey, state: _CallState, outcome: Outcome) -> None:
+        if state.outcome is not None:
+            return
+        state.outcome = outcome
+        connection = state.connection
+        if connection is not None:
+            connection.send(Reply(key.stream, outcome, self._runner.load()))
+        if state.idempotent and connection is not None:
+            kind = OutcomeKind.FAILED  # it may simply run again: keep no body
+            state.outcome = Outcome(kind, reason="the answer was lost on its way")
+        self._ended[key] = self.clock.now_ms()
+
+
+class PeerConnection(asyncio.Protocol):
+    """A connection from another node."""
+
+    def __init__(self, calls: PeerCalls) -> None:
+        self._calls = calls
+        self._reader = FrameReader(self._receive)
+        self._transport: asyncio.Transport | None = None
+        self._hello: Hello | None = None
+
+    def __repr__(self) -> str:
+        return f"PeerConnection({self._hello})"
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._calls.connections.add(self)
+        watch_liveness(transport)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._reader.feed(data)
+        except ValueError as error:
+            self._calls.log.write("peer link broken", reason=str(error))
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._calls.disconnected(self)
+
+    def send(self, frame: Frame) -> None:
+        """Send a frame, unless the connection is closing."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(encode_frame(frame))
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _receive(self, frame: Frame) -> None:
+        if isinstance(frame, Hello):
+            self._hello = frame
+            return
+        if self._hello is None:
+            raise ValueError("a frame came before the hello")
+        if isinstance(frame, Ping):
+            self.send(Pong())
+        elif isinstance(frame, ConfigRequest):
+            reply = self._calls.config_document()
+            if reply is not None and reply.version > frame.version:
+                self.send(reply)
+        elif isinstance(frame, Call):
+            self._calls.call(self._key(frame.stream), frame.attempt, self)
+        elif isinstance(frame, Cancel):
+            self._calls.cancel(self._key(frame.stream))
+        elif isinstance(frame, Recover):
+            self._calls.recover(self._key(frame.stream), self)
+
+    def _key(self, stream: int) -> _CallKey:
+        assert self._hello is not None
+        return _CallKey(self._hello.node, self._hello.incarnation, stream)
--- /dev/null
+++ b/packages/mesh/ibisspoke_mesh/table_watch.py
@@ -0,0 +1,92 @@
+"""Follow one table of the store through outages."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from result import Err
+
+from ibisspoke_policy.clock import Clock
+from ibisspoke_storage.store import StoreError, StoreErrorKind
+
+from .decision_log import DecisionLog
+from .store import Changes, WatchedTables
+
+MIN_PAUSE_MS = 150.0  # after a failed call; all nodes may fail at the same moment
+MAX_PAUSE_MS = 900.0
+
+
+class TableWatch:
+    """Keep a table in view: a snapshot, then its changes.
+
+    :param wait_ms: how long a call for changes may wait.
+    :param on_changes: called with rows, whether they are the whole table, and when
+        the call that gave them started, in suspension-aware time.
+    """
+
+    def __init__(
+        self,
+        store: WatchedTables,
+        table: str,
+        wait_ms: int,
+        clock: Clock,
+        log: DecisionLog,
+        on_changes: Callable[[Changes, bool, float], None],
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._wait_ms = wait_ms
+        self._clock = clock
+        self._log = log
+        self._on_changes = on_changes
+        self._after: int | None = None
+        self._lost_ms: float | None = None
+        self._n_failed = 0
+
+    def __repr__(self) -> str:
+        return f"TableWatch({self._table!r}, after={self._after})"
+
+    async def run(self) -> None:
+        """Follow the table, until cancelled."""
+        while True:
+            started_ms = self._clock.elapsed_ms()
+            is_snapshot = self._after is None
+            if self._after is None:
+                result = await self._store.snapshot(self._table)
+            else:
+                result = await self._store.changes(
+                    self._table, self._after, self._wait_ms
+                )
+            if isinstance(result, Err):
+                await self._failed(result.err_value)
+                continue
+            self._regained()
+            changes = result.ok_value
+            if self._after is not None and changes.version < self._after:
+                self._after = None  # another history: read the table whole
+                continue
+            self._after = changes.version
+            self._on_changes(changes, is_snapshot, started_ms)
+
+    async def _failed(self, error: StoreError) -> None:
+        if error.kind is StoreErrorKind.NOT_FOUND:
+            self._after = None
+            self._log.write("store history lost", table=self._table)
+            return
+        now_ms = self._clock.now_ms()
+        if self._lost_ms is None:
+            self._lost_ms = now_ms
+            self._log.write(
+                "store lost", table=self._table, kind=error.kind, detail=error.detail
+            )
+        self._n_failed += 1
+        pause_ms = min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** min(self._n_failed, 4))
+        await asyncio.sleep(random.uniform(0.5, 1.0) * pause_ms / 1000.0)
+
+    def _regained(self) -> None:
+        self._n_failed = 0
+        if self._lost_ms is None:
+            return
+        lost_ms = self._clock.now_ms() - self._lost_ms
+        self._lost_ms = None
+        self._log.write("store regained", table=self._table, after_ms=int(lost_ms))
--- a/packages/node/ibisspoke_node/in_force_report.py
+++ b/packages/node/ibisspoke_node/in_force_report.py
@@ -13,12 +13,12 @@
 import msgspec
 from result import Err
 
-from ibisspoke_platform.config_records import (
+from ibisspoke_storage.config_records import (
     InForceRecord,
     decode_record,
     in_force_key,
 )
-from ibisspoke_platform.store import Check, TableRow, TableService, Write
+from ibisspoke_storage.store import Check, TableRow, TableService, Write
 from ibisspoke_policy.backoff import Backoff
 from ibisspoke_policy.clock import Clock
 
--- a/packages/node/ibisspoke_node/membership_service.py
+++ b/packages/node/ibisspoke_node/membership_service.py
@@ -7,7 +7,7 @@
 from contextlib import asynccontextmanager, suppress
 from typing import Any, NamedTuple
 
-from ibisspoke_platform.store import TableService
+from ibisspoke_storage.store import TableService
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.link_budget import LinkTraffic
 from ibisspoke_policy.member import Member, MemberTable
--- a/packages/node/ibisspoke_node/organisations.py
+++ b/packages/node/ibisspoke_node/organisations.py
@@ -6,9 +6,9 @@
 from contextlib import asynccontextmanager, suppress
 from typing import NamedTuple
 
-from ibisspoke_platform.config_reader import ConfigReader
-from ibisspoke_platform.http_store import HttpStore
-from ibisspoke_platform.store import ObjectStore, TableService
+from ibisspoke_storage.config_reader import ConfigReader
+from ibisspoke_storage.http_store import HttpStore
+from ibisspoke_storage.store import ObjectStore, TableService
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.isolation import IsolationWatch
 from ibisspoke_policy.member import Member, MemberTable
--- a/packages/node/ibisspoke_node/slot_holder.py
+++ b/packages/node/ibisspoke_node/slot_holder.py
@@ -7,7 +7,7 @@
 
 from result import Ok
 
-from ibisspoke_platform.store import Check
+from ibisspoke_storage.store import Check
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.quota_messages import (
     MAX_LIFETIME_MS,
--- a/packages/node/ibisspoke_node/slot_store.py
+++ b/packages/node/ibisspoke_node/slot_store.py
@@ -9,7 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ibisspoke_platform.store import (
+from ibisspoke_storage.store import (
     Check,
     StoreErrorKind,
     TableRow,
--- a/packages/node/ibisspoke_node/version_reader.py
+++ b/packages/node/ibisspoke_node/version_reader.py
@@ -4,8 +4,8 @@
 
 from result import Result
 
-from ibisspoke_platform.config_records import CurrentVersion
-from ibisspoke_platform.store import StoreError
+from ibisspoke_storage.config_records import CurrentVersion
+from ibisspoke_storage.store import StoreError
 from ibisspoke_policy.catalogue import Catalogue
 
 
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -14,7 +14,7 @@
 from ibisspoke_node.quota_service import DRAW, QuotaService
 from ibisspoke_node.slot_holder import HolderIdentity, SlotHolder
 from ibisspoke_node.slot_store import SlotStore
-from ibisspoke_platform.config_store import ChangeNote, ConfigStore
+from ibisspoke_storage.config_store import ChangeNote, ConfigStore
 from ibisspoke_policy.clock import ManualClock
 from ibisspoke_policy.isolation import IsolationWatch
 from ibisspoke_policy.member import Member, MemberState
--- a/packages/node/tests/test_organisations.py
+++ b/packages/node/tests/test_organisations.py
@@ -7,7 +7,7 @@
 from ibisspoke_node.node import running_node
 from ibisspoke_node.organisations import PlatformStores
 from ibisspoke_node.settings import NodeSettings
-from ibisspoke_platform.config_store import ChangeNote, ConfigStore
+from ibisspoke_storage.config_store import ChangeNote, ConfigStore
 from ibisspoke_policy.catalogue import (
     EMPTY_CATALOGUE,
     Call,
--- a/packages/node/tests/test_slot_holder.py
+++ b/packages/node/tests/test_slot_holder.py
@@ -8,7 +8,7 @@
 from ibisspoke_node import slot_holder
 from ibisspoke_node.slot_holder import RENEW_MS, WATCH_MS, HolderIdentity, SlotHolder
 from ibisspoke_node.slot_store import SlotStore
-from ibisspoke_platform.store import Write
+from ibisspoke_storage.store import Write
 from ibisspoke_policy.clock import ManualClock
 from ibisspoke_policy.quota_messages import DrawRequest, Limit, SlotId, TokenRequest
 from ibisspoke_policy.rendezvous import ranked
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/route_table.py
@@ -0,0 +1,105 @@
+"""Routes, services and organisations of one version of the configuration."""
+
+from typing import NamedTuple
+
+
+class Split(NamedTuple):
+    """A service that takes a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """What operators say of one kind of request.
+
+    :param idempotent: whether a request may run more than once.
+    :param timeout_ms: the longest time that a caller is kept waiting.
+    :param objective_ms: the latency objective.
+    :param priority: rank, 0 is the most urgent.
+    :param max_attempts: the most upstreams that one request may be sent to.
+    :param is_public: whether requests need no key.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout_ms: float
+    objective_ms: float
+    priority: int
+    splits: tuple[Split, ...]
+    max_attempts: int
+    is_public: bool
+
+
+class ServiceEntry(NamedTuple):
+    """A service that upstreams announce themselves for."""
+
+    name: str
+    health_path: str
+    max_connections: int
+
+
+class KeyHolder(NamedTuple):
+    """The organisation that a key stands for, and its rate over all nodes.
+
+    :param priority: rank, 0 is the most urgent.
+    :param rate_per_s: requests a second; 0 means no limit.
+    :param burst: requests beyond the rate that may come at once.
+    """
+
+    organisation: str
+    priority: int
+    rate_per_s: float
+    burst: float
+
+
+class CallerLimits(NamedTuple):
+    """Bounds on what a caller may send, in bytes and milliseconds."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class RouteTable:
+    """One immutable version of the configuration.
+
+    :param version: grows with each change.
+    :param holders_by_key: organisations by their keys; empty if no keys are in use.
+    """
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        services_by_name: dict[str, ServiceEntry],
+        holders_by_key: dict[str, KeyHolder],
+        limits: CallerLimits,
+        has_organisations: bool,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services_by_name = services_by_name
+        self.holders_by_key = holders_by_key
+        self.limits = limits
+        self.has_organisations = has_organisations
+        self._routes_by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda route: -len(route.prefix)):
+            self._routes_by_host.setdefault(route.host.lower(), []).append(route)
+
+    def __repr__(self) -> str:
+        return f"RouteTable(version={self.version}, n_routes={len(self.routes)})"
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of ``host`` with the longest prefix of ``path``."""
+        name = host.lower()
+        routes = self._routes_by_host.get(name)
+        if routes is None and ":" in name:
+            routes = self._routes_by_host.get(name.rsplit(":", 1)[0])
+        for route in routes or ():
+            if path.startswith(route.prefix):
+                return route
+        return None
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -0,0 +1,186 @@
+"""An organisation's rate and burst over the whole fleet, without an owner.
+
+Each node keeps a copy of every organisation's bucket. It takes its own admissions out
+at once and those of other nodes when they report their running totals. While a bucket
+is well filled every node admits freely. Below that, each admits only its share of the
+rate, by its share of the demand, so that reports that are late cannot add up to more
+than the burst.
+"""
+
+from typing import NamedTuple
+
+FREE_FILL = 0.6  # of the burst: what nodes may overdraw between two reports
+INITIAL_FILL = 0.25  # of the burst: a restarted fleet must not grant it anew
+DEMAND_HALF_LIFE_MS = 1_000.0
+SHARE_BURST_S = 0.2  # a share may be spent this far ahead, in seconds of its rate
+MIN_SHARE_BURST = 1.5
+MAX_QUIET = 512  # nodes without requests that an account remembers
+HOLD_MS = 6_000.0  # a silent node may admit its share until its keys lapse
+MIN_DEMAND_PER_S = 0.5  # keeps a node that starts from a share of zero
+
+
+class Usage(NamedTuple):
+    """Running totals of one organisation at one node.
+
+    :param n_asked: requests seen.
+    :param n_admitted: requests admitted, less those that did not run.
+    """
+
+    organisation: str
+    n_asked: int
+    n_admitted: int
+
+
+class _Demand:
+    """A decaying rate of requests."""
+
+    __slots__ = ("_at_ms", "_per_s")
+
+    def __init__(self, now_ms: float) -> None:
+        self._per_s = 0.0
+        self._at_ms = now_ms
+
+    def add(self, n: int, now_ms: float) -> None:
+        self._per_s = self.per_s(now_ms) + n * 693.0 / DEMAND_HALF_LIFE_MS
+        self._at_ms = now_ms
+
+    def per_s(self, now_ms: float) -> float:
+        elapsed = max(0.0, now_ms - self._at_ms)
+        return float(self._per_s * 0.5 ** (elapsed / DEMAND_HALF_LIFE_MS))
+
+
+class _Account:
+    """The copy of one organisation's bucket."""
+
+    def __init__(self, rate: float, burst: float, now_ms: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.level = burst * INITIAL_FILL
+        self.share_level = 0.0
+        self.refilled_ms = now_ms
+        self.demand = _Demand(now_ms)
+        self.demand_by_node: dict[str, _Demand] = {}
+        self.heard_by_node: dict[str, float] = {}
+        self.seen_by_node: dict[str, Usage] = {}
+        self.n_asked = 0
+        self.n_admitted = 0
+        self.changed_ms = now_ms
+
+    def refill(self, now_ms: float) -> None:
+        elapsed_s = max(0.0, now_ms - self.refilled_ms) / 1000.0
+        self.refilled_ms = now_ms
+        self.level = min(self.burst, self.level + self.rate * elapsed_s)
+        share = self.rate * self.share(now_ms)
+        most = max(MIN_SHARE_BURST, share * SHARE_BURST_S)
+        self.share_level = min(most, self.share_level + share * elapsed_s)
+
+    def drop_lapsed(self, now_ms: float) -> None:
+        for node, heard_ms in list(self.heard_by_node.items()):
+            if now_ms - heard_ms > HOLD_MS:
+                del self.heard_by_node[node]
+                self.demand_by_node.pop(node, None)
+                self.seen_by_node.pop(node, None)
+
+    def share(self, now_ms: float) -> float:
+        own = self.demand.per_s(now_ms) + MIN_DEMAND_PER_S
+        others = 0.0
+        for node, demand in self.demand_by_node.items():
+            heard_ms = self.heard_by_node.get(node, now_ms)
+            if now_ms - heard_ms < HOLD_MS:
+                others += demand.per_s(min(now_ms, heard_ms)) + MIN_DEMAND_PER_S
+        return own / (own + others)
+
+
+class SharedRates:
+    """Admit requests of organisations within their rates over all nodes."""
+
+    def __init__(self) -> None:
+        self._accounts_by_name: dict[str, _Account] = {}
+
+    def __repr__(self) -> str:
+        return f"SharedRates(n_organisations={len(self._accounts_by_name)})"
+
+    def configure(
+        self, limits_by_name: dict[str, tuple[float, float]], now_ms: float
+    ) -> None:
+        """Put rates a second and bursts in force."""
+        for name in [n for n in self._accounts_by_name if n not in limits_by_name]:
+            del self._accounts_by_name[name]
+        for name, (rate, burst) in limits_by_name.items():
+            account = self._accounts_by_name.get(name)
+            if account is None:
+                self._accounts_by_name[name] = _Account(rate, burst, now_ms)
+                continue
+            account.refill(now_ms)
+            account.rate, account.burst = rate, burst
+            account.level = min(account.level, burst)
+
+    def admit(self, name: str, now_ms: float) -> bool:
+        """Count one request, and return whether it is within the rate."""
+        account = self._accounts_by_name.get(name)
+        if account is None:
+            return True
+        account.refill(now_ms)
+        account.demand.add(1, now_ms)
+        account.n_asked += 1
+        account.changed_ms = now_ms
+        is_free = account.level >= max(1.0, account.burst * FREE_FILL)
+        if not is_free and account.share_level < 1.0:
+            return False
+        account.share_level = max(0.0, account.share_level - 1.0)
+        account.level -= 1.0
+        account.n_admitted += 1
+        return True
+
+    def rate(self, name: str) -> float:
+        """Return an organisation's requests a second; 0 where it has no limit."""
+        account = self._accounts_by_name.get(name)
+        return account.rate if account is not None else 0.0
+
+    def give_back(self, name: str) -> None:
+        """Return the token of a request that did not run."""
+        account = self._accounts_by_name.get(name)
+        if account is not None:
+            account.level = min(account.burst, account.level + 1.0)
+            account.n_admitted -= 1
+
+    def totals(self, since_ms: float) -> list[Usage]:
+        """Return the totals that changed after ``since_ms``, to be reported."""
+        return [
+            Usage(name, account.n_asked, account.n_admitted)
+            for name, account in self._accounts_by_name.items()
+            if account.changed_ms > since_ms
+        ]
+
+    def report(
+        self, node: str, usages: list[Usage], is_baseline: bool, now_ms: float
+    ) -> None:
+        """Take in the totals of another node.
+
+        :param is_baseline: whether totals of a node that was not known before only
+            set the start of the counting, since they may be old.
+        """
+        for usage in usages:
+            account = self._accounts_by_name.get(usage.organisation)
+            if account is None:
+                continue
+            account.refill(now_ms)
+            seen = account.seen_by_node.get(node)
+            account.seen_by_node[node] = usage
+            demand = account.demand_by_node.setdefault(node, _Demand(now_ms))
+            if seen is None:
+                if is_baseline:
+                    continue
+                seen = Usage(usage.organisation, 0, 0)
+            if usage.n_asked < seen.n_asked:
+                account.seen_by_node[node] = seen
+                continue
+            demand.add(usage.n_asked - seen.n_asked, now_ms)
+            account.level -= usage.n_admitted - seen.n_admitted
+
+    def heard(self, node: str, now_ms: float) -> None:
+        """Note that a node is alive and has told all of its totals."""
+        for account in self._accounts_by_name.values():
+            account.heard_by_node[node] = now_ms
+            if len(account.heard_by_node) > len(account.demand_by_node) + MAX_QUIET:
+                account.drop_lapsed(now_ms)
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/upstream_choice.py
@@ -0,0 +1,80 @@
+"""Choice of the upstream that serves a request best."""
+
+import random
+from typing import NamedTuple
+
+from .upstream_queue import Load
+
+ZONE_PENALTY = 0.2  # of the objective: bytes between data centres are paid for
+REGION_PENALTY = 0.7  # of the objective: the link is narrow and dear
+FAILURE_PENALTY = 3.0  # objectives for an upstream that fails everything
+COLD_PENALTY = 0.5  # of the objective, for an upstream that has just started
+JITTER = 0.05  # of the objective, so that nodes do not all choose the same
+MAX_CANDIDATES = 24  # beyond it a sample is compared; two or more near ones suffice
+
+
+class Distance(NamedTuple):
+    """How far another node is.
+
+    :param rtt_ms: round trip time.
+    """
+
+    same_data_centre: bool
+    same_region: bool
+    rtt_ms: float
+
+
+class Candidate(NamedTuple):
+    """An upstream that could serve a request.
+
+    :param n_own: requests of this node that it has not answered yet.
+    :param n_own_known: those among them that ``load`` already counts.
+    :param is_cold: whether it has just started and is slow.
+    """
+
+    id: str
+    distance: Distance
+    load: Load
+    n_own: int
+    n_own_known: int
+    is_cold: bool
+
+
+def cost(candidate: Candidate, objective_ms: float) -> float:
+    """Return the expected latency of a request, with penalties, in milliseconds."""
+    load = candidate.load
+    n_ahead = load.n_running + load.n_queued
+    n_ahead += max(0, candidate.n_own - candidate.n_own_known)
+    limit = max(1, load.limit)
+    excess = max(0.0, n_ahead + 1 - 0.9 * limit)
+    expected = load.service_ms * (1.0 + 0.3 * min(1.0, n_ahead / limit))
+    expected += excess * load.service_ms / limit
+    distance = candidate.distance
+    penalty = FAILURE_PENALTY * load.failure_share
+    if candidate.is_cold:
+        penalty += COLD_PENALTY
+    if not distance.same_region:
+        penalty += REGION_PENALTY
+    elif not distance.same_data_centre:
+        penalty += ZONE_PENALTY
+    return expected + distance.rtt_ms + penalty * objective_ms
+
+
+def choose(
+    candidates: list[Candidate], objective_ms: float, rng: random.Random
+) -> Candidate | None:
+    """Return the candidate of the least cost; upstreams that take none come last."""
+    if not candidates:
+        return None
+    if len(candidates) > MAX_CANDIDATES:
+        near = [c for c in candidates if c.distance.same_data_centre]
+        rest = [c for c in candidates if not c.distance.same_data_centre]
+        n_rest = max(2, MAX_CANDIDATES - len(near))
+        near = rng.sample(near, min(len(near), MAX_CANDIDATES - 2))
+        candidates = near + rng.sample(rest, min(len(rest), n_rest))
+    open_ones = [c for c in candidates if c.load.limit > 0] or candidates
+
+    def noisy(candidate: Candidate) -> float:
+        return cost(candidate, objective_ms) + rng.random() * JITTER * objective_ms
+
+    return min(open_ones, key=noisy)
--- a/packages/standins/ibisspoke_standins/memory_store.py
+++ b/packages/standins/ibisspoke_standins/memory_store.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from ibisspoke_platform.store import (
+from ibisspoke_storage.store import (
     Check,
     StoreError,
     StoreErrorKind,
--- a/packages/standins/ibisspoke_standins/platform.py
+++ b/packages/standins/ibisspoke_standins/platform.py
@@ -15,14 +15,14 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from ibisspoke_platform.http_messages import (
+from ibisspoke_storage.http_messages import (
     MAX_SCAN_ROWS,
     CommitMessage,
     RowsMessage,
     error_message,
     row_message,
 )
-from ibisspoke_platform.store import Check, StoreError, StoreErrorKind, Write
+from ibisspoke_storage.store import Check, StoreError, StoreErrorKind, Write
 
 from .memory_store import Fault, FaultKind, FaultScope, MemoryStore
 
--- a/packages/platform/tests/test_config_reader.py
+++ b/packages/storage/tests/test_config_reader.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from ibisspoke_platform.config_records import (
+from ibisspoke_storage.config_records import (
     CHANGE_PREFIX,
     SNAPSHOT_INTERVAL,
     SNAPSHOT_PREFIX,
 )
-from ibisspoke_platform.config_store import ChangeNote, ConfigStore
-from ibisspoke_platform.store import StoreErrorKind
+from ibisspoke_storage.config_store import ChangeNote, ConfigStore
+from ibisspoke_storage.store import StoreErrorKind
 from ibisspoke_policy.catalogue import (
     EMPTY_CATALOGUE,
     Catalogue,
--- a/packages/platform/tests/test_config_store.py
+++ b/packages/storage/tests/test_config_store.py
@@ -3,14 +3,14 @@
 import pytest
 from result import Ok
 
-from ibisspoke_platform.config_records import (
+from ibisspoke_storage.config_records import (
     AUDIT_PAGE_ROWS,
     CURRENT_KEY,
     CurrentVersion,
     snapshot_name,
 )
-from ibisspoke_platform.config_store import ChangeNote, ConfigStore, PublishConflict
-from ibisspoke_platform.store import StoreError, StoreErrorKind, Write
+from ibisspoke_storage.config_store import ChangeNote, ConfigStore, PublishConflict
+from ibisspoke_storage.store import StoreError, StoreErrorKind, Write
 from ibisspoke_policy.catalogue import EMPTY_CATALOGUE, Organisation
 from ibisspoke_policy.clock import ManualClock
 from ibisspoke_standins.memory_store import Fault, FaultKind, FaultScope, MemoryStore
