--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -86,6 +86,7 @@
         self.config_document = config_document
         self._runner = runner
         self._calls_by_key: dict[_CallKey, _CallState] = {}
+        self._orphans: dict[_CallKey, _CallState] = {}
         self._ended: OrderedDict[_CallKey, float] = OrderedDict()
         self.connections: set[PeerConnection] = set()
 
@@ -137,17 +138,21 @@
         """Note that a link has broken."""
         self.connections.discard(connection)
         now_ms = self.clock.now_ms()
-        for state in self._calls_by_key.values():
+        for key, state in self._calls_by_key.items():
             if state.connection is connection:
                 state.connection = None
                 state.changed_ms = now_ms
+                if state.outcome is None:
+                    self._orphans[key] = state
 
     def tick(self) -> None:
         """Drop calls whose node does not come back, and forget old outcomes."""
         now_ms = self.clock.now_ms()
-        for key, state in list(self._calls_by_key.items()):
-            is_orphan = state.connection is None and state.outcome is None
-            if is_orphan and now_ms - state.changed_ms > ORPHAN_MS:
+        for key, state in list(self._orphans.items()):
+            if state.connection is not None or state.outcome is not None:
+                del self._orphans[key]
+            elif now_ms - state.changed_ms > ORPHAN_MS:
+                del self._orphans[key]
                 self._drop(key, state)
         while self._ended:
             key, ended_ms = next(iter(self._ended.items()))
--- a/packages/standins/ibisspoke_standins/fleet_upstream.py
+++ b/packages/standins/ibisspoke_standins/fleet_upstream.py
@@ -7,7 +7,6 @@
 
 from ibisspoke_mesh.http_client import HttpClient, HttpError
 
-
 CLOSE_CHECK_S = 0.01  # an upstream stops a request when its connection closes
 
 
