--- a/tests/fleet/fleet_harness.py
+++ b/tests/fleet/fleet_harness.py
@@ -129,7 +129,7 @@
 async def until(condition, timeout_s: float = 8.0) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(timeout_s):
-        while not condition():  # noqa: ASYNC110
+        while not condition():
             await asyncio.sleep(0.01)
 
 
