--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -19,13 +19,14 @@
     Handler,
     ServerState,
 )
+from .config_prover import ConfigProver
 from .config_state import ConfigState, Decoder
 from .decision_log import DecisionLog, PipeHandler
 from .dialect import Dialect
 from .entry import Entry
 from .fleet import Fleet, MemberRecord
 from .gate import Gate
-from .member_rows import MEMBER_TABLE, MemberRows
+from .member_rows import MemberRows
 from .metrics_page import RequestMetrics
 from .peer_link import Origin
 from .peer_server import PeerCalls, PeerConnection
@@ -35,15 +36,13 @@
 from .table_watch import TableWatch
 from .upstream_pool import UpstreamPool
 
-TICK_MS = 25.0  # bounds how late a wait is noticed; a tick costs some 0.1 ms
-CONFIG_WAIT_MS = 2_000  # a proof is as old as the start of the call that gave it
-MEMBER_WAIT_MS = 5_000  # status datagrams are faster; a silent connection ends with it
+TICK_MS = 30.0  # bounds how late a wait is noticed
+SLOW_TICKS = 3  # links, status and idle connections are looked after less often
+CONFIG_WAIT_MS = 12_000  # a silent connection is noticed by then at the latest
 BACKLOG = 1_024  # callers open many connections at once after an outage
 STOP_MIN_MS = 3_000.0  # readiness must be seen as gone before the listener is
 STOP_CLOSING_SHARE = 0.6  # of the stop time: later requests are refused
-STOP_END_SHARE = 0.96  # of the stop time: what still runs is given up
-RETRY_RATIO_SHARE = 0.5  # of the promised ratio: runs again repeat their own calls
-RETRY_SLACK_SHARE = 0.5
+STOP_END_SHARE = 0.9  # of the stop time: what still runs is given up
 
 logger = logging.getLogger("ibisspoke")
 
@@ -118,7 +117,9 @@
             self.log,
             metrics,
         )
-        self.rows = MemberRows(adapter.store, self.fleet, self.log)
+        self.rows = MemberRows(
+            adapter.store, self.fleet, self.log, lambda: self.status.broadcast()
+        )
         self.status = StatusExchange(
             self.fleet,
             self.config,
@@ -127,24 +128,17 @@
             rng,
             lambda: self.gate.cold_until_ms - clock.now_ms(),
         )
-        self.watches = [
-            TableWatch(
-                adapter.store,
-                adapter.config_table,
-                CONFIG_WAIT_MS,
-                clock,
-                self.log,
-                self.config.take_changes,
-            ),
-            TableWatch(
-                adapter.store,
-                MEMBER_TABLE,
-                MEMBER_WAIT_MS,
-                clock,
-                self.log,
-                self.rows.take_changes,
-            ),
-        ]
+        self.watch = TableWatch(
+            adapter.store,
+            adapter.config_table,
+            CONFIG_WAIT_MS,
+            clock,
+            self.log,
+            self.config.take_changes,
+        )
+        self.prover = ConfigProver(
+            adapter.store, adapter.config_table, self.config, clock, rng
+        )
         self.servers: list[ServerState] = []
         self.callers = self.server(self.entry.handle)
         self._tell_change()
@@ -175,26 +169,33 @@
 
     async def run_ticks(self) -> None:
         """Run the systems each tick, until cancelled."""
+        n_ticks = 0
         while True:
             due_ms = self.clock.now_ms() + TICK_MS
             await asyncio.sleep(TICK_MS / 1000.0)
             now_ms = self.clock.now_ms()
             self._lag_ms = max(now_ms - due_ms, 0.95 * self._lag_ms)
             self.gate.tick()
-            self.calls.tick()
-            self.fleet.own_cold_until_ms = self.gate.cold_until_ms
-            self.fleet.tick()
-            self.status.tick()
-            self.log.tick()
-            for server in self.servers:
-                server.tick()
+            n_ticks += 1
+            if n_ticks % SLOW_TICKS == 0:
+                self._tick_slowly()
+
+    def _tick_slowly(self) -> None:
+        """Run the systems whose times are longer than a tenth of a second."""
+        self.calls.tick()
+        self.fleet.own_cold_until_ms = self.gate.cold_until_ms
+        self.fleet.tick()
+        self.status.tick()
+        self.log.tick()
+        for server in self.servers:
+            server.tick()
 
     def reload(self, settings: NodeSettings) -> None:
         """Put changed settings in force; addresses stay until a restart."""
         self.log.write("settings reloaded", service=settings.service)
         self.settings = settings
         self.entry.settings = settings
-        self._set_retry_budget()
+        self.entry.set_retry_budget(len(self.fleet.peers_by_id) + 1)
 
     async def stop(self) -> None:
         """Stop without cutting a request."""
@@ -231,14 +232,9 @@
             if holder.rate_per_s > 0
         }
         self.rates.configure(limits_by_name, self.clock.now_ms())
+        self.status.know_organisations(list(limits_by_name))
         self.entry.splitter.keep_only(table.routes)
-        self._set_retry_budget()
-
-    def _set_retry_budget(self) -> None:
-        settings = self.settings
-        n_nodes = len(self.fleet.peers_by_id) + 1
-        self.entry.retries.ratio = settings.retry_ratio * RETRY_RATIO_SHARE
-        self.entry.retries.slack = settings.retry_slack * RETRY_SLACK_SHARE / n_nodes
+        self.entry.set_retry_budget(len(self.fleet.peers_by_id) + 1)
 
     def _tell_change(self) -> None:
         """Tell the fleet what has changed at this node."""
@@ -257,7 +253,7 @@
             life.latest.n_slots if life.latest else 0,
             self.gate.state,
         )
-        self._set_retry_budget()
+        self.entry.set_retry_budget(len(self.fleet.peers_by_id) + 1)
         self.status.broadcast()
         if life.latest is not None and self._stopping_ms is None:
             self.rows.publish()
@@ -304,8 +300,10 @@
         await _listen_http(stack, node.callers, settings.callers)
         jobs: list[Callable[[], Awaitable[None]]] = [
             node.run_ticks,
-            node.rows.run,
-            *(watch.run for watch in node.watches),
+            node.rows.publish_changes,
+            node.rows.follow,
+            node.watch.run,
+            node.prover.run,
         ]
         for job in jobs:
             task = asyncio.ensure_future(_supervised(job))
