Shed by what a request needs deeper down, and queue by time at the upstream

Now calls of upstreams go first; less urgent requests keep a share of the upstream's time instead of its starts; expected times are kept by route; upstreams report which share of their requests starves deeper down, and entries refuse the least urgent requests of such services early. Starved requests are not run again and do not count as failures of their upstream.

--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.dependency_shedding import DependencyShedder
 from ibisspoke_policy.freshness import Freshness
 from ibisspoke_policy.retry_window import RetryWindow
 from ibisspoke_policy.route_table import KeyHolder, Route, RouteTable
@@ -31,7 +32,9 @@
 NO_CONFIG_RETRY_MS = 500.0
 RETRY_SPREAD = 0.2  # of the time left over which callers are asked to come back
 MAX_RETRY_SHARE = 0.3  # of the time left: callers wait for at most a third of it
-SECOND_RUN_SERVICE_TIMES = 1.5  # that must be left for running a request again
+MIN_RERUN_MS = 100.0  # that must be left for running a request again
+STARVED_PRESSURE = 0.03  # from which failures of a service are put down to overload
+NESTED_PRIORITY = -1  # before all others: work has been done for these
 BEARER = b"bearer "
 
 
@@ -98,6 +101,7 @@
         self.resends = RetryWindow(0.0, 0.0, settings.retry_window_ms)
         self.reruns = RetryWindow(0.0, 0.0, settings.retry_window_ms)
         self.splitter = WeightedSplitter(rng)
+        self._shedder = DependencyShedder(rng)
         self.is_closing = False
         self._dialect = dialect
         self._dropped = dialect.set_by_nodes | HOP_BY_HOP
@@ -142,6 +146,8 @@
             )
         finally:
             self._settle(accepted, progress)
+        if _is_nested(accepted.route, accepted.holder):
+            self._gate.note_nested(self._has_starved(accepted, outcome))
         return self._final(request, accepted, progress, outcome)
 
     def _settle(self, accepted: Accepted, progress: Progress) -> None:
@@ -149,6 +155,13 @@
         if holder is not None and not progress.may_have_run:
             self._rates.give_back(holder.organisation)
 
+    def _has_starved(self, accepted: Accepted, outcome: Outcome) -> bool:
+        """Tell whether a request failed for want of room here or deeper down."""
+        if outcome.kind is OutcomeKind.ANSWERED:
+            pressure = self._fleet.pressure(accepted.service)
+            return outcome.status >= 500 and pressure > STARVED_PRESSURE
+        return outcome.kind in (OutcomeKind.REFUSED, OutcomeKind.TIMED_OUT)
+
     def _accept(
         self, request: CallerRequest, headers: dict[bytes, bytes], request_id: bytes
     ) -> Accepted | Refusal:
@@ -197,6 +210,13 @@
         service = self.splitter.pick(route)
         self.resends.count_request(service, now_ms)
         self.reruns.count_request(service, now_ms)
+        if not _is_nested(route, holder):
+            pressure = self._fleet.pressure(service)
+            if not self._shedder.admits(service, route.priority, pressure, now_ms):
+                if holder is not None:
+                    self._rates.give_back(holder.organisation)
+                wait_ms = caller_ms * MAX_RETRY_SHARE * self._rng.uniform(0.5, 1.0)
+                return Refusal(503, "dependency_overloaded", wait_ms)
         arrived_ms = request.arrived_ms
         return Accepted(
             request_id,
@@ -246,18 +266,17 @@
         head: bytes,
     ) -> Outcome:
         now_ms = self._clock.now_ms()
-        route = accepted.route
-        holder = accepted.holder
-        rank = (route.priority, holder.priority if holder is not None else 0)
+        route, holder = accepted.route, accepted.holder
         attempt = Attempt(
             member.service,
             member.instance,
+            route.name,
             accepted.id,
             head,
             request.body,
             request.method == b"HEAD",
             route.idempotent,
-            rank,
+            _rank(route, holder),
             accepted.deadline_ms - now_ms - MARGIN_MS,
             accepted.objective_ms - now_ms,
             route.objective_ms,
@@ -303,11 +322,12 @@
         if outcome.kind is not OutcomeKind.SHED:
             if not accepted.route.idempotent:
                 return False
+            if self._fleet.pressure(accepted.service) > STARVED_PRESSURE:
+                return False
             progress.best = _better(progress.best, outcome)
         if progress.n_sent >= accepted.route.max_attempts:
             return False
-        service_ms = self._gate.queue.service_ms
-        if accepted.deadline_ms - now_ms < SECOND_RUN_SERVICE_TIMES * service_ms:
+        if accepted.deadline_ms - now_ms < MIN_RERUN_MS:
             return False
         is_unrun = outcome.kind is OutcomeKind.SHED
         budget = self.resends if is_unrun else self.reruns
@@ -393,6 +413,17 @@
         return CallerAnswer(refusal.status, headers, b"")
 
 
+def _is_nested(route: Route, holder: KeyHolder | None) -> bool:
+    """Tell whether an upstream makes the call: callers of public routes are few."""
+    return holder is None and route.is_public
+
+
+def _rank(route: Route, holder: KeyHolder | None) -> tuple[int, int]:
+    if _is_nested(route, holder):
+        return (NESTED_PRIORITY, route.priority)
+    return (route.priority, holder.priority if holder is not None else 0)
+
+
 def _better(best: Outcome | None, latest: Outcome) -> Outcome:
     """Prefer an answer of an upstream, then the latest outcome."""
     if best is None or latest.kind is OutcomeKind.ANSWERED:
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.service_times import INITIAL_MS
 from ibisspoke_policy.upstream_choice import Candidate, Distance, choose
 from ibisspoke_policy.upstream_life import UpstreamState
 from ibisspoke_policy.upstream_queue import Load
@@ -58,7 +59,7 @@
         self.record = record
         self.link = link
         self.distance = distance
-        self.load = Load(0, 0, record.n_slots, 100.0, 0.0)
+        self.load = Load(0, 0, record.n_slots, INITIAL_MS, 0.0, 0.0)
         self.n_own_known = 0
         self.known_ms = now_ms
         self.heard_ms: float | None = None
@@ -107,7 +108,7 @@
     ) -> None:
         self.peers_by_id: dict[str, Peer] = {}
         self.own: MemberRecord | None = None
-        self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, 0.0, 0.0)
+        self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, INITIAL_MS, 0.0, 0.0)
         self.own_cold_until_ms = 0.0
         self._settings = settings
         self._origin = origin
@@ -128,7 +129,7 @@
             return peer
         if peer is not None and record.incarnation == peer.record.incarnation:
             if peer.record.instance != record.instance:
-                peer.load = Load(0, 0, record.n_slots, 100.0, 0.0)
+                peer.load = Load(0, 0, record.n_slots, INITIAL_MS, 0.0, 0.0)
             self._log_change(record, peer.record)
             peer.record = record
             return peer
@@ -181,6 +182,18 @@
             return own
         return self.peers_by_id[chosen.id].record
 
+    def pressure(self, service: str) -> float:
+        """Return the share of a service's requests that starve deeper down."""
+        now_ms = self._clock.now_ms()
+        pressures = [
+            peer.load.pressure
+            for peer in self.peers_by_id.values()
+            if _serves(peer.record, service) and peer.is_alive(now_ms)
+        ]
+        if self.own is not None and _serves(self.own, service):
+            pressures.append(self.own_load().pressure)
+        return sum(pressures) / len(pressures) if pressures else 0.0
+
     def tick(self) -> None:
         """Look after the links."""
         for peer in self.peers_by_id.values():
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -51,6 +51,7 @@
 
     service: str
     instance: str
+    route: str
     request_id: bytes
     head: bytes
     body: bytes
--- a/packages/mesh/ibisspoke_mesh/gate.py
+++ b/packages/mesh/ibisspoke_mesh/gate.py
@@ -6,7 +6,7 @@
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.upstream_life import Announcement, UpstreamLife, UpstreamState
-from ibisspoke_policy.upstream_queue import Load, Offer, UpstreamQueue
+from ibisspoke_policy.upstream_queue import Ending, Load, Offer, UpstreamQueue
 
 from .decision_log import DecisionLog
 from .dialect import Dialect
@@ -21,6 +21,8 @@
 
 LOST_HEARTBEATS = 3.0  # intervals without a heartbeat or an answer until it is absent
 DRAIN_QUEUE_SHARE = 0.4  # of the drain time in which queued requests may still start
+NESTED_WEIGHT = 0.05  # of one call of the upstream; about the last twenty
+NESTED_STARVED_SHARE = 0.04  # from which failures of the upstream are put down to it
 MIN_RETRY_AFTER_MS = 100.0
 NOT_FOUND_HERE_MS = 50.0
 
@@ -72,6 +74,7 @@
         self._drain_ms = drain_ms
         self._ids = itertools.count(1)
         self._running: dict[int, _Running] = {}
+        self._nested_starved = 0.0
         self._heard_ms = clock.now_ms()
         self._draining_ms: float | None = None
         self.cold_until_ms = 0.0
@@ -153,6 +156,7 @@
             return number
         offer = Offer(
             number,
+            attempt.route,
             attempt.rank,
             now_ms,
             now_ms + attempt.objective_ms,
@@ -193,7 +197,7 @@
             return True
         del self._running[number]
         was_sent = self._pool.cancel(number)
-        self.queue.finish(number, self._clock.now_ms(), failed=None)
+        self.queue.finish(number, self._clock.now_ms(), Ending.DROPPED)
         self._start_ready()
         return was_sent
 
@@ -245,7 +249,7 @@
         while (offer := self.queue.start_next(now_ms)) is not None:
             running = self._running.get(offer.id)
             if running is None:
-                self.queue.finish(offer.id, now_ms, failed=None)
+                self.queue.finish(offer.id, now_ms, Ending.DROPPED)
                 continue
             self._start(offer.id, running, now_ms)
 
@@ -278,8 +282,7 @@
         self._pool.release(number)
         running = self._running.pop(number, None)
         outcome = _outcome_of(result)
-        failed = outcome.kind is not OutcomeKind.ANSWERED or outcome.status >= 500
-        queue.finish(number, now_ms, failed)
+        queue.finish(number, now_ms, self._ending(outcome))
         if isinstance(result, UpstreamAnswer):
             self._heard_ms = now_ms
         elif not result.was_sent and self.life.state is UpstreamState.READY:
@@ -297,6 +300,22 @@
             running.on_outcome(outcome)
         self._start_ready()
 
+    def note_nested(self, has_starved: bool) -> None:
+        """Take in how a call that the upstream made has ended.
+
+        :param has_starved: whether it failed for want of room at its service or
+            deeper down.
+        """
+        self._nested_starved += NESTED_WEIGHT * (has_starved - self._nested_starved)
+
+    def _ending(self, outcome: Outcome) -> Ending:
+        if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
+            return Ending.ANSWERED
+        is_answer = outcome.kind is OutcomeKind.ANSWERED
+        if is_answer and self._nested_starved > NESTED_STARVED_SHARE:
+            return Ending.STARVED
+        return Ending.FAILED
+
     def _refuse(self, on_outcome: OnOutcome, reason: str, wait_ms: float) -> None:
         retry_after_ms = max(MIN_RETRY_AFTER_MS, min(wait_ms, 60_000.0))
         outcome = Outcome(
--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -74,6 +74,7 @@
     "requests_queued": "Requests that wait for it.",
     "upstream_limit": "Requests that may run there at once.",
     "upstream_service_seconds": "Average time that one takes.",
+    "upstream_pressure": "Share of requests that starve at services deeper down.",
     "peers_alive": "Nodes heard of lately.",
     "loop_lag_seconds": "How late the last tick ran.",
     "log_lines_lost": "Lines that a slow reader of the log lost.",
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -269,6 +269,7 @@
             "requests_queued": load.n_queued,
             "upstream_limit": load.limit,
             "upstream_service_seconds": load.service_ms / 1000.0,
+            "upstream_pressure": load.pressure,
             "peers_alive": n_alive,
             "loop_lag_seconds": self._lag_ms / 1000.0,
             "log_lines_lost": self._pipe.n_lost if self._pipe else 0,
--- a/packages/mesh/ibisspoke_mesh/status_datagrams.py
+++ b/packages/mesh/ibisspoke_mesh/status_datagrams.py
@@ -34,7 +34,7 @@
     """One datagram.
 
     :param record: left out where it has not changed lately.
-    :param load: the last two in milliseconds and in thousandths.
+    :param load: the time in milliseconds, the shares in thousandths.
     :param usages: organisations by a checksum of their names, and their totals.
     :param proof_age_ms: of the proof for ``version``, answering ``echo``.
     :param nonce: when this was sent, to be echoed if the receiver's proof is wanted;
@@ -46,7 +46,7 @@
     incarnation: int
     revision: int
     record: MemberRecord | None
-    load: tuple[int, int, int, int, int]
+    load: tuple[int, int, int, int, int, int]
     cold_ms: int
     version: int
     usages: list[tuple[int, int, int]]
@@ -104,8 +104,15 @@
             if status.record is None and status.node != self._own_node():
                 self._write(addr, self._fleet.own, [])
             return
-        n_running, n_queued, limit, service_ms, failures = status.load
-        load = Load(n_running, n_queued, limit, float(service_ms), failures / 1000.0)
+        n_running, n_queued, limit, service_ms, failures, pressure = status.load
+        load = Load(
+            n_running,
+            n_queued,
+            limit,
+            float(service_ms),
+            failures / 1000.0,
+            pressure / 1000.0,
+        )
         peer.take_load(load, now_ms)
         peer.proof_at_ms = now_ms - status.proof_age_ms
         peer.cold_until_ms = now_ms + status.cold_ms
@@ -227,6 +234,7 @@
                 load.limit,
                 int(load.service_ms),
                 int(load.failure_share * 1000.0),
+                int(load.pressure * 1000.0),
             ),
             max(0, int(self._cold_ms())),
             self._config.version,
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -1,12 +1,16 @@
 """Admission to one upstream: a limit of concurrency and an ordered, bounded queue."""
 
 import bisect
+import math
 from enum import StrEnum
 from typing import NamedTuple
 
-SERVICE_TIME_WEIGHT = 0.08  # of one answer in the average; about the last dozen
-INITIAL_SERVICE_MS = 100.0
-FAIR_EVERY = 4  # each fourth start goes to the longest waiting, so that none starves
+from .service_times import ServiceTimes
+
+OUTCOME_WEIGHT = 0.08  # of one outcome in the shares; about the last dozen
+MIN_TIME_SHARE = 0.15  # of the upstream's time that less urgent requests keep
+MIN_TIME_MS = 2_000.0  # of the upstream's time, from which shares mean something
+TIME_HALF_LIFE_MS = 2_000.0  # over which that share is kept
 EARLY_SHARE = 0.125  # of the objective: a refusal within it costs the caller nothing
 WAIT_SHARE = 0.5  # of the objective that a queue may use up
 MAX_STALL_MS = 2_000.0
@@ -33,6 +37,7 @@
     """
 
     id: int
+    route: str
     rank: tuple[int, int]
     arrived_ms: float
     objective_ms: float
@@ -46,6 +51,8 @@
     :param limit: requests that may run at once; 0 takes none.
     :param service_ms: the average time that one takes.
     :param failure_share: recent share of requests that the upstream failed.
+    :param pressure: recent share of requests that failed for want of room in the
+        services that the upstream calls.
     """
 
     n_running: int
@@ -53,6 +60,44 @@
     limit: int
     service_ms: float
     failure_share: float
+    pressure: float
+
+
+class Ending(StrEnum):
+    """How a request ended at the upstream."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    STARVED = "starved"  # a service that the upstream calls had no room
+    DROPPED = "dropped"  # nobody waited any more
+
+
+class _TimeShares:
+    """Decaying sums of the upstream's time, of urgent and of all requests."""
+
+    def __init__(self, now_ms: float) -> None:
+        self._at_ms = now_ms
+        self._by_priority: dict[int, float] = {}
+
+    def add(self, priority: int, took_ms: float, now_ms: float) -> None:
+        """Take in one run."""
+        decay = 0.5 ** (max(0.0, now_ms - self._at_ms) / TIME_HALF_LIFE_MS)
+        self._at_ms = now_ms
+        for key in self._by_priority:
+            self._by_priority[key] *= decay
+        self._by_priority[priority] = self._by_priority.get(priority, 0.0) + took_ms
+
+    def share(self, priority: int) -> float:
+        """Return the part of the time that requests of ``priority`` got."""
+        total = sum(self._by_priority.values())
+        if total < MIN_TIME_MS:
+            return 1.0
+        return self._by_priority.get(priority, 0.0) / total
+
+
+class _Running(NamedTuple):
+    offer: Offer
+    started_ms: float
 
 
 class UpstreamQueue:
@@ -64,23 +109,24 @@
     def __init__(self, limit: int, now_ms: float) -> None:
         self.limit = limit
         self.is_leaving = False
-        self.service_ms = INITIAL_SERVICE_MS
+        self.times = ServiceTimes()
         self.failure_share = 0.0
+        self.pressure = 0.0
+        self._shares = _TimeShares(now_ms)
         self._queue: list[tuple[tuple[int, int], float, int, Offer]] = []
-        self._started_by_id: dict[int, float] = {}
-        self._n_started = 0
+        self._running_by_id: dict[int, _Running] = {}
         self._progress_ms = now_ms
 
     def __repr__(self) -> str:
         return (
-            f"UpstreamQueue(n_running={len(self._started_by_id)}, "
+            f"UpstreamQueue(n_running={len(self._running_by_id)}, "
             f"n_queued={len(self._queue)}, limit={self.limit})"
         )
 
     @property
     def n_running(self) -> int:
         """Requests at the upstream."""
-        return len(self._started_by_id)
+        return len(self._running_by_id)
 
     @property
     def n_queued(self) -> int:
@@ -94,25 +140,37 @@
             self.n_running,
             self.n_queued,
             0 if closed else self.limit,
-            self.service_ms,
+            self.times.overall_ms,
             self.failure_share,
+            self.pressure,
         )
 
     def is_stalled(self, now_ms: float) -> bool:
         """Return whether requests are running but none has ended for long."""
-        if not self._started_by_id:
+        if not self._running_by_id:
             return False
-        patience = max(MAX_STALL_MS, STALL_SERVICE_TIMES * self.service_ms)
-        oldest = next(iter(self._started_by_id.values()))
-        return now_ms - max(self._progress_ms, oldest) > patience
+        slowest_ms = max(
+            self.times.expected_ms(running.offer.route)
+            for running in self._running_by_id.values()
+        )
+        patience_ms = max(MAX_STALL_MS, STALL_SERVICE_TIMES * slowest_ms)
+        oldest_ms = next(iter(self._running_by_id.values())).started_ms
+        return now_ms - max(self._progress_ms, oldest_ms) > patience_ms
 
     def wait_ms(self, rank: tuple[int, int]) -> float:
         """Return how long a new request of ``rank`` would wait."""
         if self.limit <= 0:
             return float("inf")
-        n_ahead = bisect.bisect_right(self._queue, (rank, float("inf")))
-        n_excess = n_ahead + self.n_running + 1 - self.limit
-        return max(0.0, n_excess * self.service_ms / self.limit)
+        return self._wait_behind(bisect.bisect_right(self._queue, (rank, math.inf)))
+
+    def _wait_behind(self, n_ahead: int) -> float:
+        """Return how long the request behind the first ``n_ahead`` would wait."""
+        if self.n_running + n_ahead < self.limit:
+            return 0.0
+        work_ms = self.times.overall_ms
+        for entry in self._queue[:n_ahead]:
+            work_ms += self.times.expected_ms(entry[3].route)
+        return work_ms / self.limit
 
     def offer(self, offer: Offer) -> QueueError | None:
         """Queue a request, or return why it is refused."""
@@ -131,31 +189,40 @@
         """Return the next request to run, and count it as running."""
         if not self._queue or self.n_running >= self.limit:
             return None
-        self._n_started += 1
-        index = 0
-        if self._n_started % FAIR_EVERY == 0:
-            index = min(
-                range(len(self._queue)), key=lambda i: self._queue[i][3].arrived_ms
-            )
-        offer = self._queue.pop(index)[3]
-        if not self._started_by_id:
+        offer = self._queue.pop(self._next_index())[3]
+        if not self._running_by_id:
             self._progress_ms = now_ms
-        self._started_by_id[offer.id] = now_ms
+        self._running_by_id[offer.id] = _Running(offer, now_ms)
         return offer
 
-    def finish(self, offer_id: int, now_ms: float, failed: bool | None) -> None:
-        """Count a request as ended.
-
-        :param failed: whether the upstream failed it; None where that is not known.
-        """
-        started_ms = self._started_by_id.pop(offer_id, None)
-        if started_ms is None or failed is None:
+    def finish(self, offer_id: int, now_ms: float, ending: Ending) -> None:
+        """Count a request as ended."""
+        running = self._running_by_id.pop(offer_id, None)
+        if running is None:
+            return
+        took_ms = now_ms - running.started_ms
+        self._shares.add(running.offer.rank[0], took_ms, now_ms)
+        if ending is Ending.DROPPED:
             return
         self._progress_ms = now_ms
-        self.failure_share += 0.1 * (float(failed) - self.failure_share)
-        if not failed:
-            took_ms = now_ms - started_ms
-            self.service_ms += SERVICE_TIME_WEIGHT * (took_ms - self.service_ms)
+        has_failed = float(ending is Ending.FAILED)
+        has_starved = float(ending is Ending.STARVED)
+        self.failure_share += OUTCOME_WEIGHT * (has_failed - self.failure_share)
+        self.pressure += OUTCOME_WEIGHT * (has_starved - self.pressure)
+        if ending is Ending.ANSWERED:
+            self.times.add(running.offer.route, took_ms)
+
+    def _next_index(self) -> int:
+        """Return the place of the request to run next.
+
+        Less urgent ones keep a part of the upstream's time, so that none starves.
+        """
+        last = self._queue[-1][3].rank[0]
+        if last == self._queue[0][3].rank[0]:
+            return 0
+        if self._shares.share(last) >= MIN_TIME_SHARE:
+            return 0
+        return bisect.bisect_left(self._queue, ((last, -math.inf),))
 
     def withdraw(self, offer_id: int) -> bool:
         """Remove a request from the queue.
@@ -190,14 +257,16 @@
             return QueueError.STALLED
         early_ms = offer.arrived_ms + EARLY_SHARE * offer.patience_ms
         if now_ms <= early_ms:
-            wait_ms = (position + 1) * self.service_ms / max(1, self.limit)
-            if not self._is_worth_waiting(offer, wait_ms + now_ms - offer.arrived_ms):
+            waited_ms = now_ms - offer.arrived_ms
+            if not self._is_worth_waiting(
+                offer, self._wait_behind(position) + waited_ms
+            ):
                 return QueueError.PREEMPTED
         return None
 
     def _is_worth_waiting(self, offer: Offer, wait_ms: float) -> bool:
         if wait_ms <= 0.0:
             return True
-        ready_ms = offer.arrived_ms + wait_ms + self.service_ms
+        ready_ms = offer.arrived_ms + wait_ms + self.times.expected_ms(offer.route)
         bound_ms = max(EARLY_SHARE, WAIT_SHARE) * offer.patience_ms
         return wait_ms <= bound_ms and ready_ms <= offer.expires_ms
--- /dev/null
+++ b/packages/policy/tests/test_dependency_shedding.py
@@ -0,0 +1,44 @@
+import random
+
+from ibisspoke_policy.dependency_shedding import FLOOR, DependencyShedder
+
+STEP_MS = 20.0
+
+
+def admitted_share(shedder, priority, pressure, start_ms, seconds):
+    n_steps = int(seconds * 1000.0 / STEP_MS)
+    admitted = [
+        shedder.admits("orders", priority, pressure, start_ms + step * STEP_MS)
+        for step in range(n_steps)
+    ]
+    tail = admitted[n_steps // 2 :]
+    return sum(tail) / len(tail)
+
+
+def test_without_pressure_all_are_admitted():
+    shedder = DependencyShedder(random.Random(1))
+    assert admitted_share(shedder, 2, 0.0, 0.0, 2.0) == 1.0
+
+
+def test_less_urgent_requests_are_refused_first():
+    shedder = DependencyShedder(random.Random(1))
+    assert admitted_share(shedder, 2, 0.2, 0.0, 6.0) < 0.5
+    assert admitted_share(shedder, 0, 0.2, 0.0, 6.0) == 1.0
+
+
+def test_some_are_always_admitted():
+    shedder = DependencyShedder(random.Random(1))
+    share = admitted_share(shedder, 2, 1.0, 0.0, 30.0)
+    assert FLOOR / 3 < share < FLOOR * 2
+
+
+def test_all_are_admitted_again_a_while_after_the_overload():
+    shedder = DependencyShedder(random.Random(1))
+    admitted_share(shedder, 2, 0.8, 0.0, 5.0)
+    assert admitted_share(shedder, 2, 0.0, 5_000.0, 14.0) == 1.0
+
+
+def test_services_do_not_suffer_for_each_other():
+    shedder = DependencyShedder(random.Random(1))
+    admitted_share(shedder, 2, 0.8, 0.0, 5.0)
+    assert shedder.admits("photos", 2, 0.0, 5_000.0)
