--- a/packages/mesh/ibisspoke_mesh/gate.py
+++ b/packages/mesh/ibisspoke_mesh/gate.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.decaying_share import DecayingShare
 from ibisspoke_policy.upstream_life import Announcement, UpstreamLife, UpstreamState
 from ibisspoke_policy.upstream_queue import Ending, Load, Offer, UpstreamQueue
 
@@ -22,6 +23,7 @@
 LOST_HEARTBEATS = 3.0  # intervals without a heartbeat or an answer until it is absent
 DRAIN_QUEUE_SHARE = 0.4  # of the drain time in which queued requests may still start
 NESTED_WEIGHT = 0.05  # of one call of the upstream; about the last twenty
+NESTED_HALF_LIFE_MS = 1_000.0  # longer than a request runs on after its call failed
 NESTED_STARVED_SHARE = 0.04  # from which failures of the upstream are put down to it
 MIN_RETRY_AFTER_MS = 100.0
 NOT_FOUND_HERE_MS = 50.0
@@ -74,7 +76,7 @@
         self._drain_ms = drain_ms
         self._ids = itertools.count(1)
         self._running: dict[int, _Running] = {}
-        self._nested_starved = 0.0
+        self._nested_starved = DecayingShare(NESTED_WEIGHT, NESTED_HALF_LIFE_MS)
         self._heard_ms = clock.now_ms()
         self._draining_ms: float | None = None
         self.cold_until_ms = 0.0
@@ -306,13 +308,14 @@
         :param has_starved: whether it failed for want of room at its service or
             deeper down.
         """
-        self._nested_starved += NESTED_WEIGHT * (has_starved - self._nested_starved)
+        self._nested_starved.add(has_starved, self._clock.now_ms())
 
     def _ending(self, outcome: Outcome) -> Ending:
         if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
             return Ending.ANSWERED
         is_answer = outcome.kind is OutcomeKind.ANSWERED
-        if is_answer and self._nested_starved > NESTED_STARVED_SHARE:
+        nested_share = self._nested_starved.at(self._clock.now_ms())
+        if is_answer and nested_share > NESTED_STARVED_SHARE:
             return Ending.STARVED
         return Ending.FAILED
 
--- a/packages/policy/ibisspoke_policy/dependency_shedding.py
+++ b/packages/policy/ibisspoke_policy/dependency_shedding.py
@@ -8,10 +8,11 @@
 
 STEP_MS = 200.0  # between two adjustments; some round trips of load reports
 DECREASE = 0.3  # of the admitted share, at full excess
-INCREASE = 0.03  # of all requests, a step; recovery takes a few seconds
+GROWTH = 1.12  # of the admitted share, a step
+INCREASE = 0.02  # of all requests, a step; recovery takes about three seconds
 FLOOR = 0.1  # admitted at least, so that the end of the overload is seen
-TOLERANCE_BY_PRIORITY = (0.3, 0.12)  # pressure that the most urgent requests bear
-TOLERANCE = 0.04  # of all less urgent ones, which are refused first
+TOLERANCE_BY_PRIORITY = (0.35, 0.2)  # pressure that the most urgent requests bear
+TOLERANCE = 0.08  # of all less urgent ones, which are refused first
 FULL_EXCESS = 0.4  # of pressure above the tolerance
 
 
@@ -56,7 +57,7 @@
 def _stepped(share: float, excess: float) -> float:
     if excess > 0.0:
         return max(FLOOR, share * (1.0 - DECREASE * min(1.0, excess / FULL_EXCESS)))
-    return min(1.0, share + INCREASE)
+    return min(1.0, share * GROWTH + INCREASE)
 
 
 def _tolerance(priority: int) -> float:
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -5,9 +5,12 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from .decaying_share import DecayingShare
 from .service_times import ServiceTimes
 
 OUTCOME_WEIGHT = 0.08  # of one outcome in the shares; about the last dozen
+FAILURE_HALF_LIFE_MS = 3_000.0  # then an upstream that is avoided gets a new chance
+PRESSURE_HALF_LIFE_MS = 700.0  # an overload deeper down may end at any moment
 MIN_TIME_SHARE = 0.15  # of the upstream's time that less urgent requests keep
 MIN_TIME_MS = 2_000.0  # of the upstream's time, from which shares mean something
 TIME_HALF_LIFE_MS = 2_000.0  # over which that share is kept
@@ -110,8 +113,8 @@
         self.limit = limit
         self.is_leaving = False
         self.times = ServiceTimes()
-        self.failure_share = 0.0
-        self.pressure = 0.0
+        self._failures = DecayingShare(OUTCOME_WEIGHT, FAILURE_HALF_LIFE_MS)
+        self._starved = DecayingShare(OUTCOME_WEIGHT, PRESSURE_HALF_LIFE_MS)
         self._shares = _TimeShares(now_ms)
         self._queue: list[tuple[tuple[int, int], float, int, Offer]] = []
         self._running_by_id: dict[int, _Running] = {}
@@ -141,8 +144,8 @@
             self.n_queued,
             0 if closed else self.limit,
             self.times.overall_ms,
-            self.failure_share,
-            self.pressure,
+            self._failures.at(now_ms),
+            self._starved.at(now_ms),
         )
 
     def is_stalled(self, now_ms: float) -> bool:
@@ -205,10 +208,8 @@
         if ending is Ending.DROPPED:
             return
         self._progress_ms = now_ms
-        has_failed = float(ending is Ending.FAILED)
-        has_starved = float(ending is Ending.STARVED)
-        self.failure_share += OUTCOME_WEIGHT * (has_failed - self.failure_share)
-        self.pressure += OUTCOME_WEIGHT * (has_starved - self.pressure)
+        self._failures.add(ending is Ending.FAILED, now_ms)
+        self._starved.add(ending is Ending.STARVED, now_ms)
         if ending is Ending.ANSWERED:
             self.times.add(running.offer.route, took_ms)
 
