Keep rates through a restart of all nodes; leave the region only when it has no room

A starting node now takes an equal part for 2.5 s, and totals of nodes that started with it count. Times are now expected by route, and another region costs two objectives.

--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -291,6 +291,9 @@
             progress.may_have_run = may_have_run
         if outcome.kind is not OutcomeKind.REFUSED:
             progress.n_sent += 1
+        if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
+            took_ms = self._clock.now_ms() - now_ms
+            self._fleet.route_times.add(route.name, took_ms)
         return outcome
 
     async def _run_here(
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ibisspoke_policy.clock import Clock
-from ibisspoke_policy.service_times import INITIAL_MS
+from ibisspoke_policy.service_times import INITIAL_MS, ServiceTimes
 from ibisspoke_policy.upstream_choice import Candidate, Distance, choose
 from ibisspoke_policy.upstream_life import UpstreamState
 from ibisspoke_policy.upstream_queue import Load
@@ -20,7 +20,7 @@
 REGION_RTT_MS = 3.0
 FAR_RTT_MS = 42.0  # twice the delay between regions that the users state
 NEAR_SILENCE_MS = 1_700.0  # three status datagrams of the own region and some more
-FAR_SILENCE_MS = 3_600.0  # three of another region
+FAR_SILENCE_MS = 4_800.0  # three of another region
 UNHEARD_MS = 3_000.0  # a node that was never heard of is tried for that long
 FORGET_MS = 60_000.0
 
@@ -108,6 +108,7 @@
     ) -> None:
         self.peers_by_id: dict[str, Peer] = {}
         self.own: MemberRecord | None = None
+        self.route_times = ServiceTimes()
         self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, INITIAL_MS, 0.0, 0.0)
         self.own_cold_until_ms = 0.0
         self._settings = settings
@@ -150,7 +151,7 @@
         self._log.write("node forgotten", peer=node)
 
     def choose(
-        self, service: str, objective_ms: float, excluded: set[str]
+        self, service: str, route: str, objective_ms: float, excluded: set[str]
     ) -> MemberRecord | None:
         """Return the node whose upstream should serve a request."""
         now_ms = self._clock.now_ms()
@@ -175,7 +176,8 @@
             is_cold = self.own_cold_until_ms > now_ms
             load = self.own_load()
             candidates.append(Candidate(own.node, distance, load, 0, 0, is_cold))
-        chosen = choose(candidates, objective_ms, self._rng)
+        expected_ms = self.route_times.expected_ms(route)
+        chosen = choose(candidates, expected_ms, objective_ms, self._rng)
         if chosen is None:
             return None
         if own is not None and chosen.id == own.node:
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -84,7 +84,7 @@
         self._revision = 0
         self._stopping_ms: float | None = None
         self._lag_ms = 0.0
-        self.rates = SharedRates()
+        self.rates = SharedRates(clock.now_ms())
         self.config = ConfigState(
             adapter.config_key, adapter.decode_config, clock, self.log, self._adopted
         )
@@ -182,6 +182,7 @@
 
     def _tick_slowly(self) -> None:
         """Run the systems whose times are longer than a tenth of a second."""
+        self.rates.set_fleet_size(len(self.fleet.peers_by_id) + 1)
         self.calls.tick()
         self.fleet.own_cold_until_ms = self.gate.cold_until_ms
         self.fleet.tick()
--- a/packages/mesh/ibisspoke_mesh/status_datagrams.py
+++ b/packages/mesh/ibisspoke_mesh/status_datagrams.py
@@ -16,7 +16,7 @@
 from .fleet import Fleet, MemberRecord, Peer
 
 NEAR_INTERVAL_MS = 500.0
-FAR_INTERVAL_MS = 1_000.0  # bytes between regions are dear
+FAR_INTERVAL_MS = 1_500.0  # bytes between regions are dear
 NEAR_NEWS_MS = 200.0  # between two datagrams to one node for changes of usage
 FAR_NEWS_MS = 500.0
 USAGE_STEP = 0.02  # of a second's rate: a change that is told at once
@@ -27,7 +27,7 @@
 MARK_MASK = 0xFFFFFF  # few bytes, and hardly ever the same for two organisations
 RECORD_SHARE = 0.05  # of the datagrams that bear the record though it is known
 MAX_AGE_MS = 1e9  # stands for no proof
-STARTUP_MS = 2_500.0  # before it, totals of other nodes may tell of long ago
+CLOCK_SKEW_MS = 3_000  # between VMs; a node that started earlier has old totals
 
 
 class Status(msgspec.Struct, array_like=True, frozen=True):
@@ -79,7 +79,6 @@
         self._cold_ms = cold_ms
         self._transport: asyncio.DatagramTransport | None = None
         self._told_by_organisation: dict[str, int] = {}
-        self._started_ms = clock.now_ms()
         self._asked_ms = 0.0
         self._names_by_mark: dict[int, str] = {}
         self.n_unreadable = 0
@@ -117,7 +116,10 @@
         peer.proof_at_ms = now_ms - status.proof_age_ms
         peer.cold_until_ms = now_ms + status.cold_ms
         peer.version = status.version
-        is_baseline = now_ms - self._started_ms < STARTUP_MS
+        own = self._fleet.own
+        is_baseline = (
+            own is not None and status.incarnation < own.incarnation - CLOCK_SKEW_MS
+        )
         usages = [
             Usage(name, n_asked, n_admitted)
             for mark, n_asked, n_admitted in status.usages
@@ -146,11 +148,13 @@
     def tick(self) -> None:
         """Send to the nodes whose turn it is, and ask some for a proof."""
         now_ms = self._clock.now_ms()
-        has_news = self._has_usage_news(now_ms)
+        news = self._organisations_with_news(now_ms)
+        is_tight = any(self._rates.is_tight(name) for name in news)
         for peer in self._fleet.peers_by_id.values():
             near = peer.distance.same_region
             interval_ms = NEAR_INTERVAL_MS if near else FAR_INTERVAL_MS
             news_ms = NEAR_NEWS_MS if near else FAR_NEWS_MS
+            has_news = bool(news) if near else is_tight
             since_ms = now_ms - peer.told_ms
             if since_ms >= interval_ms or (has_news and since_ms >= news_ms):
                 self._send(peer)
@@ -161,13 +165,15 @@
         for peer in self._fleet.peers_by_id.values():
             self._send(peer, with_record=True)
 
-    def _has_usage_news(self, now_ms: float) -> bool:
+    def _organisations_with_news(self, now_ms: float) -> list[str]:
+        """Return the organisations whose totals have changed much since told."""
+        names = []
         for usage in self._rates.totals(now_ms - USAGE_KEPT_MS):
             told = self._told_by_organisation.get(usage.organisation, 0)
             step = self._rates.rate(usage.organisation) * USAGE_STEP
             if abs(usage.n_admitted - told) >= max(2.0, step):
-                return True
-        return False
+                names.append(usage.organisation)
+        return names
 
     def _own_node(self) -> str:
         return self._fleet.own.node if self._fleet.own else ""
--- a/packages/policy/ibisspoke_policy/shared_rate.py
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -10,12 +10,14 @@
 from typing import NamedTuple
 
 FREE_FILL = 0.35  # of the burst: what nodes may overdraw between two reports
+TIGHT_FILL = 0.7  # of the burst, below which far nodes need each other's totals soon
 DRAIN_S = 0.6  # in which the rest of a burst may be spent by shares
-INITIAL_FILL = 0.25  # of the burst: a restarted fleet must not grant it anew
+INITIAL_FILL = 0.1  # of the burst: a restarted fleet must not grant it anew
 DEMAND_HALF_LIFE_MS = 1_000.0
 SHARE_BURST_S = 0.3  # a share may be spent this far ahead, in seconds of its rate
 MIN_SHARE_BURST = 2.5
 MAX_QUIET = 512  # nodes without requests that an account remembers
+STARTING_MS = 2_500.0  # after which each other node has reported, also a far one
 SHARE_INTERVAL_MS = 50.0  # between two computations of shares, a node a step
 HOLD_MS = 6_000.0  # a silent node may admit its share until its keys lapse
 MIN_DEMAND_PER_S = 0.5  # keeps a node that starts from a share of zero
@@ -54,7 +56,11 @@
 class _Account:
     """The copy of one organisation's bucket."""
 
-    def __init__(self, rate: float, burst: float, now_ms: float) -> None:
+    def __init__(
+        self, rate: float, burst: float, starting_until_ms: float, now_ms: float
+    ) -> None:
+        self.starting_until_ms = starting_until_ms
+        self.n_nodes = 1
         self.rate = rate
         self.burst = burst
         self.level = burst * INITIAL_FILL
@@ -86,6 +92,8 @@
     @property
     def is_free(self) -> bool:
         """Whether the bucket is so full that nobody needs to keep to a share."""
+        if self.refilled_ms < self.starting_until_ms:
+            return False
         return self.level - self.unreported >= max(1.0, self.burst * FREE_FILL)
 
     def drop_lapsed(self, now_ms: float) -> None:
@@ -112,13 +120,22 @@
             total += per_s + MIN_DEMAND_PER_S
             unreported += per_s * silence_ms / 1000.0
         self.share = own / total
+        if now_ms < self.starting_until_ms:
+            self.share = min(self.share, 1.0 / self.n_nodes)
         self.unreported = unreported * min(1.0, self._fleet_rate() / total)
 
 
 class SharedRates:
-    """Admit requests of organisations within their rates over all nodes."""
+    """Admit requests of organisations within their rates over all nodes.
+
+    Until a node may have heard of all others, it takes an equal part of each rate.
+
+    :param started_ms: when the node started.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, started_ms: float) -> None:
+        self._starting_until_ms = started_ms + STARTING_MS
+        self._n_nodes = 1
         self._accounts_by_name: dict[str, _Account] = {}
 
     def __repr__(self) -> str:
@@ -133,12 +150,20 @@
         for name, (rate, burst) in limits_by_name.items():
             account = self._accounts_by_name.get(name)
             if account is None:
-                self._accounts_by_name[name] = _Account(rate, burst, now_ms)
+                account = _Account(rate, burst, self._starting_until_ms, now_ms)
+                account.n_nodes = self._n_nodes
+                self._accounts_by_name[name] = account
                 continue
             account.refill(now_ms)
             account.rate, account.burst = rate, burst
             account.level = min(account.level, burst)
 
+    def set_fleet_size(self, n_nodes: int) -> None:
+        """Take in how many nodes there are, this one included."""
+        self._n_nodes = n_nodes
+        for account in self._accounts_by_name.values():
+            account.n_nodes = n_nodes
+
     def admit(self, name: str, now_ms: float) -> bool:
         """Count one request, and return whether it is within the rate."""
         account = self._accounts_by_name.get(name)
@@ -167,6 +192,11 @@
             account.level = min(account.burst, account.level + 1.0)
             account.n_admitted -= 1
 
+    def is_tight(self, name: str) -> bool:
+        """Return whether an organisation's bucket is so low that nodes must agree."""
+        account = self._accounts_by_name.get(name)
+        return account is not None and account.level < account.burst * TIGHT_FILL
+
     def totals(self, since_ms: float) -> list[Usage]:
         """Return the totals that changed after ``since_ms``, to be reported."""
         return [
--- a/packages/policy/ibisspoke_policy/upstream_choice.py
+++ b/packages/policy/ibisspoke_policy/upstream_choice.py
@@ -6,7 +6,7 @@
 from .upstream_queue import Load
 
 ZONE_PENALTY = 0.2  # of the objective: bytes between data centres are paid for
-REGION_PENALTY = 0.7  # of the objective: the link is narrow and dear
+REGION_PENALTY = 2.0  # of the objective: the link is narrow, and its bytes are dear
 FAILURE_PENALTY = 3.0  # objectives for an upstream that fails everything
 COLD_PENALTY = 0.5  # of the objective, for an upstream that has just started
 JITTER = 0.05  # of the objective, so that nodes do not all choose the same
@@ -40,15 +40,21 @@
     is_cold: bool
 
 
-def cost(candidate: Candidate, objective_ms: float) -> float:
-    """Return the expected latency of a request, with penalties, in milliseconds."""
+def cost(
+    candidate: Candidate, expected_ms: float, slowness: float, objective_ms: float
+) -> float:
+    """Return the expected latency of a request, with penalties, in milliseconds.
+
+    :param expected_ms: what requests of its route take on average.
+    :param slowness: the upstream's times as a multiple of the usual.
+    """
     load = candidate.load
     n_ahead = load.n_running + load.n_queued
     n_ahead += max(0, candidate.n_own - candidate.n_own_known)
     limit = max(1, load.limit)
     excess = max(0.0, n_ahead + 1 - 0.9 * limit)
-    expected = load.service_ms * (1.0 + 0.3 * min(1.0, n_ahead / limit))
-    expected += excess * load.service_ms / limit
+    latency_ms = expected_ms * slowness * (1.0 + 0.3 * min(1.0, n_ahead / limit))
+    latency_ms += excess * load.service_ms / limit
     distance = candidate.distance
     penalty = FAILURE_PENALTY * load.failure_share
     if candidate.is_cold:
@@ -57,24 +63,35 @@
         penalty += REGION_PENALTY
     elif not distance.same_data_centre:
         penalty += ZONE_PENALTY
-    return expected + distance.rtt_ms + penalty * objective_ms
+    return latency_ms + distance.rtt_ms + penalty * objective_ms
 
 
 def choose(
-    candidates: list[Candidate], objective_ms: float, rng: random.Random
+    candidates: list[Candidate],
+    expected_ms: float,
+    objective_ms: float,
+    rng: random.Random,
 ) -> Candidate | None:
     """Return the candidate of the least cost; upstreams that take none come last."""
     if not candidates:
         return None
     if len(candidates) > MAX_CANDIDATES:
-        near = [c for c in candidates if c.distance.same_data_centre]
-        rest = [c for c in candidates if not c.distance.same_data_centre]
-        n_rest = max(2, MAX_CANDIDATES - len(near))
-        near = rng.sample(near, min(len(near), MAX_CANDIDATES - 2))
-        candidates = near + rng.sample(rest, min(len(rest), n_rest))
+        candidates = _sample(candidates, rng)
     open_ones = [c for c in candidates if c.load.limit > 0] or candidates
+    usual_ms = sum(c.load.service_ms for c in open_ones) / len(open_ones)
 
     def noisy(candidate: Candidate) -> float:
-        return cost(candidate, objective_ms) + rng.random() * JITTER * objective_ms
+        slowness = candidate.load.service_ms / max(1.0, usual_ms)
+        latency_ms = cost(candidate, expected_ms, slowness, objective_ms)
+        return latency_ms + rng.random() * JITTER * objective_ms
 
     return min(open_ones, key=noisy)
+
+
+def _sample(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
+    """Return some candidates, those of the own data centre before others."""
+    near = [c for c in candidates if c.distance.same_data_centre]
+    rest = [c for c in candidates if not c.distance.same_data_centre]
+    near = rng.sample(near, min(len(near), MAX_CANDIDATES - 2))
+    n_rest = max(2, MAX_CANDIDATES - len(near))
+    return near + rng.sample(rest, min(len(rest), n_rest))
