--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 towards callers: reads requests, writes answers."""
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, cast
@@ -56,6 +57,8 @@
     body: bytes
 
 
+logger = logging.getLogger("ibisspoke")
+
 Handler = Callable[[CallerRequest], Awaitable[CallerAnswer]]
 
 
@@ -241,6 +244,9 @@
     async def _answer(self, request: CallerRequest, keeps_alive: bool) -> None:
         try:
             answer = await self._state.handler(request)
+        except Exception:
+            logger.exception("handler failed", extra={"target": repr(request.target)})
+            answer = CallerAnswer(500, b"", b"")
         finally:
             self._state.n_active -= 1
             self._task = None
--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -235,7 +235,9 @@
         objective_ms = accepted.route.objective_ms
         outcome = Outcome(OutcomeKind.REFUSED, reason="no upstream is known")
         while len(progress.nodes) < MAX_NODES:
-            member = self._fleet.choose(accepted.service, objective_ms, progress.nodes)
+            member = self._fleet.choose(
+                accepted.service, accepted.route.name, objective_ms, progress.nodes
+            )
             if member is None:
                 break
             outcome = await self._attempt(request, accepted, progress, member, head)
--- a/packages/policy/ibisspoke_policy/shared_rate.py
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -9,8 +9,8 @@
 
 from typing import NamedTuple
 
-FREE_FILL = 0.35  # of the burst: what nodes may overdraw between two reports
-TIGHT_FILL = 0.7  # of the burst, below which far nodes need each other's totals soon
+FREE_FILL = 0.2  # of the burst: what nodes may overdraw between two reports
+TIGHT_FILL = 0.85  # of the burst, below which far nodes need each other's totals soon
 DRAIN_S = 0.6  # in which the rest of a burst may be spent by shares
 INITIAL_FILL = 0.1  # of the burst: a restarted fleet must not grant it anew
 DEMAND_HALF_LIFE_MS = 1_000.0
