--- a/packages/ctl/ibisspoke_ctl/main.py
+++ b/packages/ctl/ibisspoke_ctl/main.py
@@ -4,6 +4,7 @@
 
 from .apply import apply
 from .check import check
+from .explain import explain
 from .history import audit, history
 from .keys import keys_app
 from .nodes import nodes
@@ -28,6 +29,7 @@
 app.command()(status)
 app.command()(nodes)
 app.command("replay")(replay_trace)
+app.command()(explain)
 
 
 def main() -> None:
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -232,7 +232,9 @@
             for holder in table.holders_by_key.values()
             if holder.rate_per_s > 0
         }
-        self.rates.configure(limits_by_name, self.clock.now_ms())
+        self.rates.configure(
+            limits_by_name, self.clock.now_ms(), self.settings.config_ms
+        )
         self.status.know_organisations(list(limits_by_name))
         self.entry.splitter.keep_only(table.routes)
         self.entry.set_retry_budget(len(self.fleet.peers_by_id) + 1)
--- a/packages/policy/ibisspoke_policy/shared_rate.py
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -35,6 +35,11 @@
     n_admitted: int
 
 
+class _Limit(NamedTuple):
+    rate: float
+    burst: float
+
+
 class _Demand:
     """A decaying rate of requests."""
 
@@ -63,6 +68,8 @@
         self.n_nodes = 1
         self.rate = rate
         self.burst = burst
+        self._target = _Limit(rate, burst)
+        self._eased_ms = now_ms
         self.level = burst * INITIAL_FILL
         self.share_level = 0.0
         self.share = 0.0
@@ -77,10 +84,30 @@
         self.n_admitted = 0
         self.changed_ms = now_ms
 
+    def change(self, rate: float, burst: float, eased_ms: float) -> None:
+        """Put a higher limit in force at once, and a lower one by ``eased_ms``."""
+        self._target = _Limit(rate, burst)
+        if rate >= self.rate:
+            self.rate, self.burst = rate, burst
+            self.level = min(self.level, burst)
+        else:
+            self._eased_ms = eased_ms
+
+    def _ease(self, now_ms: float, elapsed_ms: float) -> None:
+        """Let a lowered limit sink a little further."""
+        if self.rate == self._target.rate and self.burst == self._target.burst:
+            return
+        left_ms = self._eased_ms - now_ms
+        part = elapsed_ms / (elapsed_ms + left_ms) if left_ms > 0.0 else 1.0
+        self.rate += part * (self._target.rate - self.rate)
+        self.burst += part * (self._target.burst - self.burst)
+        self.level = min(self.level, self.burst)
+
     def refill(self, now_ms: float) -> None:
         """Bring the bucket up to date."""
         elapsed_s = max(0.0, now_ms - self.refilled_ms) / 1000.0
         self.refilled_ms = now_ms
+        self._ease(now_ms, elapsed_s * 1000.0)
         self.level = min(self.burst, self.level + self.rate * elapsed_s)
         if now_ms - self.shared_ms >= SHARE_INTERVAL_MS:
             self.shared_ms = now_ms
@@ -142,9 +169,16 @@
         return f"SharedRates(n_organisations={len(self._accounts_by_name)})"
 
     def configure(
-        self, limits_by_name: dict[str, tuple[float, float]], now_ms: float
+        self,
+        limits_by_name: dict[str, tuple[float, float]],
+        now_ms: float,
+        ease_ms: float,
     ) -> None:
-        """Put rates a second and bursts in force."""
+        """Put rates a second and bursts in force.
+
+        :param ease_ms: over which a limit sinks. Nodes learn of it at different
+            moments, and must not refuse what others still admit.
+        """
         for name in [n for n in self._accounts_by_name if n not in limits_by_name]:
             del self._accounts_by_name[name]
         for name, (rate, burst) in limits_by_name.items():
@@ -155,8 +189,7 @@
                 self._accounts_by_name[name] = account
                 continue
             account.refill(now_ms)
-            account.rate, account.burst = rate, burst
-            account.level = min(account.level, burst)
+            account.change(rate, burst, now_ms + ease_ms)
 
     def set_fleet_size(self, n_nodes: int) -> None:
         """Take in how many nodes there are, this one included."""
