--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -43,11 +43,13 @@
 
     :param reason: for the log.
     :param retry_after_ms: when to come back; 0 for never.
+    :param organisation: whose rate was exceeded.
     """
 
     status: int
     reason: str
     retry_after_ms: float = 0.0
+    organisation: str = ""
 
 
 class Accepted(NamedTuple):
@@ -206,7 +208,8 @@
         caller_ms = stated_ms if stated_ms is not None else route.timeout_ms
         if holder is not None and not self._rates.admit(holder.organisation, now_ms):
             wait_ms = caller_ms * MAX_RETRY_SHARE * self._rng.random()
-            return Refusal(429, "rate_exceeded", max(100.0, wait_ms))
+            name = holder.organisation
+            return Refusal(429, "rate_exceeded", max(100.0, wait_ms), name)
         service = self.splitter.pick(route)
         self.resends.count_request(service, now_ms)
         self.reruns.count_request(service, now_ms)
@@ -397,11 +400,17 @@
     ) -> CallerAnswer:
         self._metrics.refused(refusal.status, refusal.reason)
         now_ms = self._clock.now_ms()
-        details = {}
+        table = self._table()
+        details: dict[str, str | int] = {"version": table.version if table else 0}
+        if refusal.organisation:
+            details["organisation"] = refusal.organisation
         if accepted is not None:
-            details = {
+            details |= {
                 "route": accepted.route.name,
                 "service": accepted.service,
+                "organisation": (
+                    accepted.holder.organisation if accepted.holder else ""
+                ),
                 "left_ms": int(accepted.deadline_ms - now_ms),
                 "held_ms": int(now_ms - request.arrived_ms),
             }
