--- a/packages/mesh/ibisspoke_mesh/config_prover.py
+++ b/packages/mesh/ibisspoke_mesh/config_prover.py
@@ -48,7 +48,7 @@
             await asyncio.sleep(CHECK_MS / 1000.0)
             if self._config.table is None or self._config.proof_age_ms() < threshold_ms:
                 continue
-            started_ms = self._clock.elapsed_ms()
+            started_ms = self._clock.boot_ms()
             result = await self._store.snapshot(self._table)
             if isinstance(result, Err):
                 n_failed += 1
--- a/packages/mesh/ibisspoke_mesh/config_state.py
+++ b/packages/mesh/ibisspoke_mesh/config_state.py
@@ -51,12 +51,16 @@
     def take_changes(
         self, changes: Changes, is_snapshot: bool, started_ms: float
     ) -> None:
-        """Take in what a watch of the store has brought."""
+        """Take in what a watch of the store has brought.
+
+        Only a reading of the whole table proves that it is current: a watch may hear
+        nothing for a while although changes are made.
+        """
         is_read = True
         for row in changes.rows:
             if row.key == self._key:
                 is_read = self._adopt(row.value, "store")
-        if is_read and self.version:
+        if is_read and is_snapshot and self.version:
             self.freshness.prove(self.version, started_ms)
 
     def take_reply(self, reply: ConfigReply) -> None:
@@ -72,7 +76,7 @@
 
     def proof_age_ms(self) -> float:
         """Return how old the proof is that the configuration is current."""
-        return self.freshness.age_ms(self.version, self._clock.elapsed_ms())
+        return self.freshness.age_ms(self.version, self._clock.boot_ms())
 
     def _adopt(self, document: bytes, source: str) -> bool:
         decoded = self._decode(document)
--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -172,7 +172,7 @@
             return Refusal(503, "no_configuration", NO_CONFIG_RETRY_MS)
         if self.is_closing:
             return Refusal(503, "stopping", NO_CONFIG_RETRY_MS)
-        now_ms = self._clock.elapsed_ms()
+        now_ms = self._clock.boot_ms()
         age_ms = self._freshness.age_ms(table.version, now_ms)
         is_fresh = age_ms < self.settings.key_proof_ms
         host = headers.get(b"host", b"").decode("latin-1")
--- a/packages/mesh/ibisspoke_mesh/status_datagrams.py
+++ b/packages/mesh/ibisspoke_mesh/status_datagrams.py
@@ -198,7 +198,7 @@
         near.sort(key=lambda peer: round((now_ms - peer.proof_at_ms) / 500.0))
         for peer in near[:N_ASKED]:
             address = (peer.record.node, peer.record.status_port)
-            nonce = max(1, int(self._clock.elapsed_ms()))
+            nonce = max(1, int(self._clock.boot_ms()))
             self._write(address, None, [], nonce=nonce)
 
     def _send(self, peer: Peer, with_record: bool = False) -> None:
--- a/packages/mesh/ibisspoke_mesh/table_watch.py
+++ b/packages/mesh/ibisspoke_mesh/table_watch.py
@@ -49,7 +49,7 @@
     async def run(self) -> None:
         """Follow the table, until cancelled."""
         while True:
-            started_ms = self._clock.elapsed_ms()
+            started_ms = self._clock.boot_ms()
             is_snapshot = self._after is None
             if self._after is None:
                 result = await self._store.snapshot(self._table)
--- /dev/null
+++ b/packages/mesh/tests/test_config_state.py
@@ -0,0 +1,66 @@
+from result import Err, Ok
+
+from ibisspoke_mesh.config_state import ConfigState
+from ibisspoke_mesh.decision_log import DecisionLog
+from ibisspoke_mesh.frames import ConfigReply
+from ibisspoke_mesh.store import Changes
+from ibisspoke_policy.clock import ManualClock
+from ibisspoke_policy.route_table import CallerLimits, RouteTable
+from ibisspoke_storage.store import TableRow
+
+LIMITS = CallerLimits(1, 1, 1.0, 1.0)
+
+
+def decode(document):
+    if not document.isdigit():
+        return Err("no number")
+    return Ok(RouteTable(int(document), [], {}, {}, LIMITS, False))
+
+
+def make_state(clock):
+    adopted = []
+    log = DecisionLog(clock)
+    return ConfigState("config", decode, clock, log, adopted.append), adopted
+
+
+def changes(document):
+    rows = [TableRow("config", 1, document)] if document else []
+    return Changes(rows, [], 1)
+
+
+def test_a_reading_proves_and_a_watch_that_hears_nothing_does_not():
+    clock = ManualClock(10_000.0)
+    state, _ = make_state(clock)
+    state.take_changes(changes(b"3"), True, clock.boot_ms())
+    clock.advance(3_000.0)
+    state.take_changes(changes(b""), False, clock.boot_ms())
+    assert state.proof_age_ms() == 3_000.0
+
+
+def test_a_suspension_ages_a_proof_and_a_clock_step_does_not():
+    clock = ManualClock(10_000.0)
+    state, _ = make_state(clock)
+    state.take_changes(changes(b"3"), True, clock.boot_ms())
+    clock.jump_wall(-2_000.0)
+    clock.jump_wall(4_000.0)
+    clock.suspend(5_000.0)
+    assert state.proof_age_ms() == 5_000.0
+
+
+def test_only_higher_versions_are_adopted():
+    clock = ManualClock()
+    state, adopted = make_state(clock)
+    state.take_changes(changes(b"3"), True, 0.0)
+    state.take_reply(ConfigReply(2, b"2"))
+    state.take_reply(ConfigReply(5, b"5"))
+    assert [table.version for table in adopted] == [3, 5]
+
+
+def test_an_unreadable_document_neither_replaces_nor_proves():
+    clock = ManualClock(10_000.0)
+    state, _ = make_state(clock)
+    state.take_changes(changes(b"3"), True, clock.boot_ms())
+    clock.advance(1_000.0)
+    state.take_changes(changes(b"x"), True, clock.boot_ms())
+    assert state.version == 3
+    assert state.proof_age_ms() == 1_000.0
--- a/packages/policy/ibisspoke_policy/clock.py
+++ b/packages/policy/ibisspoke_policy/clock.py
@@ -30,6 +30,10 @@
         self._elapsed_ms = max(self._elapsed_ms, by_boot, by_wall)
         return self._elapsed_ms
 
+    def boot_ms(self) -> float:
+        """Return monotonic time that counts suspension and no clock steps."""
+        return _boot_ms()
+
 
 class ManualClock(Clock):
     """Advance only when told to, for tests and replay.
@@ -57,6 +61,10 @@
         """Return the time set so far plus every suspension."""
         return self._now_ms + self._suspended_ms + max(0.0, self._wall_offset_ms)
 
+    def boot_ms(self) -> float:
+        """Return the time set so far plus every suspension."""
+        return self._now_ms + self._suspended_ms
+
     def advance(self, by_ms: float) -> None:
         """Move all readings forward by ``by_ms``."""
         self._now_ms += by_ms
