--- a/packages/mesh/tests/test_decision_log.py
+++ b/packages/mesh/tests/test_decision_log.py
@@ -43,7 +43,7 @@
     clock.advance(1_000.0)
     for _ in range(100):
         log.write("refused")
-    assert len(caplog) == BURST_LINES + LINES_PER_S
+    assert len(caplog.records) == BURST_LINES + LINES_PER_S
 
 
 def test_a_full_pipe_loses_lines_and_blocks_nobody():
