--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 check: env
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
-	$(VENV)/bin/lint-imports
+	PYTHONPATH=platform $(VENV)/bin/lint-imports
 	$(VENV)/bin/mypy
 
 demo: env
