--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ibisspoke_policy.clock import Clock
-from ibisspoke_policy.service_times import INITIAL_MS, ServiceTimes
+from ibisspoke_policy.service_times import ServiceTimes
 from ibisspoke_policy.upstream_choice import Candidate, Distance, choose
 from ibisspoke_policy.upstream_life import UpstreamState
 from ibisspoke_policy.upstream_queue import Load
@@ -59,7 +59,7 @@
         self.record = record
         self.link = link
         self.distance = distance
-        self.load = Load(0, 0, record.n_slots, INITIAL_MS, 0.0, 0.0)
+        self.load = Load(0, 0, record.n_slots, 0.0, 0.0, 0.0)
         self.n_own_known = 0
         self.known_ms = now_ms
         self.heard_ms: float | None = None
@@ -109,7 +109,7 @@
         self.peers_by_id: dict[str, Peer] = {}
         self.own: MemberRecord | None = None
         self.route_times = ServiceTimes()
-        self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, INITIAL_MS, 0.0, 0.0)
+        self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, 0.0, 0.0, 0.0)
         self.own_cold_until_ms = 0.0
         self._settings = settings
         self._origin = origin
@@ -130,7 +130,7 @@
             return peer
         if peer is not None and record.incarnation == peer.record.incarnation:
             if peer.record.instance != record.instance:
-                peer.load = Load(0, 0, record.n_slots, INITIAL_MS, 0.0, 0.0)
+                peer.load = Load(0, 0, record.n_slots, 0.0, 0.0, 0.0)
             self._log_change(record, peer.record)
             peer.record = record
             return peer
--- a/packages/policy/ibisspoke_policy/service_times.py
+++ b/packages/policy/ibisspoke_policy/service_times.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self.overall_ms = INITIAL_MS
+        self.is_known = False
         self._average_by_route: dict[str, _Average] = {}
 
     def __repr__(self) -> str:
@@ -42,4 +43,5 @@
                 del self._average_by_route[next(iter(self._average_by_route))]
             average = self._average_by_route[route] = _Average(self.overall_ms)
         average.add(took_ms)
+        self.is_known = True
         self.overall_ms += WEIGHT * (took_ms - self.overall_ms)
--- a/packages/policy/ibisspoke_policy/upstream_choice.py
+++ b/packages/policy/ibisspoke_policy/upstream_choice.py
@@ -54,7 +54,7 @@
     limit = max(1, load.limit)
     excess = max(0.0, n_ahead + 1 - 0.9 * limit)
     latency_ms = expected_ms * slowness * (1.0 + 0.3 * min(1.0, n_ahead / limit))
-    latency_ms += excess * load.service_ms / limit
+    latency_ms += excess * (load.service_ms or expected_ms) / limit
     distance = candidate.distance
     penalty = FAILURE_PENALTY * load.failure_share
     if candidate.is_cold:
@@ -78,10 +78,11 @@
     if len(candidates) > MAX_CANDIDATES:
         candidates = _sample(candidates, rng)
     open_ones = [c for c in candidates if c.load.limit > 0] or candidates
-    usual_ms = sum(c.load.service_ms for c in open_ones) / len(open_ones)
+    known_ms = [c.load.service_ms for c in open_ones if c.load.service_ms > 0.0]
+    usual_ms = max(1.0, sum(known_ms) / len(known_ms)) if known_ms else 1.0
 
     def noisy(candidate: Candidate) -> float:
-        slowness = candidate.load.service_ms / max(1.0, usual_ms)
+        slowness = (candidate.load.service_ms or usual_ms) / usual_ms
         latency_ms = cost(candidate, expected_ms, slowness, objective_ms)
         return latency_ms + rng.random() * JITTER * objective_ms
 
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -53,6 +53,7 @@
 
     :param limit: requests that may run at once; 0 takes none.
     :param service_ms: the average time that one takes.
+        0 where nothing has been answered yet.
     :param failure_share: recent share of requests that the upstream failed.
     :param pressure: recent share of requests that failed for want of room in the
         services that the upstream calls.
@@ -143,7 +144,7 @@
             self.n_running,
             self.n_queued,
             0 if closed else self.limit,
-            self.times.overall_ms,
+            self.times.overall_ms if self.times.is_known else 0.0,
             self._failures.at(now_ms),
             self._starved.at(now_ms),
         )
--- a/packages/policy/tests/test_upstream_choice.py
+++ b/packages/policy/tests/test_upstream_choice.py
@@ -59,3 +59,9 @@
 def test_a_slow_upstream_of_the_region_is_better_than_one_of_another():
     slow = candidate("here", HERE, service_ms=600.0)
     assert chosen(slow, candidate("far", FAR), objective_ms=500.0) == {"here"}
+
+
+def test_an_upstream_that_has_just_joined_gets_its_part():
+    known = candidate("here", HERE, service_ms=60.0)
+    joined = candidate("joined", HERE, service_ms=0.0)
+    assert chosen(known, joined) == {"here", "joined"}
