--- /dev/null
+++ b/benchmarks/mesh_cost.py
@@ -0,0 +1,90 @@
+"""Cost of the node on the users' platform: a request, an idle second, datagrams.
+
+All nodes run in this process, so the figures are processor time of all of them,
+divided. Run from the root: ``python benchmarks/mesh_cost.py``.
+"""
+
+import asyncio
+import json
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[1]
+sys.path[:0] = [str(ROOT / "tests" / "fleet"), str(ROOT / "platform")]
+
+import uvloop  # noqa: E402
+from fleet_harness import connect, request_bytes, running_fleet  # noqa: E402
+
+N_REQUESTS = 3_000
+N_WARM_UP = 300
+IDLE_S = 6.0
+FLEET_SIZES = (2, 8, 24)
+
+
+async def request_ms() -> float:
+    """Return processor time of a request over two nodes, with both ends.
+
+    The caller and the upstream of the stand-ins run here as well.
+    """
+    async with running_fleet(2) as fleet:
+        entry, other = fleet.vms
+        await entry.upstream.announce("draining")
+        entry.upstream.work_s = other.upstream.work_s = 0.0
+        caller = await connect(entry.host)
+
+        async def call(n: int) -> None:
+            for _ in range(n):
+                caller.transport.write(request_bytes("/lookup/1"))
+                assert (await caller.answers.get()).status == 200
+
+        await call(N_WARM_UP)
+        started = time.process_time()
+        await call(N_REQUESTS)
+        return (time.process_time() - started) * 1000.0 / N_REQUESTS
+
+
+async def idle(n_nodes: int) -> dict[str, float]:
+    """Return processor time and datagram bytes of one idle node a second."""
+    async with running_fleet(n_nodes) as fleet:
+        n_bytes = 0
+        for vm in fleet.vms:
+            transport = vm.node.status._transport
+            assert transport is not None
+            vm.node.status._transport = _Counting(transport)
+        await asyncio.sleep(1.0)
+        started = time.process_time()
+        before = _Counting.n_bytes
+        await asyncio.sleep(IDLE_S)
+        n_bytes = _Counting.n_bytes - before
+        used_ms = (time.process_time() - started) * 1000.0
+    return {
+        "n_nodes": n_nodes,
+        "cpu_ms_per_s": round(used_ms / IDLE_S / n_nodes, 2),
+        "datagram_bytes_per_s": round(n_bytes / IDLE_S / n_nodes),
+    }
+
+
+class _Counting:
+    n_bytes = 0
+
+    def __init__(self, transport: asyncio.DatagramTransport) -> None:
+        self._transport = transport
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        """Count and send a datagram."""
+        _Counting.n_bytes += len(data)
+        self._transport.sendto(data, address)
+
+
+async def run() -> None:
+    """Print all figures as JSON."""
+    report = {
+        "request_cpu_ms_with_both_ends": round(await request_ms(), 3),
+        "idle": [await idle(n_nodes) for n_nodes in FLEET_SIZES],
+    }
+    print(json.dumps(report, indent=2))
+
+
+if __name__ == "__main__":
+    uvloop.run(run())
