--- a/packages/mesh/ibisspoke_mesh/member_rows.py
+++ b/packages/mesh/ibisspoke_mesh/member_rows.py
@@ -18,6 +18,7 @@
 MIN_PAUSE_MS = 200.0  # after a failed write; all nodes may write at the same moment
 MAX_PAUSE_MS = 1_500.0
 FOLLOW_MS = 8_000.0  # a safety net: nodes tell each other of themselves
+SMALL_FLEET = 100  # nodes; beyond it each reads less often, so that calls stay few
 STARTUP_READS = 2  # after each write, since rows of others may come a little later
 STARTUP_PAUSE_MS = 1_200.0
 
@@ -93,7 +94,8 @@
                 continue
             n_failed = 0
             self._take(result.ok_value.rows)
-            pause_ms = FOLLOW_MS
+            n_known = len(self._fleet.peers_by_id)
+            pause_ms = FOLLOW_MS * max(1.0, n_known / SMALL_FLEET)
             if n_early > 0:
                 n_early -= 1
                 pause_ms = STARTUP_PAUSE_MS
