--- a/packages/policy/ibisspoke_policy/upstream_choice.py
+++ b/packages/policy/ibisspoke_policy/upstream_choice.py
@@ -10,6 +10,8 @@
 FAILURE_PENALTY = 3.0  # objectives for an upstream that fails everything
 COLD_PENALTY = 0.5  # of the objective, for an upstream that has just started
 JITTER = 0.05  # of the objective, so that nodes do not all choose the same
+EXPLORE_SHARE = 0.02  # of the requests, so that the times of all upstreams stay known
+EXPLORE_FAILURE_SHARE = 0.1  # of an upstream's requests, from which it is left alone
 MAX_CANDIDATES = 24  # beyond it a sample is compared; two or more near ones suffice
 
 
@@ -78,6 +80,10 @@
     if len(candidates) > MAX_CANDIDATES:
         candidates = _sample(candidates, rng)
     open_ones = [c for c in candidates if c.load.limit > 0] or candidates
+    if rng.random() < EXPLORE_SHARE:
+        near = [c for c in open_ones if _may_explore(c)]
+        if near:
+            return rng.choice(near)
     known_ms = [c.load.service_ms for c in open_ones if c.load.service_ms > 0.0]
     usual_ms = max(1.0, sum(known_ms) / len(known_ms)) if known_ms else 1.0
 
@@ -89,6 +95,13 @@
     return min(open_ones, key=noisy)
 
 
+def _may_explore(candidate: Candidate) -> bool:
+    load = candidate.load
+    has_room = load.n_running + load.n_queued < load.limit
+    is_sound = load.failure_share < EXPLORE_FAILURE_SHARE
+    return candidate.distance.same_region and has_room and is_sound
+
+
 def _sample(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
     """Return some candidates, those of the own data centre before others."""
     near = [c for c in candidates if c.distance.same_data_centre]
