Ask only the same life of a node what became of a call

Each end of a link now says which life it is; a call of an earlier life may have run. Shown failing with the comparison taken out.

--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -62,7 +62,11 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag=1):
-    """First frame of a link."""
+    """First frame of each end of a link.
+
+    :param incarnation: tells the lives of a node apart; what one life was asked,
+        another does not know.
+    """
 
     node: str
     incarnation: int
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -105,7 +105,7 @@
         )
         self.gate.on_change = self._tell_change
         self.fleet.own_load = self.gate.load
-        self.calls = PeerCalls(self.gate, clock, self.log, self.config.reply)
+        self.calls = PeerCalls(origin, self.gate, clock, self.log, self.config.reply)
         self.retries = RetryBudget(settings.retry_window_ms)
         self.acceptance = Acceptance(
             settings,
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -46,10 +46,10 @@
 
 
 class _Pending:
-    __slots__ = ("attempt", "ended", "lost_ms")
+    __slots__ = ("ended", "incarnation", "lost_ms")
 
-    def __init__(self, attempt: Attempt) -> None:
-        self.attempt = attempt
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
         self.ended: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         self.lost_ms: float | None = None
 
@@ -59,8 +59,11 @@
 
     def __init__(self, link: "PeerLink") -> None:
         self._link = link
-        self._reader = FrameReader(link.receive)
+        self._reader = FrameReader(self._receive)
         self.transport: asyncio.Transport | None = None
+        self.welcomed: asyncio.Future[Hello] = (
+            asyncio.get_running_loop().create_future()
+        )
         self.heard_ms = 0.0
         self.pinged_ms: float | None = None
 
@@ -82,14 +85,23 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Clean up after the connection."""
+        if not self.welcomed.done():
+            self.welcomed.set_exception(ConnectionResetError("closed before a hello"))
         self._link.lost(self, exc)
 
+    def _receive(self, frame: Frame) -> None:
+        if not isinstance(frame, Hello):
+            self._link.receive(frame)
+        elif not self.welcomed.done():
+            self.welcomed.set_result(frame)
+
 
 class PeerLink:
     """A connection to one node, opened again when it breaks.
 
     A call whose connection broke is asked for over the next one. What the other node
-    has never seen did not run and never will.
+    has never seen in the same life did not run and never will; of an earlier life
+    nothing is known.
 
     :param on_load: called with the load that comes with each reply.
     """
@@ -116,6 +128,7 @@
         self._connection: _LinkProtocol | None = None
         self._opening: asyncio.Task[None] | None = None
         self._pending: dict[int, _Pending] = {}
+        self._incarnation = 0
         self.unreachable_until_ms = 0.0
 
     def __repr__(self) -> str:
@@ -138,7 +151,7 @@
         connection = self._connection
         if connection is None or connection.transport is None:
             return _not_connected("no connection to the node")
-        pending = self._pending[stream] = _Pending(attempt)
+        pending = self._pending[stream] = _Pending(self._incarnation)
         connection.transport.write(encode_frame(Call(stream, attempt)))
         try:
             return await pending.ended
@@ -230,12 +243,17 @@
 
     async def _open(self) -> None:
         loop = asyncio.get_running_loop()
+        transport: asyncio.Transport | None = None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):
                 transport, connection = await loop.create_connection(
                     lambda: _LinkProtocol(self), self._host, self._port
                 )
+                transport.write(encode_frame(Hello(*self._origin)))
+                hello = await connection.welcomed
         except (OSError, TimeoutError) as error:
+            if transport is not None:
+                transport.abort()
             self.unreachable_until_ms = self.clock.now_ms() + UNREACHABLE_MS
             self.log.write(
                 "node unreachable", peer=self.name, reason=str(error) or "timed out"
@@ -244,12 +262,22 @@
         finally:
             self._opening = None
         connection.heard_ms = self.clock.now_ms()
-        transport.write(encode_frame(Hello(*self._origin)))
         self._connection = connection
-        for stream, pending in self._pending.items():
-            if pending.lost_ms is not None:
-                pending.lost_ms = None
-                transport.write(encode_frame(Recover(stream)))
+        self._incarnation = hello.incarnation
+        for stream, pending in list(self._pending.items()):
+            if pending.lost_ms is not None and not pending.ended.done():
+                self._recover(stream, pending, transport)
+
+    def _recover(
+        self, stream: int, pending: _Pending, transport: asyncio.Transport
+    ) -> None:
+        """Ask what became of a call, unless the node that had it has ended."""
+        pending.lost_ms = None
+        if pending.incarnation == self._incarnation:
+            transport.write(encode_frame(Recover(stream)))
+            return
+        reason = "the node ended while it had the request"
+        pending.ended.set_result(Outcome(OutcomeKind.FAILED, reason=reason))
 
 
 def _not_connected(reason: str) -> Outcome:
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -26,6 +26,7 @@
     Reply,
     encode_frame,
 )
+from .peer_link import Origin
 from .sockets import watch_liveness
 
 ORPHAN_MS = 1_500.0  # a call whose link broke is dropped unless it is asked for by then
@@ -71,16 +72,19 @@
 class PeerCalls:
     """The calls of all other nodes, by caller and stream.
 
+    :param origin: this node in this life.
     :param config_document: returns the configuration in force, for nodes that ask.
     """
 
     def __init__(
         self,
+        origin: Origin,
         runner: AttemptRunner,
         clock: Clock,
         log: DecisionLog,
         config_document: Callable[[], ConfigReply | None],
     ) -> None:
+        self.origin = origin
         self.clock = clock
         self.log = log
         self.config_document = config_document
@@ -224,6 +228,7 @@
     def _receive(self, frame: Frame) -> None:
         if isinstance(frame, Hello):
             self._hello = frame
+            self.send(Hello(*self._calls.origin))
             return
         if self._hello is None:
             raise ValueError("a frame came before the hello")
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -67,3 +67,23 @@
     assert answer.status in (200, 502, 503, 504)
     await until(lambda: second.node.calls.connections, timeout_s=3.0)
     assert (await first.call()).status == 200
+
+
+async def test_an_order_of_a_node_that_was_restarted_is_not_sent_again(pair):
+    first, second = await _only_second(pair)
+    second.upstream.work_s = 0.5
+    order = asyncio.ensure_future(first.call("/order/1", method="POST", body=b"x"))
+    await until(lambda: len(second.upstream.ran) == 1)
+    await first.upstream.announce()
+    _restart(second)
+    answer = await order
+    assert answer.status == 502
+    assert len(pair.ran) == 1
+
+
+def _restart(vm):
+    """Let the node forget its calls, as a new process at its address would."""
+    calls = vm.node.calls
+    calls.origin = calls.origin._replace(incarnation=calls.origin.incarnation + 1)
+    calls._calls_by_key = {}
+    _break_links(vm)
