Keep an upstream's departure over a restart of its node

Cause: a node that was stopped or killed after it had acknowledged that its upstream leaves knew nothing of it in its next process. A heartbeat that was held up then made the upstream ready again, and requests reached it beyond the drain time. The row of the node was removed at a planned stop, and written without a condition, so that a write done late could also undo a later one.

Change: the row of a node tells the life of its upstream and whether it leaves. It is written before the acknowledgement (for 400 ms at most), kept at a planned stop while the upstream leaves, and bound to the version that it replaces. A new process reads it before one heartbeat alone makes the upstream ready; without the store it takes a second heartbeat, since an upstream that has left sends none.

Ruled out: the queue at the gate (requests start 1 s after the acknowledgement at the latest), late frames (declared as never run).

--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -29,6 +29,10 @@
 
     :param incarnation: when the node started, in Unix milliseconds.
     :param revision: grows with each change in one incarnation.
+    :param state: whether the node takes requests for its upstream.
+    :param born_ms: when the upstream started, in Unix milliseconds.
+    :param is_leaving: whether the upstream has said that it leaves; a later process
+        of the same VM must not take it for ready.
     """
 
     node: str
@@ -42,6 +46,8 @@
     instance: str
     n_slots: int
     state: UpstreamState
+    born_ms: int = 0
+    is_leaving: bool = False
 
     @property
     def order(self) -> tuple[int, int]:
--- a/packages/mesh/ibisspoke_mesh/gate.py
+++ b/packages/mesh/ibisspoke_mesh/gate.py
@@ -6,7 +6,12 @@
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.decaying_share import DecayingShare
-from ibisspoke_policy.upstream_life import Announcement, UpstreamLife, UpstreamState
+from ibisspoke_policy.upstream_life import (
+    Announcement,
+    Life,
+    UpstreamLife,
+    UpstreamState,
+)
 from ibisspoke_policy.upstream_queue import Ending, Load, Offer, UpstreamQueue
 
 from .decision_log import DecisionLog
@@ -138,11 +143,24 @@
 
     def depart(self, instance: str, born_ms: int | None) -> None:
         """Take in that the upstream leaves."""
-        if self.life.depart(instance, born_ms):
+        if self.life.depart(instance, born_ms, self._clock.wall_ms()):
             self._enter(self.life.state)
             self._log.write("upstream leaves", instance=instance)
             self.on_change()
 
+    def recall(self, departed: Life | None) -> None:
+        """Take in which life of the upstream left under an earlier process."""
+        if self.life.recall(departed):
+            self._enter(self.life.state)
+            self._log.write(
+                "upstream state",
+                instance=self.instance,
+                service=self.service,
+                state=self.life.state,
+                why="recalled from the store",
+            )
+            self.on_change()
+
     def submit(self, attempt: Attempt, on_outcome: OnOutcome) -> int:
         """Queue an attempt, and call back with its outcome.
 
--- a/packages/mesh/ibisspoke_mesh/member_rows.py
+++ b/packages/mesh/ibisspoke_mesh/member_rows.py
@@ -6,9 +6,15 @@
 from contextlib import suppress
 
 import msgspec
-from result import Err
+from result import Err, Ok
 
-from ibisspoke_storage.store import TableRow, Write
+from ibisspoke_storage.store import (
+    Check,
+    StoreError,
+    StoreErrorKind,
+    TableRow,
+    Write,
+)
 
 from .decision_log import DecisionLog
 from .fleet import Fleet, MemberRecord
@@ -21,6 +27,7 @@
 SMALL_FLEET = 100  # nodes; beyond it each reads less often, so that calls stay few
 STARTUP_READS = 2  # after each write, since rows of others may come a little later
 STARTUP_PAUSE_MS = 1_200.0
+SAVE_WAIT_MS = 400.0  # upstreams wait a second for an acknowledgement
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(MemberRecord)
@@ -33,6 +40,8 @@
     finds of itself. Of two nodes, the one that reads later finds the other.
 
     :param on_learned: called after each reading, to tell of this node.
+    :param on_past: called with the row that an earlier process of this VM has left, or
+        None, once that is known.
     """
 
     def __init__(
@@ -41,11 +50,16 @@
         fleet: Fleet,
         log: DecisionLog,
         on_learned: Callable[[], None],
+        on_past: Callable[[MemberRecord | None], None],
     ) -> None:
         self._store = store
         self._fleet = fleet
         self._log = log
         self._on_learned = on_learned
+        self._on_past = on_past
+        self._past_known = asyncio.Event()
+        self._row_version = 0
+        self._saved = asyncio.Event()
         self._wanted = asyncio.Event()
         self._read_wanted = asyncio.Event()
         self._written: tuple[int, int] | None = None
@@ -54,13 +68,28 @@
     def __repr__(self) -> str:
         return f"MemberRows(written={self._written})"
 
+    @property
+    def knows_past(self) -> bool:
+        """Whether the row of an earlier process has been looked for."""
+        return self._past_known.is_set()
+
     def publish(self) -> None:
         """Write this node's row soon."""
         if not self._is_leaving:
+            self._saved.clear()
             self._wanted.set()
 
+    async def saved(self) -> None:
+        """Wait a little until the row is written, so that a restart knows of it."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SAVE_WAIT_MS / 1000.0):
+                await self._saved.wait()
+                return
+        self._log.write("member row late", wait_ms=int(SAVE_WAIT_MS))
+
     async def publish_changes(self) -> None:
         """Write the row whenever it has changed, until cancelled."""
+        await self._past_known.wait()
         n_failed = 0
         while True:
             await self._wanted.wait()
@@ -68,12 +97,10 @@
             own = self._fleet.own
             if own is None:
                 continue
-            write = Write(_key(own.node), _encoder.encode(own))
-            result = await self._store.commit([], [write])
-            if isinstance(result, Err):
+            error = await self._write(own.node, _encoder.encode(own))
+            if error is not None:
                 n_failed += 1
-                detail = result.err_value.detail
-                self._log.write("member row not written", detail=detail)
+                self._log.write("member row not written", detail=error.detail)
                 await asyncio.sleep(_pause_s(n_failed))
                 self._wanted.set()
                 continue
@@ -81,6 +108,29 @@
             if self._written is None:
                 self._read_wanted.set()
             self._written = own.order
+            if not self._wanted.is_set():
+                self._saved.set()
+
+    async def _write(self, node: str, value: bytes | None) -> StoreError | None:
+        """Replace the row as it was last seen.
+
+        A write without an answer may still be done later. It is bound to the version
+        that it replaces, so it cannot undo a later one.
+        """
+        key = _key(node)
+        result = await self._store.commit(
+            [Check(key, self._row_version)], [Write(key, value)]
+        )
+        if isinstance(result, Ok):
+            self._row_version = result.ok_value[0].version
+            return None
+        error = result.err_value
+        if error.kind is StoreErrorKind.CONFLICT:
+            latest = await self._store.read(key)
+            if isinstance(latest, Err):
+                return latest.err_value
+            self._row_version = latest.ok_value.version
+        return error
 
     async def follow(self) -> None:
         """Read the table at the start and from time to time, until cancelled."""
@@ -105,36 +155,51 @@
             self._read_wanted.clear()
 
     async def remove(self) -> None:
-        """Remove the row at a planned stop; others keep what they know."""
+        """Remove the row at a planned stop; others keep what they know.
+
+        The row stays where the upstream is leaving: a later process must know that.
+        """
         self._is_leaving = True
         own = self._fleet.own
         if own is None or self._written is None:
             return
-        result = await self._store.commit([], [Write(_key(own.node), None)])
-        if isinstance(result, Err):
-            detail = result.err_value.detail
-            self._log.write("member row not removed", detail=detail)
+        value = _encoder.encode(own) if own.is_leaving else None
+        error = await self._write(own.node, value)
+        if error is not None:
+            self._log.write("member row not removed", detail=error.detail)
 
     def _take(self, rows: list[TableRow]) -> None:
         known = set(self._fleet.peers_by_id)
+        own = self._fleet.own
+        own_row = None
         for row in rows:
-            self._learn(row)
+            record = self._decode(row)
+            if own is not None and row.key == own.node:
+                own_row = row
+            elif record is not None:
+                self._fleet.learn(record)
         keys = {row.key for row in rows}
         for node in known - keys:
             self._fleet.forget(node)
-        own = self._fleet.own
-        if own is not None and self._written is not None and own.node not in keys:
+        if not self._past_known.is_set():
+            self._recall(own_row)
+        elif own is not None and self._written is not None and own_row is None:
             self.publish()
         if set(self._fleet.peers_by_id) - known:
             self._on_learned()
 
-    def _learn(self, row: TableRow) -> None:
+    def _recall(self, row: TableRow | None) -> None:
+        """Take in the row that an earlier process of this VM has left."""
+        self._row_version = row.version if row is not None else 0
+        self._on_past(self._decode(row) if row is not None else None)
+        self._past_known.set()
+
+    def _decode(self, row: TableRow) -> MemberRecord | None:
         try:
-            record = _decoder.decode(row.value)
+            return _decoder.decode(row.value)
         except msgspec.MsgspecError as error:
             self._log.write("member row unreadable", key=row.key, detail=str(error))
-            return
-        self._fleet.learn(record)
+            return None
 
 
 def _pause_s(n_failed: int) -> float:
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -11,6 +11,7 @@
 from ibisspoke_policy.retry_window import RetryBudget
 from ibisspoke_policy.route_table import CallerLimits, RouteTable
 from ibisspoke_policy.shared_rate import SharedRates
+from ibisspoke_policy.upstream_life import Life
 
 from .acceptance import Acceptance
 from .caller_server import (
@@ -53,7 +54,8 @@
     """What a platform's adapter gives to a node.
 
     :param config_table: the table of the row that holds the configuration.
-    :param announcements: returns the handler of what the upstream says of itself.
+    :param announcements: returns the handler of what the upstream says of itself, from
+        the gate and a function that waits until a change has been saved.
     """
 
     dialect: Dialect
@@ -61,7 +63,7 @@
     config_table: str
     config_key: str
     decode_config: Decoder
-    announcements: Callable[[Gate], Handler]
+    announcements: Callable[[Gate, Callable[[], Awaitable[None]]], Handler]
 
 
 class Node:
@@ -131,7 +133,11 @@
             metrics,
         )
         self.rows = MemberRows(
-            adapter.store, self.fleet, self.log, lambda: self.status.broadcast()
+            adapter.store,
+            self.fleet,
+            self.log,
+            lambda: self.status.broadcast(),
+            self._recall,
         )
         self.status = StatusExchange(
             self.fleet,
@@ -153,6 +159,7 @@
         self.prover = ConfigProver(
             adapter.store, adapter.config_table, self.config, clock, rng
         )
+        self.announcements = adapter.announcements(self.gate, self.rows.saved)
         self.servers: list[ServerState] = []
         self.callers = self.server(self.entry.handle)
         self._tell_change()
@@ -257,6 +264,13 @@
         settings, n_nodes = self.settings, len(self.fleet.peers_by_id) + 1
         self.retries.configure(settings.retry_ratio, settings.retry_slack, n_nodes)
 
+    def _recall(self, record: MemberRecord | None) -> None:
+        """Take in the row that an earlier process of this VM has left."""
+        departed = None
+        if record is not None and record.is_leaving:
+            departed = Life(record.instance, record.born_ms)
+        self.gate.recall(departed)
+
     def _tell_change(self) -> None:
         """Tell the fleet what has changed at this node."""
         settings, life = self.settings, self.gate.life
@@ -273,6 +287,8 @@
             self.gate.instance,
             life.latest.n_slots if life.latest else 0,
             self.gate.state,
+            life.latest.born_ms if life.latest else 0,
+            life.is_leaving,
         )
         self._set_retry_budget()
         self.status.broadcast()
@@ -301,14 +317,16 @@
 
 
 @asynccontextmanager
-async def running_node(node: Node, announcements: Handler) -> AsyncIterator[Node]:
+async def running_node(node: Node) -> AsyncIterator[Node]:
     """Run a node while the context is open."""
     settings = node.settings
     loop = asyncio.get_running_loop()
     async with AsyncExitStack() as stack:
         host = settings.host
         await _listen_http(stack, node.server(node.readiness), settings.readiness)
-        await _listen_http(stack, node.server(announcements), settings.announcements)
+        await _listen_http(
+            stack, node.server(node.announcements), settings.announcements
+        )
         metrics = node.server(node.metrics_answer)
         await _listen_http(stack, metrics, (host, settings.metrics_port))
         peers = await loop.create_server(
--- a/packages/policy/tests/test_upstream_life.py
+++ b/packages/policy/tests/test_upstream_life.py
@@ -1,4 +1,11 @@
-from ibisspoke_policy.upstream_life import Announcement, UpstreamLife, UpstreamState
+from ibisspoke_policy.upstream_life import (
+    Announcement,
+    Life,
+    UpstreamLife,
+    UpstreamState,
+)
+
+WALL_MS = 50_000.0
 
 
 def beat(
@@ -7,8 +14,15 @@
     return Announcement(instance, born_ms, "orders", "a:1", 54, draining, sequence, 0.0)
 
 
-def test_a_late_heartbeat_does_not_undo_draining():
+def fresh() -> UpstreamLife:
+    """Return a life whose process has nothing to recall."""
     life = UpstreamLife()
+    life.recall(None)
+    return life
+
+
+def test_a_late_heartbeat_does_not_undo_draining():
+    life = fresh()
     assert life.announce(beat(sequence=1))
     assert life.announce(beat(sequence=3, draining=True))
     assert not life.announce(beat(sequence=2))
@@ -16,21 +30,21 @@
 
 
 def test_draining_is_final_in_one_life():
-    life = UpstreamLife()
+    life = fresh()
     life.announce(beat(sequence=1, draining=True))
     life.announce(beat(sequence=2))
     assert life.state is UpstreamState.DRAINING
 
 
 def test_a_restart_under_the_same_id_counts_anew():
-    life = UpstreamLife()
+    life = fresh()
     life.announce(beat(sequence=9, draining=True))
     assert life.announce(beat(born_ms=2_000, sequence=1))
     assert life.state is UpstreamState.READY
 
 
 def test_a_heartbeat_of_an_earlier_life_is_late():
-    life = UpstreamLife()
+    life = fresh()
     life.announce(beat("i-2", born_ms=2_000))
     assert not life.announce(beat("i-1", born_ms=1_000, sequence=50))
     assert life.latest is not None
@@ -38,25 +52,70 @@
 
 
 def test_nothing_counts_after_a_departure():
-    life = UpstreamLife()
+    life = fresh()
     life.announce(beat(sequence=1))
-    assert life.depart("i-1", None)
+    assert life.depart("i-1", None, WALL_MS)
     assert not life.announce(beat(sequence=2))
     assert life.state is UpstreamState.DRAINING
 
 
 def test_a_departure_of_another_life_is_ignored():
-    life = UpstreamLife()
+    life = fresh()
     life.announce(beat(born_ms=2_000))
-    assert not life.depart("i-1", 1_000)
-    assert not life.depart("i-9", None)
+    assert not life.depart("i-1", 1_000, WALL_MS)
+    assert not life.depart("i-9", None, WALL_MS)
     assert life.state is UpstreamState.READY
 
 
 def test_a_lost_upstream_is_back_with_its_next_heartbeat():
-    life = UpstreamLife()
+    life = fresh()
     life.announce(beat(sequence=1))
     life.lose()
     assert life.state is UpstreamState.ABSENT
     life.announce(beat(sequence=2))
     assert life.state is UpstreamState.READY
+
+
+def test_one_heartbeat_proves_nothing_before_the_past_is_known():
+    life = UpstreamLife()
+    life.announce(beat(sequence=7))
+    assert life.state is UpstreamState.ABSENT
+    life.announce(beat(sequence=8))
+    assert life.state is UpstreamState.READY
+
+
+def test_a_departure_outlives_the_process_that_acknowledged_it():
+    life = UpstreamLife()
+    life.recall(Life("i-1", 1_000))
+    assert not life.announce(beat(sequence=9))
+    assert life.state is UpstreamState.ABSENT
+
+
+def test_a_departure_recalled_late_ends_an_upstream_taken_for_ready():
+    life = UpstreamLife()
+    life.announce(beat(sequence=7))
+    life.announce(beat(sequence=8))
+    assert life.recall(Life("i-1", 1_000))
+    assert life.state is UpstreamState.DRAINING
+
+
+def test_an_upstream_started_after_a_departure_is_ready():
+    life = UpstreamLife()
+    life.recall(Life("i-1", 1_000))
+    assert life.announce(beat(born_ms=2_000))
+    assert life.state is UpstreamState.READY
+
+
+def test_a_heartbeat_waits_for_the_past_to_be_known():
+    life = UpstreamLife()
+    life.announce(beat(sequence=7))
+    assert life.recall(None)
+    assert life.state is UpstreamState.READY
+
+
+def test_a_departure_of_an_unknown_life_holds_against_its_late_heartbeats():
+    life = fresh()
+    assert not life.depart("i-1", None, WALL_MS)
+    assert not life.announce(beat(sequence=9))
+    assert life.announce(beat(born_ms=int(WALL_MS) + 1))
+    assert life.state is UpstreamState.READY
--- a/packages/standins/ibisspoke_standins/fleet_store.py
+++ b/packages/standins/ibisspoke_standins/fleet_store.py
@@ -17,13 +17,16 @@
 
     ``down`` answers 503, ``silent`` never answers, ``lose_answers`` performs writes
     without an answer, and ``forget_history`` answers 410 to each call of the feed
-    that continues from an earlier version.
+    that continues from an earlier version. ``hold_writes`` keeps writes without an
+    answer until :meth:`release_writes` does those whose conditions still hold.
     """
 
     def __init__(self) -> None:
         self.down = False
         self.silent = False
         self.lose_answers = False
+        self.hold_writes = False
+        self._held: list[dict[str, Any]] = []
         self.oldest_version = 0
         self.n_calls = 0
         self._version = 0
@@ -38,6 +41,17 @@
         """Drop the history up to now."""
         self.oldest_version = self._version
 
+    @property
+    def n_held(self) -> int:
+        """Writes that are kept back."""
+        return len(self._held)
+
+    async def release_writes(self) -> None:
+        """Do the writes that were kept back, where their conditions hold."""
+        held, self._held = self._held, []
+        for body in held:
+            await self._transact(body)
+
     def keys(self, table: str) -> set[str]:
         """Return the keys of a table."""
         return set(self._rows_by_table.get(table, {}))
@@ -56,6 +70,9 @@
             return CallerAnswer(503, b"", b"")
         path, _, query = request.target.decode().partition("?")
         fields = {name: values[0] for name, values in parse_qs(query).items()}
+        if self.hold_writes and path == "/api/rows-tx":
+            self._held.append(json.loads(request.body))
+            await asyncio.Event().wait()
         calls: dict[str, Callable[[], Any]] = {
             "/api/rows-get": lambda: self._get(fields),
             "/api/rows-feed": lambda: self._feed(fields),
--- a/tests/fleet/fleet_harness.py
+++ b/tests/fleet/fleet_harness.py
@@ -161,26 +161,31 @@
     return settings._replace(**changes)
 
 
-@asynccontextmanager
-async def running_vm(host: str, store: tuple[str, int], **changes) -> AsyncIterator[Vm]:
-    """Run a node and its upstream."""
-    settings = settings_of(host, store, **changes)
+def new_node(settings: NodeSettings) -> Node:
+    """Return a node that does not run yet."""
     metrics = RequestMetrics()
     adapter = Adapter(
         DIALECT,
-        PlatformStore(*store, metrics),
+        PlatformStore(*settings.store, metrics),
         CONFIG_TABLE,
         CONFIG_KEY,
         decode_configuration,
         announcement_handler,
     )
-    node = Node(settings, adapter, Clock(), metrics)
+    return Node(settings, adapter, Clock(), metrics)
+
+
+@asynccontextmanager
+async def running_vm(host: str, store: tuple[str, int], **changes) -> AsyncIterator[Vm]:
+    """Run a node and its upstream."""
+    settings = settings_of(host, store, **changes)
+    node = new_node(settings)
     upstream = FleetUpstream(
         f"i-{host}", settings.service, host, UPSTREAM, (host, CONTROL)
     )
     await upstream.start()
     try:
-        async with running_node(node, announcement_handler(node.gate)):
+        async with running_node(node):
             assert await upstream.announce() == 200
             yield Vm(node, upstream, host)
     finally:
