Let few nodes follow the configuration, and prove it by conditional transactions

Cause: each node waited for changes in the store and read the whole document for its proofs. With random thresholds most nodes also read for a proof before they heard of another's.

Change: two nodes of each data centre, by rendezvous hash of those that reach the store, wait for changes; the others hear of versions by datagram and ask them, the document compressed. A proof is a transaction that only requires the version of the row; the nodes of a region do it in the order of the hash. A starting node asks others first.

Ruled out: proofs by the feed, which hears nothing for a while although changes are made.

--- a/packages/mesh/ibisspoke_mesh/config_state.py
+++ b/packages/mesh/ibisspoke_mesh/config_state.py
@@ -1,5 +1,6 @@
 """The configuration in force at this node, and the proof that it is current."""
 
+import zlib
 from collections.abc import Callable
 
 from result import Err, Result
@@ -12,6 +13,9 @@
 from .frames import ConfigReply
 from .store import Changes
 
+FAST_COMPRESSION = 1  # a document of 300 KB in a few milliseconds, to a tenth
+MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
+
 Decoder = Callable[[bytes], Result[RouteTable, str]]
 
 
@@ -33,12 +37,14 @@
     ) -> None:
         self.table: RouteTable | None = None
         self.freshness = Freshness()
-        self._key = key
+        self.key = key
+        self.row_version = 0
         self._decode = decode
         self._clock = clock
         self._log = log
         self._on_adopted = on_adopted
         self._document = b""
+        self._reply: ConfigReply | None = None
 
     def __repr__(self) -> str:
         return f"ConfigState({self.table!r})"
@@ -58,27 +64,46 @@
         """
         is_read = True
         for row in changes.rows:
-            if row.key == self._key:
-                is_read = self._adopt(row.value, "store")
+            if row.key == self.key:
+                is_read = self._adopt(row.value, row.version, "store")
         if is_read and is_snapshot and self.version:
             self.freshness.prove(self.version, started_ms)
 
     def take_reply(self, reply: ConfigReply) -> None:
         """Take in a configuration that another node sent."""
-        if reply.version > self.version:
-            self._adopt(reply.document, "node")
+        if reply.version <= self.version:
+            return
+        inflater = zlib.decompressobj()
+        try:
+            document = inflater.decompress(reply.compressed, MAX_DOCUMENT_BYTES)
+        except zlib.error as error:
+            self._log.write(
+                "configuration unreadable",
+                source="node",
+                detail=str(error),
+                in_force=self.version,
+            )
+            return
+        self._adopt(document, reply.row_version, "node")
 
     def reply(self) -> ConfigReply | None:
         """Return the configuration in force for another node."""
         if self.table is None:
             return None
-        return ConfigReply(self.version, self._document)
+        if self._reply is None:
+            compressed = zlib.compress(self._document, FAST_COMPRESSION)
+            self._reply = ConfigReply(self.version, self.row_version, compressed)
+        return self._reply
+
+    def confirm(self, version: int, started_ms: float) -> None:
+        """Take in that the row of ``version`` was still the newest at a moment."""
+        self.freshness.prove(version, started_ms)
 
     def proof_age_ms(self) -> float:
         """Return how old the proof is that the configuration is current."""
         return self.freshness.age_ms(self.version, self._clock.boot_ms())
 
-    def _adopt(self, document: bytes, source: str) -> bool:
+    def _adopt(self, document: bytes, row_version: int, source: str) -> bool:
         decoded = self._decode(document)
         if isinstance(decoded, Err):
             self._log.write(
@@ -89,6 +114,9 @@
             )
             return False
         table = decoded.ok_value
+        if table.version >= self.version and row_version > self.row_version:
+            self.row_version = row_version
+            self._reply = None
         if table.version > self.version:
             self.table = table
             self._document = document
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -71,6 +71,7 @@
         self.told_ms = 0.0
         self.proof_at_ms = 0.0
         self.cold_until_ms = 0.0
+        self.has_lost_store = False
 
     def __repr__(self) -> str:
         return f"Peer({self.record.node!r}, {self.record.service!r})"
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -114,10 +114,15 @@
 
 
 class ConfigReply(msgspec.Struct, array_like=True, tag=9):
-    """The configuration in force, as the store holds it."""
+    """The configuration in force, as the store holds it.
+
+    :param row_version: of the row that holds the document.
+    :param compressed: the document, by zlib.
+    """
 
     version: int
-    document: bytes
+    row_version: int
+    compressed: bytes
 
 
 Frame = (
--- a/packages/mesh/ibisspoke_mesh/member_rows.py
+++ b/packages/mesh/ibisspoke_mesh/member_rows.py
@@ -55,7 +55,7 @@
         self._log = log
         self._on_learned = on_learned
         self._on_past = on_past
-        self._past_known = asyncio.Event()
+        self.past_known = asyncio.Event()
         self._row_version = 0
         self._saved = asyncio.Event()
         self._wanted = asyncio.Event()
@@ -66,11 +66,6 @@
     def __repr__(self) -> str:
         return f"MemberRows(written={self._written})"
 
-    @property
-    def knows_past(self) -> bool:
-        """Whether the row of an earlier process has been looked for."""
-        return self._past_known.is_set()
-
     def publish(self) -> None:
         """Write this node's row soon."""
         if not self._is_leaving:
@@ -87,7 +82,7 @@
 
     async def publish_changes(self) -> None:
         """Write the row whenever it has changed, until cancelled."""
-        await self._past_known.wait()
+        await self.past_known.wait()
         n_failed = 0
         while True:
             await self._wanted.wait()
@@ -175,7 +170,7 @@
         keys = {row.key for row in rows}
         for node in known - keys:
             self._fleet.forget(node)
-        if not self._past_known.is_set():
+        if not self.past_known.is_set():
             self._recall(own_row)
         elif own is not None and self._written is not None and own_row is None:
             self.publish()
@@ -186,7 +181,7 @@
         """Take in the row that an earlier process of this VM has left."""
         self._row_version = row.version if row is not None else 0
         self._on_past(self._decode(row) if row is not None else None)
-        self._past_known.set()
+        self.past_known.set()
 
     def _decode(self, row: TableRow) -> MemberRecord | None:
         try:
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -22,6 +22,7 @@
     Handler,
     ServerState,
 )
+from .config_asker import ConfigAsker
 from .config_prover import ConfigProver
 from .config_state import ConfigState, Decoder
 from .decision_log import DecisionLog, PipeHandler
@@ -38,10 +39,14 @@
 from .store import WatchedTables
 from .table_watch import TableWatch
 from .upstream_pool import UpstreamPool
+from .watch_duty import WatchDuty
 
 TICK_MS = 30.0  # bounds how late a wait is noticed
 SLOW_TICKS = 3  # links, status and idle connections are looked after less often
 CONFIG_WAIT_MS = 28_000  # the store allows 30 s; keep-alive probes find silence
+PAST_WAIT_MS = 300.0  # for the rows of other nodes, before the store is read
+N_FIRST_ASKED = 2  # nodes that a starting node asks for a configuration
+FIRST_ANSWER_MS = 400.0  # until it reads the store itself; some round trips
 BACKLOG = 1_024  # callers open many connections at once after an outage
 STOP_MIN_MS = 3_000.0  # readiness must be seen as gone before the listener is
 STOP_CLOSING_SHARE = 0.6  # of the stop time: later requests are refused
@@ -88,6 +93,7 @@
         self._revision = 0
         self._stopping_ms: float | None = None
         self._lag_ms = 0.0
+        self._asked_ms = 0.0
         self.rates = SharedRates(clock.now_ms())
         self.config = ConfigState(
             adapter.config_key, adapter.decode_config, clock, self.log, self._adopted
@@ -139,25 +145,31 @@
             lambda: self.status.broadcast(),
             self._recall,
         )
-        self.status = StatusExchange(
-            self.fleet,
-            self.config,
-            self.rates,
-            clock,
-            rng,
-            self.log,
-            lambda: self.gate.cold_until_ms - clock.now_ms(),
-        )
+        self.duty = WatchDuty(self.fleet, clock)
+        self.asker = ConfigAsker(self.config, clock)
         self.watch = TableWatch(
             adapter.store,
             adapter.config_table,
             CONFIG_WAIT_MS,
+            self._is_watch_wanted,
             clock,
             self.log,
             self.config.take_changes,
         )
         self.prover = ConfigProver(
-            adapter.store, adapter.config_table, self.config, clock, rng
+            adapter.store, adapter.config_table, self.config, self.duty, clock, rng
+        )
+        self.status = StatusExchange(
+            self.fleet,
+            self.config,
+            self.rates,
+            clock,
+            rng,
+            self.log,
+            self.duty,
+            self.asker,
+            lambda: self.gate.cold_until_ms - clock.now_ms(),
+            lambda: self.watch.is_lost,
         )
         self.announcements = adapter.announcements(self.gate, self.rows.saved)
         self.servers: list[ServerState] = []
@@ -201,6 +213,24 @@
             if n_ticks % SLOW_TICKS == 0:
                 self._tick_slowly()
 
+    async def follow_config(self) -> None:
+        """Get a configuration from nodes or the store, and keep it current."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(PAST_WAIT_MS / 1000.0):
+                await self.rows.past_known.wait()
+        if not self.duty.is_watcher:
+            for peer in self.duty.sources[:N_FIRST_ASKED]:
+                self.asker.ask(peer)
+        self._asked_ms = self.clock.now_ms()
+        await self.watch.run()
+
+    def _is_watch_wanted(self) -> bool:
+        """Whether this node waits for changes, or got no configuration from others."""
+        if self.duty.is_watcher:
+            return True
+        asked_for_ms = self.clock.now_ms() - self._asked_ms
+        return self.config.table is None and asked_for_ms > FIRST_ANSWER_MS
+
     def _tick_slowly(self) -> None:
         """Run the systems whose times are longer than a tenth of a second."""
         self.rates.set_fleet_size(len(self.fleet.peers_by_id) + 1)
@@ -342,7 +372,7 @@
             node.run_ticks,
             node.rows.publish_changes,
             node.rows.follow,
-            node.watch.run,
+            node.follow_config,
             node.prover.run,
         ]
         for job in jobs:
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -129,6 +129,7 @@
         self._opening: asyncio.Task[None] | None = None
         self._pending: dict[int, _Pending] = {}
         self._incarnation = 0
+        self._config_wanted: int | None = None
         self.unreachable_until_ms = 0.0
 
     def __repr__(self) -> str:
@@ -163,11 +164,11 @@
 
     def ask_config(self, version: int) -> None:
         """Ask for a configuration newer than ``version``."""
-        if self._connection is None:
-            if self.clock.now_ms() >= self.unreachable_until_ms:
-                self._start_opening()
-            return
-        self._send(ConfigRequest(version))
+        if self._connection is not None:
+            self._send(ConfigRequest(version))
+        elif self.clock.now_ms() >= self.unreachable_until_ms:
+            self._config_wanted = version
+            self._start_opening()
 
     def receive(self, frame: Frame) -> None:
         """Take in a frame of the other node."""
@@ -264,6 +265,9 @@
         connection.heard_ms = self.clock.now_ms()
         self._connection = connection
         self._incarnation = hello.incarnation
+        if self._config_wanted is not None:
+            self._send(ConfigRequest(self._config_wanted))
+            self._config_wanted = None
         for stream, pending in list(self._pending.items()):
             if pending.lost_ms is not None and not pending.ended.done():
                 self._recover(stream, pending, transport)
--- a/packages/mesh/ibisspoke_mesh/status_datagrams.py
+++ b/packages/mesh/ibisspoke_mesh/status_datagrams.py
@@ -12,9 +12,11 @@
 from ibisspoke_policy.shared_rate import SharedRates, Usage
 from ibisspoke_policy.upstream_queue import Load
 
+from .config_asker import ConfigAsker
 from .config_state import ConfigState
 from .decision_log import DecisionLog
 from .fleet import Fleet, MemberRecord, Peer
+from .watch_duty import WatchDuty
 
 NEAR_INTERVAL_MS = 500.0
 FAR_INTERVAL_MS = 1_500.0  # bytes between regions are dear
@@ -22,9 +24,9 @@
 FAR_NEWS_MS = 500.0
 USAGE_STEP = 0.02  # of a second's rate: a change that is told at once
 USAGE_KEPT_MS = 2_500.0  # totals are repeated for that long, since datagrams get lost
-PROOF_WANTED_MS = 1_500.0  # age of the own proof from which others are asked for theirs
+PROOF_WANTED_MS = 1_200.0  # age of the own proof from which others are asked for theirs
 PROOF_ASK_MS = 250.0  # between two questions
-N_ASKED = 2  # nodes that are asked for a proof at once
+N_ASKED = 2  # of the nodes that prove first: one may be cut off
 MARK_MASK = 0xFFFFFF  # few bytes, and hardly ever the same for two organisations
 RECORD_SHARE = 0.05  # of the datagrams that bear the record though it is known
 MAX_AGE_MS = 1e9  # stands for no proof
@@ -37,6 +39,7 @@
     :param record: left out where it has not changed lately.
     :param load: the time in milliseconds, the shares in thousandths.
     :param usages: organisations by a checksum of their names, and their totals.
+    :param has_lost_store: whether the node cannot reach the store to wait for changes.
     :param proof_age_ms: of the proof for ``version``, answering ``echo``.
     :param nonce: when this was sent, to be echoed if the receiver's proof is wanted;
         0 if not.
@@ -54,6 +57,7 @@
     nonce: int
     echo: int
     proof_age_ms: int
+    has_lost_store: bool
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -71,7 +75,10 @@
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
+        duty: WatchDuty,
+        asker: ConfigAsker,
         cold_ms: Callable[[], float],
+        has_lost_store: Callable[[], bool],
     ) -> None:
         self._fleet = fleet
         self._config = config
@@ -79,7 +86,11 @@
         self._clock = clock
         self._rng = rng
         self._log = log
+        self._duty = duty
+        self._asker = asker
         self._cold_ms = cold_ms
+        self._has_lost_store = has_lost_store
+        self._told_version = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._told_by_organisation: dict[str, int] = {}
         self._asked_ms = 0.0
@@ -116,6 +127,7 @@
         )
         peer.take_load(load, now_ms)
         peer.proof_at_ms = now_ms - status.proof_age_ms
+        peer.has_lost_store = status.has_lost_store
         peer.cold_until_ms = now_ms + status.cold_ms
         own = self._fleet.own
         is_baseline = (
@@ -133,8 +145,7 @@
             self._config.freshness.relay(
                 status.version, status.echo, status.proof_age_ms
             )
-        if status.version > self._config.version:
-            peer.link.ask_config(self._config.version)
+        self._asker.heard(peer, status.version)
         if status.nonce:
             address = (peer.record.node, peer.record.status_port)
             self._write(address, None, [], echo=status.nonce)
@@ -151,10 +162,16 @@
         now_ms = self._clock.now_ms()
         news = self._organisations_with_news(now_ms)
         is_tight = any(self._rates.is_tight(name) for name in news)
+        has_version = self._config.version > self._told_version
+        tells_version = has_version and self._duty.is_watcher
+        self._told_version = self._config.version
         for peer in self._fleet.peers_by_id.values():
             near = peer.distance.same_region
             interval_ms = NEAR_INTERVAL_MS if near else FAR_INTERVAL_MS
             news_ms = NEAR_NEWS_MS if near else FAR_NEWS_MS
+            if tells_version and peer.distance.same_data_centre:
+                self._send(peer)
+                continue
             has_news = bool(news) if near else is_tight
             since_ms = now_ms - peer.told_ms
             if since_ms >= interval_ms or (has_news and since_ms >= news_ms):
@@ -188,16 +205,15 @@
         return peer
 
     def _ask_for_proof(self, now_ms: float) -> None:
-        """Ask the nodes whose proofs are probably the youngest."""
+        """Ask the nodes that prove before the others, and a chance one."""
         age_ms = self._config.proof_age_ms()
         if age_ms < PROOF_WANTED_MS or now_ms - self._asked_ms < PROOF_ASK_MS:
             return
         self._asked_ms = now_ms
-        peers = [p for p in self._fleet.peers_by_id.values() if p.is_alive(now_ms)]
-        near = [peer for peer in peers if peer.distance.same_region] or peers
-        self._rng.shuffle(near)
-        near.sort(key=lambda peer: round((now_ms - peer.proof_at_ms) / 500.0))
-        for peer in near[:N_ASKED]:
+        asked = self._duty.sources[:N_ASKED]
+        if others := self._duty.sources[N_ASKED:]:
+            asked.append(self._rng.choice(others))
+        for peer in asked:
             address = (peer.record.node, peer.record.status_port)
             nonce = max(1, int(self._clock.boot_ms()))
             self._write(address, None, [], nonce=nonce)
@@ -249,6 +265,7 @@
             nonce,
             echo,
             int(min(self._config.proof_age_ms(), MAX_AGE_MS)) + 1,
+            self._has_lost_store(),
         )
         self._transport.sendto(_encoder.encode(status), address)
 
--- a/packages/mesh/ibisspoke_mesh/table_watch.py
+++ b/packages/mesh/ibisspoke_mesh/table_watch.py
@@ -14,12 +14,14 @@
 
 MIN_PAUSE_MS = 150.0  # after a failed call; all nodes may fail at the same moment
 MAX_PAUSE_MS = 900.0
+UNWANTED_PAUSE_MS = 250.0  # between two questions whether this node is to watch
 
 
 class TableWatch:
-    """Keep a table in view: a snapshot, then its changes.
+    """Keep a table in view while that is wanted: a snapshot, then its changes.
 
     :param wait_ms: how long a call for changes may wait.
+    :param is_wanted: tells whether this node is to watch the table now.
     :param on_changes: called with rows, whether they are the whole table, and when
         the call that gave them started, in suspension-aware time.
     """
@@ -29,6 +31,7 @@
         store: WatchedTables,
         table: str,
         wait_ms: int,
+        is_wanted: Callable[[], bool],
         clock: Clock,
         log: DecisionLog,
         on_changes: Callable[[Changes, bool, float], None],
@@ -36,6 +39,7 @@
         self._store = store
         self._table = table
         self._wait_ms = wait_ms
+        self._is_wanted = is_wanted
         self._clock = clock
         self._log = log
         self._on_changes = on_changes
@@ -46,9 +50,18 @@
     def __repr__(self) -> str:
         return f"TableWatch({self._table!r}, after={self._after})"
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call failed."""
+        return self._lost_ms is not None
+
     async def run(self) -> None:
         """Follow the table, until cancelled."""
         while True:
+            if not self._is_wanted():
+                self._after = None
+                await asyncio.sleep(UNWANTED_PAUSE_MS / 1000.0)
+                continue
             started_ms = self._clock.boot_ms()
             is_snapshot = self._after is None
             if self._after is None:
--- a/packages/mesh/tests/test_config_state.py
+++ b/packages/mesh/tests/test_config_state.py
@@ -1,3 +1,5 @@
+import zlib
+
 from result import Err, Ok
 
 from ibisspoke_mesh.config_state import ConfigState
@@ -51,8 +53,8 @@
     clock = ManualClock()
     state, adopted = make_state(clock)
     state.take_changes(changes(b"3"), True, 0.0)
-    state.take_reply(ConfigReply(2, b"2"))
-    state.take_reply(ConfigReply(5, b"5"))
+    state.take_reply(ConfigReply(2, 7, zlib.compress(b"2")))
+    state.take_reply(ConfigReply(5, 9, zlib.compress(b"5")))
     assert [table.version for table in adopted] == [3, 5]
 
 
--- a/tests/fleet/test_restart.py
+++ b/tests/fleet/test_restart.py
@@ -69,14 +69,14 @@
     await vm.kill()
     await vm.start()
     assert await vm.upstream.announce() == 200
-    await until(lambda: vm.node.rows.knows_past)
+    await until(lambda: vm.node.rows.past_known.is_set())
     assert vm.node.gate.life.state != "ready"
 
 
 async def test_a_departure_told_to_a_new_process_holds_against_late_heartbeats(vm):
     await vm.kill()
     await vm.start()
-    await until(lambda: vm.node.rows.knows_past)
+    await until(lambda: vm.node.rows.past_known.is_set())
     assert await vm.upstream.leave() == 200
     assert await vm.upstream.announce() == 200
     assert vm.node.gate.life.state != "ready"
@@ -107,12 +107,12 @@
     store.hold_writes = False
     await vm.kill()
     await vm.start()
-    await until(lambda: vm.node.rows.knows_past)
+    await until(lambda: vm.node.rows.past_known.is_set())
     assert await vm.upstream.announce() == 200
     assert await vm.upstream.leave() == 200
     await store.release_writes()
     await vm.kill()
     await vm.start()
     assert await vm.upstream.announce() == 200
-    await until(lambda: vm.node.rows.knows_past)
+    await until(lambda: vm.node.rows.past_known.is_set())
     assert vm.node.gate.life.state != "ready"
--- a/tests/fleet/test_store_faults.py
+++ b/tests/fleet/test_store_faults.py
@@ -117,3 +117,6 @@
 
     async def changes(self, table, after, wait_ms):
         return await self.snapshot(table)
+
+    async def commit(self, checks, writes):
+        return await self.snapshot("")
--- /dev/null
+++ b/tests/fleet/test_watchers.py
@@ -0,0 +1,87 @@
+"""Few nodes follow the configuration in the store; the others ask these."""
+
+import asyncio
+
+import pytest
+from fleet_harness import Fleet, route, running_fleet, until
+from result import Err
+
+from ibisspoke_adapter.configuration import CONFIG_TABLE
+from ibisspoke_mesh.watch_duty import N_WATCHERS
+from ibisspoke_storage.store import StoreError, StoreErrorKind
+
+N_VMS = 5
+
+
+@pytest.fixture
+async def five():
+    async with running_fleet(N_VMS) as fleet:
+        await until(lambda: len(watchers(fleet)) == N_WATCHERS)
+        yield fleet
+
+
+def watchers(fleet: Fleet):
+    return [vm for vm in fleet.vms if vm.node.duty.is_watcher]
+
+
+class Refusing:
+    """A store that turns a node away."""
+
+    async def refuse(self, *_):
+        await asyncio.sleep(0.01)
+        return Err(StoreError(StoreErrorKind.UNAVAILABLE, "refused", "wait"))
+
+    snapshot = changes = commit = read = refuse
+
+
+async def turn_away(fleet: Fleet, vms) -> None:
+    """Make the store refuse some nodes from now on."""
+    for vm in vms:
+        vm.node.watch._store = vm.node.prover._store = Refusing()
+    await fleet.store.put(CONFIG_TABLE, "other", b"")  # ends the calls that wait
+
+
+async def in_force(fleet: Fleet, version: int, timeout_s: float) -> None:
+    await until(
+        lambda: all(vm.node.config.version == version for vm in fleet.vms), timeout_s
+    )
+
+
+async def test_all_nodes_agree_on_the_watchers(five):
+    expected = {vm.host for vm in watchers(five)}
+    for vm in five.vms:
+        first = [peer.record.node for peer in vm.node.duty.sources]
+        seen = set(first[:N_WATCHERS]) | ({vm.host} & expected)
+        assert expected <= seen
+
+
+async def test_a_change_reaches_all_through_the_watchers(five):
+    n_calls = five.store.n_calls
+    await five.configure(2)
+    await in_force(five, 2, timeout_s=1.0)
+    feeds = five.store.n_calls - n_calls
+    assert feeds <= N_WATCHERS + 3  # and some proofs, which do not grow with the fleet
+
+
+async def test_a_large_configuration_reaches_all(five):
+    routes = [route(f"r{number}", "safe") for number in range(1_500)]
+    await five.configure(2, routes=routes)
+    await in_force(five, 2, timeout_s=2.5)
+    assert (await five.vms[-1].call("/r7/1")).status == 200
+
+
+async def test_others_step_in_for_watchers_that_the_store_turns_away(five):
+    before = watchers(five)
+    await turn_away(five, before)
+    await until(lambda: len(watchers(five)) == 2 * N_WATCHERS, timeout_s=3.0)
+    await five.configure(2)
+    await in_force(five, 2, timeout_s=2.5)
+    assert {vm.node.config.proof_age_ms() < 4_100.0 for vm in five.vms} == {True}
+
+
+async def test_a_node_takes_its_first_configuration_from_others(five):
+    late = next(vm for vm in five.vms if not vm.node.duty.is_watcher)
+    late.node.config.table = None
+    late.node.asker.ask(late.node.duty.sources[0])
+    await until(lambda: late.node.config.version == 1, timeout_s=1.0)
+    assert late.node.config.row_version > 0
