Pass statuses between data centres through two relays of each

Cause: each node told each other of itself, those of other regions every 1.5 s.

Change: nodes tell those of their own data centre; its first two nodes by rank send digests to one node each of every other data centre, which passes them on there. Statuses bear their age, so that one that comes late or twice changes nothing newer. The datagram module is split by job: messages, intake, exchange, relay.

--- a/packages/mesh/ibisspoke_mesh/config_prover.py
+++ b/packages/mesh/ibisspoke_mesh/config_prover.py
@@ -9,8 +9,8 @@
 from ibisspoke_storage.store import Check, StoreError, StoreErrorKind
 
 from .config_state import ConfigState
+from .node_ranks import NodeRanks
 from .store import WatchedTables
-from .watch_duty import WatchDuty
 
 CALL_AGE_MS = 1_600.0  # of the proof, at which the first node of a region calls
 RANK_STEP_MS = 300.0  # each further one waits longer: it may hear of the call meanwhile
@@ -36,14 +36,14 @@
         store: WatchedTables,
         table: str,
         config: ConfigState,
-        duty: WatchDuty,
+        ranks: NodeRanks,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._store = store
         self._table = table
         self._config = config
-        self._duty = duty
+        self._ranks = ranks
         self._clock = clock
         self._rng = rng
 
@@ -66,7 +66,7 @@
             await asyncio.sleep(self._rng.random() * backoff_ms / 1000.0)
 
     def _is_due(self) -> bool:
-        rank = min(self._duty.region_rank, MAX_RANK)
+        rank = min(self._ranks.prove_rank, MAX_RANK)
         age_ms = CALL_AGE_MS + rank * RANK_STEP_MS + self._rng.random() * SPREAD_MS
         return self._config.proof_age_ms() >= age_ms
 
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -19,8 +19,8 @@
 LOCAL_RTT_MS = 1.0  # two kernels and two event loops, without a network
 REGION_RTT_MS = 3.0
 FAR_RTT_MS = 42.0  # twice the delay between regions that the users state
-NEAR_SILENCE_MS = 1_700.0  # three status datagrams of the own region and some more
-FAR_SILENCE_MS = 4_800.0  # three of another region
+SILENCE_MS = 1_700.0  # three status datagrams of the own data centre and some more
+RELAYED_SILENCE_MS = 2_700.0  # of others, while a relay that has ended is replaced
 UNHEARD_MS = 3_000.0  # a node that was never heard of is tried for that long
 
 
@@ -69,7 +69,6 @@
         self.known_ms = now_ms
         self.heard_ms: float | None = None
         self.told_ms = 0.0
-        self.proof_at_ms = 0.0
         self.cold_until_ms = 0.0
         self.has_lost_store = False
 
@@ -80,19 +79,19 @@
         """Return whether the node was heard of lately."""
         if self.heard_ms is None:
             return now_ms - self.known_ms < UNHEARD_MS
-        near = self.distance.same_region
-        bound_ms = NEAR_SILENCE_MS if near else FAR_SILENCE_MS
+        is_direct = self.distance.same_data_centre
+        bound_ms = SILENCE_MS if is_direct else RELAYED_SILENCE_MS
         return now_ms - self.heard_ms < bound_ms
 
     def heard(self, now_ms: float) -> None:
         """Note a sign of life."""
         self.heard_ms = now_ms
 
-    def take_load(self, load: Load, now_ms: float) -> None:
-        """Take in the load that the node told."""
+    def take_load(self, load: Load, told_ms: float) -> None:
+        """Take in the load that the node told at a moment."""
         self.load = load
         self.n_own_known = self.link.n_pending
-        self.heard_ms = now_ms
+        self.heard_ms = told_ms
 
 
 class Fleet:
--- a/packages/mesh/ibisspoke_mesh/member_rows.py
+++ b/packages/mesh/ibisspoke_mesh/member_rows.py
@@ -25,6 +25,7 @@
 MAX_PAUSE_MS = 1_500.0
 FOLLOW_MS = 30_000.0  # a safety net: nodes tell each other of themselves
 SMALL_FLEET = 100  # nodes; beyond it each reads less often, so that calls stay few
+MIN_READ_PAUSE_MS = 700.0  # a node that starts reads twice, and hears of others then
 SAVE_WAIT_MS = 400.0  # upstreams wait a second for an acknowledgement
 
 _encoder = msgspec.json.Encoder()
@@ -72,6 +73,10 @@
             self._saved.clear()
             self._wanted.set()
 
+    def look(self) -> None:
+        """Read the rows soon: a node was named that nothing is known of."""
+        self._read_wanted.set()
+
     async def saved(self) -> None:
         """Wait a little until the row is written, so that a restart knows of it."""
         with suppress(TimeoutError):
@@ -138,6 +143,7 @@
             self._take(result.ok_value.rows)
             n_known = len(self._fleet.peers_by_id)
             pause_ms = FOLLOW_MS * max(1.0, n_known / SMALL_FLEET)
+            await asyncio.sleep(MIN_READ_PAUSE_MS / 1000.0)
             with suppress(TimeoutError):
                 async with asyncio.timeout(random.uniform(0.8, 1.2) * pause_ms / 1e3):
                     await self._read_wanted.wait()
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -32,14 +32,15 @@
 from .gate import Gate
 from .member_rows import MemberRows
 from .metrics_page import RequestMetrics
+from .node_ranks import NodeRanks
 from .peer_link import Origin
 from .peer_server import PeerCalls, PeerConnection
 from .settings import NodeSettings
-from .status_datagrams import StatusExchange
+from .status_exchange import StatusExchange
+from .status_intake import StatusIntake
 from .store import WatchedTables
 from .table_watch import TableWatch
 from .upstream_pool import UpstreamPool
-from .watch_duty import WatchDuty
 
 TICK_MS = 30.0  # bounds how late a wait is noticed
 SLOW_TICKS = 3  # links, status and idle connections are looked after less often
@@ -145,7 +146,7 @@
             lambda: self.status.broadcast(),
             self._recall,
         )
-        self.duty = WatchDuty(self.fleet, clock)
+        self.ranks = NodeRanks(self.fleet, clock, rng)
         self.asker = ConfigAsker(self.config, clock)
         self.watch = TableWatch(
             adapter.store,
@@ -157,19 +158,21 @@
             self.config.take_changes,
         )
         self.prover = ConfigProver(
-            adapter.store, adapter.config_table, self.config, self.duty, clock, rng
+            adapter.store, adapter.config_table, self.config, self.ranks, clock, rng
         )
+        self.intake = StatusIntake(self.fleet, self.rates, self.asker, clock)
         self.status = StatusExchange(
             self.fleet,
             self.config,
             self.rates,
+            self.intake,
+            self.ranks,
             clock,
             rng,
             self.log,
-            self.duty,
-            self.asker,
             lambda: self.gate.cold_until_ms - clock.now_ms(),
             lambda: self.watch.is_lost,
+            self.rows.look,
         )
         self.announcements = adapter.announcements(self.gate, self.rows.saved)
         self.servers: list[ServerState] = []
@@ -218,15 +221,15 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(PAST_WAIT_MS / 1000.0):
                 await self.rows.past_known.wait()
-        if not self.duty.is_watcher:
-            for peer in self.duty.sources[:N_FIRST_ASKED]:
+        if not self.ranks.is_watcher:
+            for peer in self.ranks.sources[:N_FIRST_ASKED]:
                 self.asker.ask(peer)
         self._asked_ms = self.clock.now_ms()
         await self.watch.run()
 
     def _is_watch_wanted(self) -> bool:
         """Whether this node waits for changes, or got no configuration from others."""
-        if self.duty.is_watcher:
+        if self.ranks.is_watcher:
             return True
         asked_for_ms = self.clock.now_ms() - self._asked_ms
         return self.config.table is None and asked_for_ms > FIRST_ANSWER_MS
@@ -286,7 +289,7 @@
         self.rates.configure(
             limits_by_name, self.clock.now_ms(), self.settings.config_ms
         )
-        self.status.know_organisations(list(limits_by_name))
+        self.intake.know_organisations(list(limits_by_name))
         self.acceptance.splitter.keep_only(table.routes)
         self._set_retry_budget()
 
--- a/packages/policy/ibisspoke_policy/shared_rate.py
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -264,9 +264,10 @@
             demand.add(usage.n_asked - seen.n_asked, now_ms)
             account.level -= usage.n_admitted - seen.n_admitted
 
-    def heard(self, node: str, now_ms: float) -> None:
-        """Note that a node is alive and has told all of its totals."""
+    def heard(self, node: str, told_ms: float) -> None:
+        """Note that a node has told all of its totals at a moment."""
         for account in self._accounts_by_name.values():
-            account.heard_by_node[node] = now_ms
+            heard_ms = account.heard_by_node.get(node, told_ms)
+            account.heard_by_node[node] = max(heard_ms, told_ms)
             if len(account.heard_by_node) > len(account.demand_by_node) + MAX_QUIET:
-                account.drop_lapsed(now_ms)
+                account.drop_lapsed(told_ms)
--- a/tests/fleet/fleet_harness.py
+++ b/tests/fleet/fleet_harness.py
@@ -207,8 +207,13 @@
 
 
 @asynccontextmanager
-async def running_fleet(n_vms: int, **changes) -> AsyncIterator[Fleet]:
-    """Run some VMs with a store and a first configuration."""
+async def running_fleet(
+    n_vms: int, places: tuple[tuple[str, str], ...] = (("a", "north"),), **changes
+) -> AsyncIterator[Fleet]:
+    """Run some VMs with a store and a first configuration.
+
+    :param places: data centres and their regions, in which VMs stand by turns.
+    """
     net = f"127.{1 + os.getpid() % 200}.{next(_hosts) % 250}"
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_store(f"{net}.100"))
@@ -216,9 +221,17 @@
         await store.put(CONFIG_TABLE, CONFIG_KEY, document())
         vms = [
             await stack.enter_async_context(
-                running_vm(f"{net}.{number}", address, **changes)
+                running_vm(
+                    f"{net}.{number}",
+                    address,
+                    data_centre=data_centre,
+                    region=region,
+                    **changes,
+                )
+            )
+            for number, (data_centre, region) in zip(
+                range(1, n_vms + 1), itertools.cycle(places), strict=False
             )
-            for number in range(1, n_vms + 1)
         ]
         fleet = Fleet(vms, store, net)
         await fleet.settled()
--- /dev/null
+++ b/tests/fleet/test_relays.py
@@ -0,0 +1,120 @@
+"""Statuses pass between data centres through few nodes."""
+
+import asyncio
+
+import pytest
+from fleet_harness import Fleet, Vm, running_fleet, until
+
+from ibisspoke_mesh.node_ranks import N_RELAYS
+from ibisspoke_mesh.status_messages import Digest, Status, decode
+
+PLACES = (("a", "north"), ("b", "north"), ("c", "south"))
+N_VMS = 9
+
+
+@pytest.fixture
+async def nine():
+    async with running_fleet(N_VMS, PLACES) as fleet:
+        yield fleet
+
+
+def members(fleet: Fleet, data_centre: str) -> list[Vm]:
+    return [vm for vm in fleet.vms if vm.node.settings.data_centre == data_centre]
+
+
+def oldest_ms(fleet: Fleet, skipped: set[str] = frozenset()) -> float:
+    """Return the time since any node has heard of any other."""
+    return max(
+        vm.node.clock.now_ms() - (peer.heard_ms or 0.0)
+        for vm in fleet.vms
+        for peer in vm.node.fleet.peers_by_id.values()
+        if not {vm.host, peer.record.node} & skipped
+    )
+
+
+class Wire:
+    """Counts the datagrams of a node by kind and data centre."""
+
+    def __init__(self, vm: Vm) -> None:
+        self.sent: list[tuple[str, type]] = []
+        self._vm = vm
+        self._transport = vm.node.status._transport
+        vm.node.status._transport = self
+
+    def sendto(self, data, address):
+        peer = self._vm.node.fleet.peers_by_id[address[0]]
+        self.sent.append((peer.record.data_centre, type(decode(data))))
+        self._transport.sendto(data, address)
+
+
+async def test_all_hear_of_all_through_relays(nine):
+    await asyncio.sleep(3.0)
+    for _ in range(10):
+        await asyncio.sleep(0.1)
+        assert oldest_ms(nine) < 2_000.0
+
+
+async def test_only_relays_send_to_other_data_centres(nine):
+    await asyncio.sleep(1.0)
+    wires = {vm.host: Wire(vm) for vm in nine.vms}
+    await asyncio.sleep(2.0)
+    for data_centre in "abc":
+        senders = [
+            vm
+            for vm in members(nine, data_centre)
+            if any(
+                target != data_centre and kind is Digest
+                for target, kind in wires[vm.host].sent
+            )
+        ]
+        assert len(senders) == N_RELAYS
+        assert all(vm.node.ranks.relay_rank < N_RELAYS for vm in senders)
+        for vm in members(nine, data_centre):
+            sent = wires[vm.host].sent
+            north = {"a", "b"}
+            abroad = north if data_centre == "c" else {"c"}
+            assert not [1 for to, kind in sent if to in abroad and kind is Status]
+
+
+async def test_others_pass_statuses_on_when_relays_end(nine):
+    await asyncio.sleep(1.0)
+    ended = [vm for vm in members(nine, "a") if vm.node.ranks.relay_rank < N_RELAYS]
+    assert len(ended) == N_RELAYS
+    for vm in ended:
+        vm.node.status._transport.abort()
+    await asyncio.sleep(4.5)
+    assert oldest_ms(nine, {vm.host for vm in ended}) < 2_000.0
+
+
+async def test_data_centres_find_each_other_after_a_cut(nine):
+    await asyncio.sleep(0.5)
+    cut = {vm.host for vm in members(nine, "c")}
+    for vm in nine.vms:
+        Cut(vm, cut)
+    await asyncio.sleep(3.5)
+    assert oldest_ms(nine) > 3_000.0
+    for vm in nine.vms:
+        vm.node.status._transport.is_cut = False
+    await until(lambda: oldest_ms(nine) < 1_500.0, timeout_s=4.0)
+
+
+class Cut:
+    """Loses the datagrams between some nodes and the others."""
+
+    def __init__(self, vm: Vm, hosts: set[str]) -> None:
+        self.is_cut = True
+        self._own = vm.host in hosts
+        self._hosts = hosts
+        self._transport = vm.node.status._transport
+        vm.node.status._transport = self
+
+    def sendto(self, data, address):
+        if not self.is_cut or (address[0] in self._hosts) == self._own:
+            self._transport.sendto(data, address)
+
+
+async def test_a_node_named_before_it_is_known_is_looked_up(nine):
+    first, second = members(nine, "a")[0], members(nine, "c")[0]
+    del first.node.fleet.peers_by_id[second.host]
+    first.node.fleet._peers_by_service["shop"].pop(second.host)
+    await until(lambda: second.host in first.node.fleet.peers_by_id, timeout_s=4.0)
--- a/tests/fleet/test_watchers.py
+++ b/tests/fleet/test_watchers.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from ibisspoke_adapter.configuration import CONFIG_TABLE
-from ibisspoke_mesh.watch_duty import N_WATCHERS
+from ibisspoke_mesh.node_ranks import N_WATCHERS
 from ibisspoke_storage.store import StoreError, StoreErrorKind
 
 N_VMS = 5
@@ -21,7 +21,7 @@
 
 
 def watchers(fleet: Fleet):
-    return [vm for vm in fleet.vms if vm.node.duty.is_watcher]
+    return [vm for vm in fleet.vms if vm.node.ranks.is_watcher]
 
 
 class Refusing:
@@ -50,7 +50,7 @@
 async def test_all_nodes_agree_on_the_watchers(five):
     expected = {vm.host for vm in watchers(five)}
     for vm in five.vms:
-        first = [peer.record.node for peer in vm.node.duty.sources]
+        first = [peer.record.node for peer in vm.node.ranks.sources]
         seen = set(first[:N_WATCHERS]) | ({vm.host} & expected)
         assert expected <= seen
 
@@ -80,8 +80,8 @@
 
 
 async def test_a_node_takes_its_first_configuration_from_others(five):
-    late = next(vm for vm in five.vms if not vm.node.duty.is_watcher)
+    late = next(vm for vm in five.vms if not vm.node.ranks.is_watcher)
     late.node.config.table = None
-    late.node.asker.ask(late.node.duty.sources[0])
+    late.node.asker.ask(late.node.ranks.sources[0])
     await until(lambda: late.node.config.version == 1, timeout_s=1.0)
     assert late.node.config.row_version > 0
