--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -169,7 +169,9 @@
             progress.n_sent += 1
         if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
             took_ms = self._clock.now_ms() - now_ms
-            self._fleet.route_times.add(route.name, took_ms)
+            n_bytes = len(head) + len(request.body)
+            n_bytes += len(outcome.headers) + len(outcome.body)
+            self._fleet.note_answer(member.node, route.name, took_ms, n_bytes)
         return outcome
 
     async def _run_here(
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ibisspoke_policy.clock import Clock
-from ibisspoke_policy.service_times import ServiceTimes
+from ibisspoke_policy.route_profile import Pace, RouteProfiles
 from ibisspoke_policy.upstream_choice import Candidate, Distance, choose
 from ibisspoke_policy.upstream_life import UpstreamState
 from ibisspoke_policy.upstream_queue import Load
@@ -65,6 +65,7 @@
         self.link = link
         self.distance = distance
         self.load = Load(0, 0, record.n_slots, 0.0, 0.0, 0.0)
+        self.pace = Pace()
         self.n_own_known = 0
         self.known_ms = now_ms
         self.heard_ms: float | None = None
@@ -113,7 +114,8 @@
         self.peers_by_id: dict[str, Peer] = {}
         self._peers_by_service: dict[str, dict[str, Peer]] = {}
         self.own: MemberRecord | None = None
-        self.route_times = ServiceTimes()
+        self.profiles = RouteProfiles()
+        self._own_pace = Pace()
         self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, 0.0, 0.0, 0.0)
         self.own_cold_until_ms = 0.0
         self._settings = settings
@@ -171,6 +173,7 @@
                 peer.link.n_pending,
                 peer.n_own_known,
                 peer.cold_until_ms > now_ms,
+                peer.pace.at(now_ms),
             )
             for peer in self._peers_by_service.get(service, {}).values()
             if peer.record.state is UpstreamState.READY
@@ -183,15 +186,29 @@
             distance = Distance(True, True, LOCAL_RTT_MS)
             is_cold = self.own_cold_until_ms > now_ms
             load = self.own_load()
-            candidates.append(Candidate(own.node, distance, load, 0, 0, is_cold))
-        expected_ms = self.route_times.expected_ms(route)
-        chosen = choose(candidates, expected_ms, objective_ms, self._rng)
+            pace = self._own_pace.at(now_ms)
+            candidates.append(Candidate(own.node, distance, load, 0, 0, is_cold, pace))
+        chosen = choose(candidates, self.profiles.of(route), objective_ms, self._rng)
         if chosen is None:
             return None
         if own is not None and chosen.id == own.node:
             return own
         return self.peers_by_id[chosen.id].record
 
+    def note_answer(self, node: str, route: str, took_ms: float, n_bytes: int) -> None:
+        """Learn from an answer of a node's upstream.
+
+        :param n_bytes: of the request and its answer.
+        """
+        peer = self.peers_by_id.get(node)
+        pace = peer.pace if peer is not None else self._own_pace
+        now_ms = self._clock.now_ms()
+        profile = self.profiles.of(route)
+        if peer is not None:
+            took_ms = max(1.0, took_ms - peer.distance.rtt_ms)
+        profile.add(took_ms, pace.at(now_ms) or 1.0, n_bytes)
+        pace.add(took_ms, profile.usual_ms, now_ms)
+
     def pressure(self, service: str) -> float:
         """Return the share of a service's requests that starve deeper down."""
         now_ms = self._clock.now_ms()
--- /dev/null
+++ b/packages/policy/ibisspoke_policy/route_profile.py
@@ -0,0 +1,105 @@
+"""What a node has learnt of the requests of each route, and of each upstream's pace."""
+
+import math
+
+WEIGHT = 0.05  # of one answer in the averages; about the last twenty
+PACE_WEIGHT = 0.1  # an upstream's pace may change at any moment
+PACE_KEPT_MS = 5_000.0  # without an answer an upstream's pace is unknown again
+MIN_PACE_ANSWERS = 3
+INITIAL_MS = 100.0
+INITIAL_SPREAD = 0.7  # of the logarithm; one in six takes twice as long as usual
+MIN_SPREAD = 0.2
+MAX_LOG_PACE = math.log(30.0)
+MAX_ROUTES = 1_000  # least recently added routes are forgotten beyond it
+
+
+class RouteProfile:
+    """Times and sizes of one route's answers.
+
+    Times are logarithms, of an upstream of usual pace. They are roughly normal, so the
+    chance of a late answer can be told from their mean and spread.
+    """
+
+    __slots__ = ("_mean", "_n", "_variance", "n_bytes")
+
+    def __init__(self) -> None:
+        self._n = 0
+        self._mean = math.log(INITIAL_MS)
+        self._variance = INITIAL_SPREAD**2
+        self.n_bytes = 0.0
+
+    def __repr__(self) -> str:
+        return f"RouteProfile({self.usual_ms:.0f} ms, {self.n_bytes:.0f} bytes)"
+
+    @property
+    def usual_ms(self) -> float:
+        """The median time at an upstream of usual pace."""
+        return math.exp(self._mean)
+
+    def add(self, took_ms: float, pace: float, n_bytes: int) -> None:
+        """Take in one answer of an upstream that takes ``pace`` times the usual."""
+        self._n += 1
+        weight = max(WEIGHT, 1.0 / self._n)
+        error = math.log(max(1.0, took_ms) / pace) - self._mean
+        self._mean += weight * error
+        if self._n > 1:
+            self._variance += weight * (error * error - self._variance)
+        self.n_bytes += weight * (n_bytes - self.n_bytes)
+
+    def late_share(self, pace: float, within_ms: float) -> float:
+        """Return the share of answers that take longer than ``within_ms``."""
+        if within_ms <= 0.0:
+            return 1.0
+        spread = max(MIN_SPREAD, math.sqrt(self._variance))
+        distance = math.log(within_ms / pace) - self._mean
+        return 0.5 * math.erfc(distance / (spread * math.sqrt(2.0)))
+
+
+class RouteProfiles:
+    """The profiles of all routes."""
+
+    def __init__(self) -> None:
+        self._by_route: dict[str, RouteProfile] = {}
+
+    def __repr__(self) -> str:
+        return f"RouteProfiles(n_routes={len(self._by_route)})"
+
+    def of(self, route: str) -> RouteProfile:
+        """Return the profile of a route."""
+        profile = self._by_route.get(route)
+        if profile is None:
+            if len(self._by_route) >= MAX_ROUTES:
+                del self._by_route[next(iter(self._by_route))]
+            profile = self._by_route[route] = RouteProfile()
+        return profile
+
+
+class Pace:
+    """How an upstream's times compare with the usual ones, by this node's requests."""
+
+    __slots__ = ("_answered_ms", "_log", "_n")
+
+    def __init__(self) -> None:
+        self._n = 0
+        self._log = 0.0
+        self._answered_ms = float("-inf")
+
+    def __repr__(self) -> str:
+        return f"Pace({math.exp(self._log):.2f}, n={self._n})"
+
+    def add(self, took_ms: float, usual_ms: float, now_ms: float) -> None:
+        """Take in one answer to a request that usually takes ``usual_ms``."""
+        if now_ms - self._answered_ms > PACE_KEPT_MS:
+            self._n = 0
+        self._answered_ms = now_ms
+        self._n += 1
+        weight = max(PACE_WEIGHT, 1.0 / self._n)
+        observed = math.log(max(1.0, took_ms) / usual_ms)
+        bounded = max(-MAX_LOG_PACE, min(MAX_LOG_PACE, observed))
+        self._log += weight * (bounded - self._log)
+
+    def at(self, now_ms: float) -> float | None:
+        """Return the upstream's times as a multiple of the usual; None if unknown."""
+        if self._n < MIN_PACE_ANSWERS or now_ms - self._answered_ms > PACE_KEPT_MS:
+            return None
+        return math.exp(self._log)
--- a/packages/policy/ibisspoke_policy/upstream_choice.py
+++ b/packages/policy/ibisspoke_policy/upstream_choice.py
@@ -3,14 +3,21 @@
 import random
 from typing import NamedTuple
 
+from .route_profile import RouteProfile
 from .upstream_queue import Load
 
-ZONE_PENALTY = 0.2  # of the objective: bytes between data centres are paid for
-REGION_PENALTY = 2.0  # of the objective: the link is narrow, and its bytes are dear
-FAILURE_PENALTY = 3.0  # objectives for an upstream that fails everything
-COLD_PENALTY = 0.5  # of the objective, for an upstream that has just started
-JITTER = 0.05  # of the objective, so that nodes do not all choose the same
-EXPLORE_SHARE = 0.02  # of the requests, so that the times of all upstreams stay known
+# Losses are in parts of what an answer in time is worth.
+LATE_LOSS = 0.65  # of a late answer; users grant it a third of the worth
+FAILURE_LOSS = 1.5  # of a failure, which may cost a retry as well
+DATA_CENTRE_LOSS = 0.03  # for each KB to another one; their prices lie around it
+REGION_LOSS = 0.1  # for each KB to another region, where the link is narrow, too
+LATENCY_LOSS = 0.15  # of an answer that takes the whole objective, but is in time
+MIN_KB = 1.0  # heads and frames of a request and its answer
+JITTER_LOSS = 0.02  # so that nodes do not all choose the same
+COLD_PACE = 2.0  # of an upstream that has just started
+BUSY_PACE = 0.3  # how much slower an upstream is that runs all it can
+ROOM_SHARE = 0.9  # of the limit, from which requests may have to wait
+EXPLORE_SHARE = 0.005  # of the requests, so that the times of all upstreams stay known
 EXPLORE_FAILURE_SHARE = 0.1  # of an upstream's requests, from which it is left alone
 MAX_CANDIDATES = 24  # beyond it a sample is compared; two or more near ones suffice
 
@@ -32,6 +39,8 @@
     :param n_own: requests of this node that it has not answered yet.
     :param n_own_known: those among them that ``load`` already counts.
     :param is_cold: whether it has just started and is slow.
+    :param pace: its times as a multiple of the usual, by this node's own requests;
+        None where there were none lately.
     """
 
     id: str
@@ -40,41 +49,43 @@
     n_own: int
     n_own_known: int
     is_cold: bool
+    pace: float | None = None
 
 
-def cost(
-    candidate: Candidate, expected_ms: float, slowness: float, objective_ms: float
+def loss(
+    candidate: Candidate, profile: RouteProfile, pace: float, objective_ms: float
 ) -> float:
-    """Return the expected latency of a request, with penalties, in milliseconds.
+    """Return what is probably lost of a request's worth if the candidate serves it.
 
-    :param expected_ms: what requests of its route take on average.
-    :param slowness: the upstream's times as a multiple of the usual.
+    :param pace: the candidate's times as a multiple of the usual.
     """
     load = candidate.load
     n_ahead = load.n_running + load.n_queued
     n_ahead += max(0, candidate.n_own - candidate.n_own_known)
     limit = max(1, load.limit)
-    excess = max(0.0, n_ahead + 1 - 0.9 * limit)
-    latency_ms = expected_ms * slowness * (1.0 + 0.3 * min(1.0, n_ahead / limit))
-    latency_ms += excess * (load.service_ms or expected_ms) / limit
-    distance = candidate.distance
-    penalty = FAILURE_PENALTY * load.failure_share
+    pace *= 1.0 + BUSY_PACE * min(1.0, n_ahead / limit)
     if candidate.is_cold:
-        penalty += COLD_PENALTY
-    if not distance.same_region:
-        penalty += REGION_PENALTY
-    elif not distance.same_data_centre:
-        penalty += ZONE_PENALTY
-    return latency_ms + distance.rtt_ms + penalty * objective_ms
+        pace *= COLD_PACE
+    excess = max(0.0, n_ahead + 1 - ROOM_SHARE * limit)
+    wait_ms = excess * (load.service_ms or profile.usual_ms) / limit
+    wait_ms += candidate.distance.rtt_ms
+    late = profile.late_share(pace, objective_ms - wait_ms)
+    latency = (wait_ms + profile.usual_ms * pace) / objective_ms
+    return (
+        LATE_LOSS * late
+        + LATENCY_LOSS * latency
+        + FAILURE_LOSS * load.failure_share
+        + _carriage_loss(candidate.distance, profile)
+    )
 
 
 def choose(
     candidates: list[Candidate],
-    expected_ms: float,
+    profile: RouteProfile,
     objective_ms: float,
     rng: random.Random,
 ) -> Candidate | None:
-    """Return the candidate of the least cost; upstreams that take none come last."""
+    """Return the candidate of the least loss; upstreams that take none come last."""
     if not candidates:
         return None
     if len(candidates) > MAX_CANDIDATES:
@@ -88,13 +99,20 @@
     usual_ms = max(1.0, sum(known_ms) / len(known_ms)) if known_ms else 1.0
 
     def noisy(candidate: Candidate) -> float:
-        slowness = (candidate.load.service_ms or usual_ms) / usual_ms
-        latency_ms = cost(candidate, expected_ms, slowness, objective_ms)
-        return latency_ms + rng.random() * JITTER * objective_ms
+        pace = candidate.pace or (candidate.load.service_ms or usual_ms) / usual_ms
+        least = loss(candidate, profile, pace, objective_ms)
+        return least + rng.random() * JITTER_LOSS
 
     return min(open_ones, key=noisy)
 
 
+def _carriage_loss(distance: Distance, profile: RouteProfile) -> float:
+    kb = max(MIN_KB, profile.n_bytes / 1024.0)
+    if not distance.same_region:
+        return REGION_LOSS * kb
+    return 0.0 if distance.same_data_centre else DATA_CENTRE_LOSS * kb
+
+
 def _may_explore(candidate: Candidate) -> bool:
     load = candidate.load
     has_room = load.n_running + load.n_queued < load.limit
--- a/packages/policy/tests/test_upstream_choice.py
+++ b/packages/policy/tests/test_upstream_choice.py
@@ -1,6 +1,7 @@
 import random
 from collections import Counter
 
+from ibisspoke_policy.route_profile import RouteProfile
 from ibisspoke_policy.upstream_choice import (
     EXPLORE_SHARE,
     Candidate,
@@ -19,15 +20,31 @@
     return Candidate(name, distance, load, 0, 0, False)
 
 
-def picks(*candidates: Candidate, objective_ms: float = 1_500.0) -> Counter[str]:
+def usual_profile(n_bytes: int = 2_000) -> RouteProfile:
+    """Return what is known of a route that takes about 200 ms."""
+    profile = RouteProfile()
+    for took_ms in [140.0, 200.0, 280.0] * 40:
+        profile.add(took_ms, 1.0, n_bytes)
+    return profile
+
+
+def picks(
+    *candidates: Candidate,
+    objective_ms: float = 1_500.0,
+    n_bytes: int = 2_000,
+    n_picks: int = 500,
+) -> Counter[str]:
     rng = random.Random(3)
-    picked = (choose(list(candidates), 200.0, objective_ms, rng) for _ in range(500))
+    profile = usual_profile(n_bytes)
+    picked = (
+        choose(list(candidates), profile, objective_ms, rng) for _ in range(n_picks)
+    )
     return Counter(pick.id for pick in picked if pick is not None)
 
 
-def chosen(*candidates: Candidate, objective_ms: float = 1_500.0) -> set[str]:
+def chosen(*candidates: Candidate, **options: object) -> set[str]:
     """Return what is chosen by more than exploration."""
-    counts = picks(*candidates, objective_ms=objective_ms)
+    counts = picks(*candidates, **options)
     return {name for name, n in counts.items() if n > 2 * EXPLORE_SHARE * 500}
 
 
@@ -83,6 +100,20 @@
     slow = candidate("slow", HERE, service_ms=900.0)
     failing = candidate("failing", HERE, failure_share=0.4)
     full = candidate("full", HERE, n_running=50, n_queued=200)
-    counts = picks(candidate("here", HERE), slow, failing, full, candidate("far", FAR))
-    assert 0 < counts["slow"] < 0.05 * 500
+    here, far = candidate("here", HERE), candidate("far", FAR)
+    counts = picks(here, slow, failing, full, far, n_picks=4_000)
+    assert 0 < counts["slow"] < 0.05 * 4_000
     assert set(counts) == {"here", "slow"}
+
+
+def test_large_answers_stay_in_the_data_centre_where_small_ones_do_not():
+    slow = candidate("here", HERE)._replace(pace=3.0)
+    near = candidate("near", NEAR)._replace(pace=1.0)
+    assert chosen(slow, near, objective_ms=700.0, n_bytes=500) == {"near"}
+    assert chosen(slow, near, objective_ms=700.0, n_bytes=20_000) == {"here"}
+
+
+def test_own_answers_tell_more_of_an_upstream_than_its_average():
+    slow = candidate("slow", HERE)._replace(pace=4.0)
+    long_requests = candidate("long", HERE, service_ms=800.0)._replace(pace=1.0)
+    assert chosen(slow, long_requests) == {"long"}
