--- a/packages/policy/ibisspoke_policy/shared_rate.py
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -19,6 +19,7 @@
 DEMAND_HALF_LIFE_MS = 600.0
 SHARE_BURST_S = 0.3  # a share may be spent this far ahead, in seconds of its rate
 MIN_SHARE_BURST = 2.5
+EASE_MS = 400.0  # in which a lowered limit sinks: nodes learn of it one after another
 MAX_QUIET = 512  # nodes without requests that an account remembers
 STARTING_MS = 2_500.0  # after which each other node has reported, also a far one
 SHARE_INTERVAL_MS = 50.0  # between two computations of shares, a node a step
@@ -89,7 +90,7 @@
         self.changed_ms = now_ms
 
     def change(self, rate: float, burst: float, eased_ms: float) -> None:
-        """Put a higher limit in force at once, and a lower one by ``eased_ms``."""
+        """Put a higher limit in force at once, and a lower one at ``eased_ms``."""
         self._target = _Limit(rate, burst)
         if rate >= self.rate:
             self.rate, self.burst = rate, burst
@@ -98,10 +99,13 @@
             self._eased_ms = eased_ms
 
     def _ease(self, now_ms: float, elapsed_ms: float) -> None:
-        """Let a lowered limit sink a little further."""
+        """Let a lowered limit sink a little further, in the last part of its time."""
         if self.rate == self._target.rate and self.burst == self._target.burst:
             return
         left_ms = self._eased_ms - now_ms
+        if left_ms > EASE_MS:
+            return
+        elapsed_ms = min(elapsed_ms, EASE_MS - left_ms)
         part = elapsed_ms / (elapsed_ms + left_ms) if left_ms > 0.0 else 1.0
         self.rate += part * (self._target.rate - self.rate)
         self.burst += part * (self._target.burst - self.burst)
@@ -192,8 +196,8 @@
     ) -> None:
         """Put rates a second and bursts in force.
 
-        :param ease_ms: over which a limit sinks. Nodes learn of it at different
-            moments, and must not refuse what others still admit.
+        :param ease_ms: after which a lowered limit holds. Until then its organisation
+            may count on the earlier one.
         """
         for name in [n for n in self._accounts_by_name if n not in limits_by_name]:
             del self._accounts_by_name[name]
