--- a/packages/mesh/ibisspoke_mesh/acceptance.py
+++ b/packages/mesh/ibisspoke_mesh/acceptance.py
@@ -9,17 +9,19 @@
 from ibisspoke_policy.freshness import Freshness
 from ibisspoke_policy.retry_window import RetryBudget
 from ibisspoke_policy.route_table import KeyHolder, Route, RouteTable
-from ibisspoke_policy.shared_rate import SharedRates
+from ibisspoke_policy.shared_rate import Admission, SharedRates
 from ibisspoke_policy.weighted_split import WeightedSplitter
 
 from .caller_server import CallerRequest
 from .dialect import Dialect
 from .fleet import Fleet
+from .rate_homes import RateHomes
 from .settings import NodeSettings
 
 NO_CONFIG_RETRY_MS = 500.0
 MAX_RETRY_SHARE = 0.3  # of the time left: callers wait for at most a third of it
 MIN_RETRY_AFTER_MS = 100.0
+NO_DEADLINE_MS = 2_000.0  # of callers that state none
 BEARER = b"bearer "
 
 
@@ -37,6 +39,12 @@
     organisation: str = ""
 
 
+class RateQuestion(NamedTuple):
+    """Whether a request is within its organisation's rate is for its home to say."""
+
+    organisation: str
+
+
 class Accepted(NamedTuple):
     """A request that may be passed on.
 
@@ -71,6 +79,7 @@
         freshness: Freshness,
         fleet: Fleet,
         rates: SharedRates,
+        homes: RateHomes,
         retries: RetryBudget,
         clock: Clock,
         rng: random.Random,
@@ -84,6 +93,7 @@
         self._freshness = freshness
         self._fleet = fleet
         self._rates = rates
+        self._homes = homes
         self._retries = retries
         self._clock = clock
         self._rng = rng
@@ -103,9 +113,16 @@
             self._rates.give_back(accepted.holder.organisation)
 
     def accept(
-        self, request: CallerRequest, headers: dict[bytes, bytes], request_id: bytes
-    ) -> Accepted | Refusal:
-        """Return what a request may become, or why it is refused at once."""
+        self,
+        request: CallerRequest,
+        headers: dict[bytes, bytes],
+        request_id: bytes,
+        is_granted: bool = False,
+    ) -> Accepted | Refusal | RateQuestion:
+        """Return what a request may become, or why it is refused at once.
+
+        :param is_granted: whether it is known to be within its organisation's rate.
+        """
         table = self._table()
         if table is None:
             return Refusal(503, "no_configuration", NO_CONFIG_RETRY_MS)
@@ -126,8 +143,25 @@
                 return self._unknown("key_unknown", 401, is_fresh)
             if not is_fresh:
                 return Refusal(503, "keys_not_proven", NO_CONFIG_RETRY_MS)
+            if not is_granted:
+                name = holder.organisation
+                role = self._homes.role(name)
+                admission = self._rates.admit(name, role, self._clock.now_ms())
+                if admission is Admission.ASK:
+                    return RateQuestion(name)
+                if admission is Admission.REFUSED:
+                    return self.over_rate(request, headers, name)
         return self._admit(request, headers, request_id, route, holder)
 
+    def over_rate(
+        self, request: CallerRequest, headers: dict[bytes, bytes], organisation: str
+    ) -> Refusal:
+        """Refuse a request beyond its organisation's rate."""
+        caller_ms = _number(headers.get(self._dialect.deadline)) or NO_DEADLINE_MS
+        wait_ms = caller_ms * MAX_RETRY_SHARE * self._rng.random()
+        wait_ms = max(MIN_RETRY_AFTER_MS, wait_ms)
+        return Refusal(429, "rate_exceeded", wait_ms, organisation)
+
     def _unknown(self, reason: str, status: int, is_fresh: bool) -> Refusal:
         """Refuse for good only by a configuration that is known to be current."""
         if is_fresh:
@@ -145,10 +179,6 @@
         now_ms = self._clock.now_ms()
         stated_ms = _number(headers.get(self._dialect.deadline))
         caller_ms = stated_ms if stated_ms is not None else route.timeout_ms
-        if holder is not None and not self._rates.admit(holder.organisation, now_ms):
-            wait_ms = caller_ms * MAX_RETRY_SHARE * self._rng.random()
-            name = holder.organisation
-            return Refusal(429, "rate_exceeded", max(MIN_RETRY_AFTER_MS, wait_ms), name)
         service = self.splitter.pick(route)
         self._retries.count_request(service, now_ms)
         if not is_nested(route, holder):
--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -12,6 +12,7 @@
     MIN_RETRY_AFTER_MS,
     Acceptance,
     Accepted,
+    RateQuestion,
     Refusal,
 )
 from .caller_server import CallerAnswer, CallerRequest
@@ -21,6 +22,7 @@
 from .frames import Attempt, Outcome, OutcomeKind
 from .gate import Gate
 from .metrics_page import RequestMetrics
+from .rate_homes import RateHomes
 from .settings import NodeSettings
 
 MAX_NODES = 4  # nodes asked for one request; refusals of a node cost no upstream
@@ -50,6 +52,7 @@
         settings: NodeSettings,
         dialect: Dialect,
         acceptance: Acceptance,
+        homes: RateHomes,
         retries: RetryBudget,
         fleet: Fleet,
         gate: Gate,
@@ -60,6 +63,7 @@
     ) -> None:
         self.settings = settings
         self._acceptance = acceptance
+        self._homes = homes
         self._retries = retries
         self._dialect = dialect
         self._dropped = dialect.set_by_nodes | HOP_BY_HOP
@@ -78,7 +82,7 @@
         """Return the answer to a request."""
         headers = {lower: value for lower, _, value in request.headers}
         request_id = headers.get(self._dialect.request_id, b"")
-        accepted = self._acceptance.accept(request, headers, request_id)
+        accepted = await self._accept(request, headers, request_id)
         if isinstance(accepted, Refusal):
             return self._refused(request, request_id, accepted, None)
         progress = Progress()
@@ -96,6 +100,19 @@
             self._gate.note_nested(self._has_starved(accepted, outcome))
         return self._final(request, accepted, progress, outcome)
 
+    async def _accept(
+        self, request: CallerRequest, headers: dict[bytes, bytes], request_id: bytes
+    ) -> Accepted | Refusal:
+        accepted = self._acceptance.accept(request, headers, request_id)
+        if not isinstance(accepted, RateQuestion):
+            return accepted
+        organisation = accepted.organisation
+        if not await self._homes.ask(organisation):
+            return self._acceptance.over_rate(request, headers, organisation)
+        granted = self._acceptance.accept(request, headers, request_id, is_granted=True)
+        assert not isinstance(granted, RateQuestion)
+        return granted
+
     def _has_starved(self, accepted: Accepted, outcome: Outcome) -> bool:
         """Tell whether a request failed for want of room here or deeper down."""
         if outcome.kind is OutcomeKind.ANSWERED:
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -125,8 +125,32 @@
     compressed: bytes
 
 
+class RateRequest(msgspec.Struct, array_like=True, tag=10):
+    """Ask the home of an organisation whether one more request is within its rate."""
+
+    stream: int
+    organisation: str
+
+
+class RateReply(msgspec.Struct, array_like=True, tag=11):
+    """The answer of the home."""
+
+    stream: int
+    is_granted: bool
+
+
 Frame = (
-    Hello | Call | Reply | Cancel | Recover | Ping | Pong | ConfigRequest | ConfigReply
+    Hello
+    | Call
+    | Reply
+    | Cancel
+    | Recover
+    | Ping
+    | Pong
+    | ConfigRequest
+    | ConfigReply
+    | RateRequest
+    | RateReply
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -35,6 +35,7 @@
 from .node_ranks import NodeRanks
 from .peer_link import Origin
 from .peer_server import PeerCalls, PeerConnection
+from .rate_homes import RateHomes
 from .settings import NodeSettings
 from .status_exchange import StatusExchange
 from .status_intake import StatusIntake
@@ -115,7 +116,10 @@
         )
         self.gate.on_change = self._tell_change
         self.fleet.own_load = self.gate.load
-        self.calls = PeerCalls(origin, self.gate, clock, self.log, self.config.reply)
+        self.homes = RateHomes(self.fleet, self.rates, clock)
+        self.calls = PeerCalls(
+            origin, self.gate, clock, self.log, self.config.reply, self.homes.grant
+        )
         self.retries = RetryBudget(settings.retry_window_ms)
         self.acceptance = Acceptance(
             settings,
@@ -124,6 +128,7 @@
             self.config.freshness,
             self.fleet,
             self.rates,
+            self.homes,
             self.retries,
             clock,
             rng,
@@ -132,6 +137,7 @@
             settings,
             adapter.dialect,
             self.acceptance,
+            self.homes,
             self.retries,
             self.fleet,
             self.gate,
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -20,6 +20,8 @@
     Outcome,
     OutcomeKind,
     Ping,
+    RateReply,
+    RateRequest,
     Recover,
     Reply,
     encode_frame,
@@ -130,6 +132,7 @@
         self._pending: dict[int, _Pending] = {}
         self._incarnation = 0
         self._config_wanted: int | None = None
+        self._rate_answers: dict[int, asyncio.Future[bool | None]] = {}
         self.unreachable_until_ms = 0.0
 
     def __repr__(self) -> str:
@@ -162,6 +165,27 @@
         finally:
             self._pending.pop(stream, None)
 
+    async def ask_rate(self, stream: int, organisation: str) -> bool | None:
+        """Ask the node, as the home of an organisation, to admit a request.
+
+        :returns: None if it cannot be reached.
+        """
+        if self._connection is None:
+            if self.clock.now_ms() < self.unreachable_until_ms:
+                return None
+            await self._opened()
+        if self._connection is None:
+            return None
+        answered: asyncio.Future[bool | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._rate_answers[stream] = answered
+        self._send(RateRequest(stream, organisation))
+        try:
+            return await answered
+        finally:
+            self._rate_answers.pop(stream, None)
+
     def ask_config(self, version: int) -> None:
         """Ask for a configuration newer than ``version``."""
         if self._connection is not None:
@@ -177,6 +201,10 @@
             pending = self._pending.get(frame.stream)
             if pending is not None and not pending.ended.done():
                 pending.ended.set_result(frame.outcome)
+        elif isinstance(frame, RateReply):
+            answered = self._rate_answers.get(frame.stream)
+            if answered is not None and not answered.done():
+                answered.set_result(frame.is_granted)
         elif isinstance(frame, ConfigReply):
             self._on_config(frame)
 
@@ -185,6 +213,9 @@
         if connection is not self._connection:
             return
         self._connection = None
+        for answered in self._rate_answers.values():
+            if not answered.done():
+                answered.set_result(None)
         if not self._pending:
             return
         now_ms = self.clock.now_ms()
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -22,6 +22,8 @@
     OutcomeKind,
     Ping,
     Pong,
+    RateReply,
+    RateRequest,
     Recover,
     Reply,
     encode_frame,
@@ -74,6 +76,7 @@
 
     :param origin: this node in this life.
     :param config_document: returns the configuration in force, for nodes that ask.
+    :param grant: tells whether this node, as an organisation's home, admits a request.
     """
 
     def __init__(
@@ -83,11 +86,13 @@
         clock: Clock,
         log: DecisionLog,
         config_document: Callable[[], ConfigReply | None],
+        grant: Callable[[str], bool],
     ) -> None:
         self.origin = origin
         self.clock = clock
         self.log = log
         self.config_document = config_document
+        self.grant = grant
         self._runner = runner
         self._calls_by_key: dict[_CallKey, _CallState] = {}
         self._orphans: dict[_CallKey, _CallState] = {}
@@ -234,6 +239,9 @@
             raise ValueError("a frame came before the hello")
         if isinstance(frame, Ping):
             self.send(Pong())
+        elif isinstance(frame, RateRequest):
+            is_granted = self._calls.grant(frame.organisation)
+            self.send(RateReply(frame.stream, is_granted))
         elif isinstance(frame, ConfigRequest):
             reply = self._calls.config_document()
             if reply is not None and reply.version > frame.version:
--- /dev/null
+++ b/packages/mesh/ibisspoke_mesh/rate_homes.py
@@ -0,0 +1,95 @@
+"""The node that decides on an organisation's requests where its bucket is low."""
+
+import asyncio
+import itertools
+
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.rendezvous import ranked
+from ibisspoke_policy.shared_rate import Home, SharedRates
+
+from .fleet import Fleet, Peer
+
+REFRESH_MS = 250.0  # half of the interval between two statuses
+NEAR_TIMEOUT_MS = 100.0  # an answer takes a few milliseconds in the region
+FAR_TIMEOUT_MS = 250.0  # and 42 ms from another one
+DENIED_MS = 50.0  # a bucket that was empty is not asked for again at once
+
+
+class RateHomes:
+    """Find the homes of organisations, and ask them.
+
+    All nodes that see the same nodes alive agree on a home. Where two see others, both
+    homes take in what the other reports, a moment later.
+    """
+
+    def __init__(self, fleet: Fleet, rates: SharedRates, clock: Clock) -> None:
+        self._fleet = fleet
+        self._rates = rates
+        self._clock = clock
+        self._streams = itertools.count(1)
+        self._refreshed_ms = float("-inf")
+        self._alive: frozenset[str] = frozenset()
+        self._home_by_organisation: dict[str, str] = {}
+        self._denied_until_ms_by_organisation: dict[str, float] = {}
+
+    def __repr__(self) -> str:
+        return f"RateHomes(n_alive={len(self._alive)})"
+
+    def role(self, organisation: str) -> Home:
+        """Return who decides on an organisation's requests."""
+        own = self._fleet.own
+        if own is None or not self._fleet.peers_by_id:
+            return Home.UNREACHABLE
+        return Home.OWN if self._home(organisation) == own.node else Home.OTHER
+
+    async def ask(self, organisation: str) -> bool:
+        """Return whether the home admits a request, or else the own share does."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._denied_until_ms_by_organisation.get(organisation, 0.0):
+            return False
+        peer = self._fleet.peers_by_id.get(self._home(organisation))
+        answer = await self._answer(peer, organisation) if peer is not None else None
+        now_ms = self._clock.now_ms()
+        if answer is None:
+            return self._rates.admit_by_share(organisation, now_ms)
+        if not answer:
+            self._denied_until_ms_by_organisation[organisation] = now_ms + DENIED_MS
+        return answer
+
+    def grant(self, organisation: str) -> bool:
+        """Answer another node that takes this one for the home."""
+        return self._rates.grant(organisation, self._clock.now_ms())
+
+    async def _answer(self, peer: Peer, organisation: str) -> bool | None:
+        near = peer.distance.same_region
+        timeout_ms = NEAR_TIMEOUT_MS if near else FAR_TIMEOUT_MS
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                return await peer.link.ask_rate(next(self._streams), organisation)
+        except TimeoutError:
+            return None
+
+    def _home(self, organisation: str) -> str:
+        self._refresh()
+        home = self._home_by_organisation.get(organisation)
+        if home is None:
+            home = ranked(organisation, self._alive)[0]
+            self._home_by_organisation[organisation] = home
+        return home
+
+    def _refresh(self) -> None:
+        """Choose homes anew where other nodes are alive than before."""
+        now_ms = self._clock.now_ms()
+        own = self._fleet.own
+        if own is None or now_ms - self._refreshed_ms < REFRESH_MS:
+            return
+        self._refreshed_ms = now_ms
+        alive = frozenset(
+            peer.record.node
+            for peer in self._fleet.peers_by_id.values()
+            if peer.is_alive(now_ms) and peer.link.unreachable_until_ms <= now_ms
+        )
+        alive |= {own.node}
+        if alive != self._alive:
+            self._alive = alive
+            self._home_by_organisation.clear()
--- a/packages/policy/tests/test_shared_rate.py
+++ b/packages/policy/tests/test_shared_rate.py
@@ -5,11 +5,12 @@
 
 import pytest
 
-from ibisspoke_policy.shared_rate import SharedRates
+from ibisspoke_policy.shared_rate import Admission, Home, SharedRates
 
 N_NODES = 16
 N_DATA_CENTRES = 4  # two in each of two regions
 N_RELAYS = 2
+CUT_NOTICED_MS = 1_700.0
 STEP_MS = 5.0
 WINDOW_S = 5.0
 OVERAGE = 0.1
@@ -20,11 +21,18 @@
     """Nodes that report within their data centre, and to others through relays.
 
     :param n_nodes: node ``i`` stands in data centre ``i % 4`` and region ``i % 2``.
+    :param has_homes: whether organisations have homes that can be reached.
     """
 
     def __init__(
-        self, rate: float, burst: float, seed: int, n_nodes: int = N_NODES
+        self,
+        rate: float,
+        burst: float,
+        seed: int,
+        n_nodes: int = N_NODES,
+        has_homes: bool = True,
     ) -> None:
+        self.has_homes = has_homes
         self.rng = random.Random(seed)
         self.n_nodes = n_nodes
         self.rate = rate
@@ -63,13 +71,36 @@
             for node, weight in zip(self.nodes, self.weights, strict=True):
                 if self.rng.random() < per_step * weight:
                     self.asked_s.append(self.now_ms / 1000.0)
-                    if node.admit("shop", self.now_ms):
+                    if self._admit(node):
                         self.admitted_s.append(self.now_ms / 1000.0)
             self._report()
             for data_centre in range(N_DATA_CENTRES):
                 self._relay(data_centre)
             self.now_ms += STEP_MS
 
+    def _admit(self, node):
+        """Admit a request at a node, or by its home where that can be reached."""
+        number = self.nodes.index(node)
+        if not self.has_homes:
+            home = Home.UNREACHABLE
+        else:
+            home = Home.OWN if number == self._home_of(number) else Home.OTHER
+        admission = node.admit("shop", home, self.now_ms)
+        if admission is not Admission.ASK:
+            return admission is Admission.ADMITTED
+        chosen = self._home_of(number)
+        if self.is_cut(self.now_ms, number, chosen):
+            return node.admit_by_share("shop", self.now_ms)
+        return self.nodes[chosen].grant("shop", self.now_ms)
+
+    def _home_of(self, number):
+        """Return the home as a node sees it: cut off for long, it is another one."""
+        for home in reversed(range(self.n_nodes)):
+            since_ms = self.now_ms - CUT_NOTICED_MS
+            if number == home or not self.is_cut(since_ms, number, home):
+                return home
+        return number
+
     def _report(self):
         for sender, node in enumerate(self.nodes):
             totals = node.totals(self.now_ms - 2_500.0)
@@ -216,16 +247,20 @@
     assert fleet.most_in_a_window <= fleet.bound
 
 
+def is_admitted(rates, now_ms):
+    return rates.admit("shop", Home.OWN, now_ms) is Admission.ADMITTED
+
+
 def test_an_unlimited_organisation_is_always_admitted():
     rates = SharedRates(0.0)
     rates.configure({}, 0.0, 0.0)
-    assert all(rates.admit("shop", 0.0) for _ in range(100))
+    assert all(is_admitted(rates, 0.0) for _ in range(100))
 
 
 def test_requests_that_did_not_run_give_their_token_back():
     rates = SharedRates(0.0)
     rates.configure({"shop": (10.0, 10.0)}, 0.0, 0.0)
-    assert rates.admit("shop", 3_000.0)
+    assert is_admitted(rates, 3_000.0)
     rates.give_back("shop")
     assert rates.totals(-1.0)[0].n_admitted == 0
 
@@ -233,12 +268,12 @@
 def test_a_lowered_rate_sinks_to_its_new_value_in_time():
     rates = SharedRates(0.0)
     rates.configure({"shop": (100.0, 100.0)}, 0.0, 0.0)
-    rates.admit("shop", 5_000.0)
+    is_admitted(rates, 5_000.0)
     rates.configure({"shop": (2.0, 2.0)}, 5_000.0, 2_000.0)
     admitted = [
         now_ms
         for now_ms in range(5_000, 12_000, 4)
-        if rates.admit("shop", float(now_ms))
+        if is_admitted(rates, float(now_ms))
     ]
     assert rates.rate("shop") == 2.0
     allowed = 100.0 + 1.5 * 100.0  # of the earlier limit, in the first 1.5 s
@@ -246,9 +281,23 @@
     assert sum(now_ms > 7_000 for now_ms in admitted) <= 14
 
 
+@pytest.mark.parametrize("n_nodes", [16, 72])
+def test_a_lowered_rate_is_used_up_and_kept_at_once(n_nodes):
+    fleet = Fleet(60.0, 60.0, 9, n_nodes)
+    fleet.run(5.0, lambda s: 45.0)
+    for node in fleet.nodes:
+        node.configure({"shop": (10.0, 10.0)}, fleet.now_ms, 1_000.0)
+    fleet.rate = fleet.burst = 10.0
+    fleet.run(7.0, lambda s: 45.0)
+    after = [admitted_s for admitted_s in fleet.admitted_s if admitted_s >= 6.0]
+    assert sum(admitted_s < 8.5 for admitted_s in after) >= 0.9 * 10.0 * 2.5
+    fleet.admitted_s = after
+    assert fleet.most_in_a_window <= fleet.bound
+
+
 def test_a_raised_rate_is_in_force_at_once():
     rates = SharedRates(0.0)
     rates.configure({"shop": (2.0, 2.0)}, 0.0, 0.0)
-    rates.admit("shop", 5_000.0)
+    is_admitted(rates, 5_000.0)
     rates.configure({"shop": (100.0, 100.0)}, 5_000.0, 2_000.0)
     assert rates.rate("shop") == 100.0
