Count metrics without their library on the call path, and notice stalls at once

Cause: importing prometheus_client took 40 of 145 ms of a start, and labels were looked up in it for each answer; whether an upstream had stalled was worked out over all running requests several times a request.

Change: counts and histograms are plain tables; the library is imported when the metrics page is asked for first. Histograms of the wait for room, of times at the upstream and of attempts at other nodes are new, as are counters of rate decisions and gauges of nodes by state, connections, calls and retries left. A stall is looked for only after 2 s without progress. Log lines are formatted by msgspec.

--- a/packages/mesh/ibisspoke_mesh/decision_log.py
+++ b/packages/mesh/ibisspoke_mesh/decision_log.py
@@ -4,7 +4,7 @@
 import os
 from typing import Any
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from ibisspoke_policy.clock import Clock
 
@@ -40,7 +40,7 @@
     """Send JSON lines to standard output."""
     handler = PipeHandler(1)
     handler.setFormatter(
-        JsonFormatter(
+        MsgspecFormatter(
             "%(levelname)s %(message)s",
             static_fields={"node": node_id},
             rename_fields={"levelname": "level", "message": "event"},
--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -21,7 +21,7 @@
 from .fleet import Fleet, MemberRecord
 from .frames import Attempt, Outcome, OutcomeKind
 from .gate import Gate
-from .metrics_page import RequestMetrics
+from .metrics import NodeMetrics
 from .rate_homes import RateHomes
 from .settings import NodeSettings
 
@@ -59,7 +59,7 @@
         clock: Clock,
         rng: random.Random,
         log: DecisionLog,
-        metrics: RequestMetrics,
+        metrics: NodeMetrics,
     ) -> None:
         self.settings = settings
         self._acceptance = acceptance
@@ -108,7 +108,9 @@
             return accepted
         organisation = accepted.organisation
         if not await self._homes.ask(organisation):
+            self._metrics.rate_decisions[("refused by its home",)] += 1
             return self._acceptance.over_rate(request, headers, organisation)
+        self._metrics.rate_decisions[("admitted by its home",)] += 1
         granted = self._acceptance.accept(request, headers, request_id, is_granted=True)
         assert not isinstance(granted, RateQuestion)
         return granted
@@ -139,7 +141,7 @@
             )
             if not self._may_continue(accepted, progress, outcome):
                 break
-            self._metrics.count_retry(accepted.service, outcome.kind.name)
+            self._metrics.retries[(outcome.kind.name,)] += 1
             self._log.write(
                 "sent again",
                 request=accepted.id.decode("latin-1"),
@@ -180,6 +182,7 @@
         else:
             link = self._fleet.peers_by_id[member.node].link
             outcome = await link.call(next(self._streams), attempt)
+            self._metrics.link_times.add(self._clock.now_ms() - now_ms)
         if outcome.kind in (OutcomeKind.REFUSED, OutcomeKind.SHED):
             progress.may_have_run = may_have_run
         if outcome.kind is not OutcomeKind.REFUSED:
@@ -256,7 +259,7 @@
     ) -> CallerAnswer:
         if outcome.kind is OutcomeKind.ANSWERED:
             took_ms = self._clock.now_ms() - request.arrived_ms
-            self._metrics.answered(accepted.route, outcome.status, took_ms)
+            self._metrics.answered(accepted.route.priority, outcome.status, took_ms)
             if progress.n_sent > 1:
                 self._log.write(
                     "answered after a repeat",
--- a/packages/mesh/ibisspoke_mesh/gate.py
+++ b/packages/mesh/ibisspoke_mesh/gate.py
@@ -17,6 +17,7 @@
 from .decision_log import DecisionLog
 from .dialect import Dialect
 from .frames import Attempt, Outcome, OutcomeKind
+from .metrics import NodeMetrics
 from .upstream_pool import Result as UpstreamResult
 from .upstream_pool import (
     UpstreamAnswer,
@@ -39,7 +40,7 @@
 class _Running:
     """One attempt from its offer to its outcome."""
 
-    __slots__ = ("attempt", "deadline_at_ms", "on_outcome", "started")
+    __slots__ = ("attempt", "deadline_at_ms", "on_outcome", "started_ms")
 
     def __init__(
         self, attempt: Attempt, deadline_at_ms: float, on_outcome: OnOutcome
@@ -47,7 +48,7 @@
         self.attempt = attempt
         self.deadline_at_ms = deadline_at_ms
         self.on_outcome = on_outcome
-        self.started = False
+        self.started_ms: float | None = None
 
 
 class Gate:
@@ -65,6 +66,7 @@
         dialect: Dialect,
         clock: Clock,
         log: DecisionLog,
+        metrics: NodeMetrics,
         heartbeat_ms: float,
         drain_ms: float,
     ) -> None:
@@ -77,6 +79,7 @@
         self._dialect = dialect
         self._clock = clock
         self._log = log
+        self._metrics = metrics
         self._heartbeat_ms = heartbeat_ms
         self._drain_ms = drain_ms
         self._ids = itertools.count(1)
@@ -196,7 +199,7 @@
         :returns: whether it waited, which means that it has not run and never will.
         """
         running = self._running.get(number)
-        if running is None or running.started:
+        if running is None or running.started_ms is not None:
             return False
         del self._running[number]
         self.queue.withdraw(number)
@@ -270,10 +273,11 @@
             if running is None:
                 self.queue.finish(offer.id, now_ms, Ending.DROPPED)
                 continue
+            self._metrics.queue_times.add(now_ms - offer.arrived_ms)
             self._start(offer.id, running, now_ms)
 
     def _start(self, number: int, running: _Running, now_ms: float) -> None:
-        running.started = True
+        running.started_ms = now_ms
         attempt = running.attempt
         remaining_ms = max(1, int(running.deadline_at_ms - now_ms))
         dialect = self._dialect
@@ -307,6 +311,8 @@
         elif not result.was_sent and self.life.state is UpstreamState.READY:
             self._lose(result.reason, now_ms - self._heard_ms)
         if running is not None:
+            if running.started_ms is not None:
+                self._metrics.upstream_times.add(now_ms - running.started_ms)
             if outcome.kind is not OutcomeKind.ANSWERED:
                 self._log.write(
                     "attempt failed",
--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -1,82 +1,132 @@
-"""Counters and histograms, as a page in the Prometheus text format."""
+"""The metrics of a node as a page in the Prometheus text format.
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+``prometheus_client`` takes 40 ms and several MB to import, so this module is imported
+when the page is asked for first.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+
+from prometheus_client import CollectorRegistry
 from prometheus_client.exposition import generate_latest
+from prometheus_client.metrics_core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
 
-from ibisspoke_policy.route_table import Route
+from .metrics import TIME_BUCKETS_MS, Labels, NodeMetrics, TimeHistogram
 
-LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
+GAUGE_TEXTS = {
+    "config_version": "Version of the configuration in force.",
+    "config_proof_age_seconds": "Age of the proof that it is current.",
+    "requests_running": "Requests at the upstream of this VM.",
+    "requests_queued": "Requests that wait for it.",
+    "upstream_limit": "Requests that may run there at once.",
+    "upstream_service_seconds": "Average time that one takes.",
+    "upstream_pressure": "Share of requests that starve at services deeper down.",
+    "peers_alive": "Nodes heard of lately.",
+    "peers_draining": "Nodes whose upstream leaves.",
+    "peers_silent": "Nodes known but not heard of lately.",
+    "loop_lag_seconds": "How late the last tick ran.",
+    "log_lines_lost": "Lines that a slow reader of the log lost.",
+    "connections_opened": "Connections opened to the upstream.",
+    "caller_connections": "Open connections of callers.",
+    "caller_requests": "Requests of callers without an answer yet.",
+    "link_calls": "Calls to other nodes without an outcome yet.",
+    "retries_left": "Retries that this node may still make in the window.",
+}
 
 
-class RequestMetrics:
-    """Metrics of the requests, the store and the state of one node."""
+class _NodeCollector(Collector):
+    def __init__(self, metrics: NodeMetrics, gauges: dict[str, float]) -> None:
+        self._metrics = metrics
+        self._gauges = gauges
 
-    def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        self._answered = Counter(
-            "ibisspoke_answers",
-            "Answers of upstreams.",
-            ["priority", "status"],
-            registry=self.registry,
+    def collect(self) -> Iterator[Metric]:
+        """Yield all metrics."""
+        metrics = self._metrics
+        yield _counter(
+            "answers", "Answers of upstreams.", ["priority", "status"], metrics.answers
         )
-        self._refused = Counter(
-            "ibisspoke_refusals",
+        yield _counter(
+            "refusals",
             "Final answers of the node's own.",
             ["status", "reason"],
-            registry=self.registry,
-        )
-        self._latency = Histogram(
-            "ibisspoke_answer_seconds",
-            "Time from a whole request to its answer.",
-            ["priority"],
-            buckets=LATENCY_BUCKETS_S,
-            registry=self.registry,
+            metrics.refusals,
         )
-        self._retries = Counter(
-            "ibisspoke_retries",
+        yield _counter(
+            "retries",
             "Requests sent to another node, by what the first gave.",
             ["outcome"],
-            registry=self.registry,
+            metrics.retries,
         )
-        self.store_calls = Counter(
-            "ibisspoke_store_calls",
+        yield _counter(
+            "rate_decisions",
+            "Requests of organisations with a rate, by who decided and how.",
+            ["decision"],
+            metrics.rate_decisions,
+        )
+        yield _counter(
+            "store_calls",
             "Calls to the store.",
             ["call", "outcome"],
-            registry=self.registry,
+            metrics.store_calls,
+        )
+        yield _histogram(
+            "answer",
+            "From a whole request to its answer.",
+            metrics.answer_times.items(),
         )
-        self.gauges = {
-            name: Gauge(f"ibisspoke_{name}", text, registry=self.registry)
-            for name, text in _GAUGES.items()
-        }
+        yield _histogram(
+            "queue", "Waited for room at the upstream.", [("", metrics.queue_times)]
+        )
+        yield _histogram(
+            "upstream", "At the upstream of this VM.", [("", metrics.upstream_times)]
+        )
+        yield _histogram(
+            "link",
+            "Attempts at other nodes, there and back.",
+            [("", metrics.link_times)],
+        )
+        for name, value in self._gauges.items():
+            yield GaugeMetricFamily(f"ibisspoke_{name}", GAUGE_TEXTS[name], value)
 
-    def answered(self, route: Route, status: int, took_ms: float) -> None:
-        """Count an answer of an upstream."""
-        self._answered.labels(route.priority, status).inc()
-        self._latency.labels(route.priority).observe(took_ms / 1000.0)
 
-    def refused(self, status: int, reason: str) -> None:
-        """Count a final answer of the node's own."""
-        self._refused.labels(status, reason[:40]).inc()
+def metrics_page(metrics: NodeMetrics, gauges: dict[str, float]) -> bytes:
+    """Return the page.
 
-    def count_retry(self, service: str, outcome: str) -> None:
-        """Count a request that is sent to another node."""
-        self._retries.labels(outcome).inc()
+    :param gauges: values of the moment, by the names in ``GAUGE_TEXTS``.
+    """
+    registry = CollectorRegistry()
+    registry.register(_NodeCollector(metrics, gauges))
+    return generate_latest(registry)
 
-    def page(self) -> bytes:
-        """Return the page."""
-        return generate_latest(self.registry)
 
+def _counter(
+    name: str, text: str, labels: list[str], counts: Counter[Labels]
+) -> Metric:
+    family = CounterMetricFamily(f"ibisspoke_{name}", text, labels=labels)
+    for values, n in counts.items():
+        family.add_metric(list(values), n)
+    return family
 
-_GAUGES = {
-    "config_version": "Version of the configuration in force.",
-    "config_proof_age_seconds": "Age of the proof that it is current.",
-    "requests_running": "Requests at the upstream of this VM.",
-    "requests_queued": "Requests that wait for it.",
-    "upstream_limit": "Requests that may run there at once.",
-    "upstream_service_seconds": "Average time that one takes.",
-    "upstream_pressure": "Share of requests that starve at services deeper down.",
-    "peers_alive": "Nodes heard of lately.",
-    "loop_lag_seconds": "How late the last tick ran.",
-    "log_lines_lost": "Lines that a slow reader of the log lost.",
-    "connections_opened": "Connections opened to the upstream.",
-}
+
+def _histogram(
+    name: str, text: str, times: Iterable[tuple[str, TimeHistogram]]
+) -> Metric:
+    labelled = list(times)
+    labels = ["priority"] if any(label for label, _ in labelled) else []
+    family = HistogramMetricFamily(f"ibisspoke_{name}_seconds", text, labels=labels)
+    for label, histogram in labelled:
+        buckets: list[tuple[str, float]] = []
+        n = 0
+        for bound_ms, count in zip(TIME_BUCKETS_MS, histogram.counts, strict=False):
+            n += count
+            buckets.append((str(bound_ms / 1000.0), n))
+        buckets.append(("+Inf", sum(histogram.counts)))
+        values = [label] if labels else []
+        family.add_metric(values, buckets, histogram.sum_ms / 1000.0)
+    return family
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -11,7 +11,7 @@
 from ibisspoke_policy.retry_window import RetryBudget
 from ibisspoke_policy.route_table import CallerLimits, RouteTable
 from ibisspoke_policy.shared_rate import SharedRates
-from ibisspoke_policy.upstream_life import Life
+from ibisspoke_policy.upstream_life import Life, UpstreamState
 
 from .acceptance import Acceptance
 from .caller_server import (
@@ -31,7 +31,7 @@
 from .fleet import Fleet, MemberRecord
 from .gate import Gate
 from .member_rows import MemberRows
-from .metrics_page import RequestMetrics
+from .metrics import NodeMetrics
 from .node_ranks import NodeRanks
 from .peer_link import Origin
 from .peer_server import PeerCalls, PeerConnection
@@ -81,7 +81,7 @@
         settings: NodeSettings,
         adapter: Adapter,
         clock: Clock,
-        metrics: RequestMetrics,
+        metrics: NodeMetrics,
         pipe: PipeHandler | None = None,
     ) -> None:
         self.settings = settings
@@ -110,6 +110,7 @@
             adapter.dialect,
             clock,
             self.log,
+            metrics,
             settings.heartbeat_ms,
             settings.drain_ms,
         )
@@ -205,9 +206,10 @@
 
     async def metrics_answer(self, request: CallerRequest) -> CallerAnswer:
         """Answer with the metrics."""
-        self._set_gauges()
+        from .metrics_page import metrics_page  # its library is large
+
         headers = b"content-type: text/plain; version=0.0.4\r\n"
-        return CallerAnswer(200, headers, self.metrics.page())
+        return CallerAnswer(200, headers, metrics_page(self.metrics, self._gauges()))
 
     async def run_ticks(self) -> None:
         """Run the systems each tick, until cancelled."""
@@ -334,11 +336,14 @@
         if life.latest is not None and self._stopping_ms is None:
             self.rows.publish()
 
-    def _set_gauges(self) -> None:
+    def _gauges(self) -> dict[str, float]:
+        """Return the values of this moment, by name."""
         now_ms = self.clock.now_ms()
         load = self.gate.load()
-        n_alive = sum(p.is_alive(now_ms) for p in self.fleet.peers_by_id.values())
-        values = {
+        peers = list(self.fleet.peers_by_id.values())
+        n_alive = sum(peer.is_alive(now_ms) for peer in peers)
+        draining = UpstreamState.DRAINING
+        return {
             "config_version": self.config.version,
             "config_proof_age_seconds": self.config.proof_age_ms() / 1000.0,
             "requests_running": load.n_running,
@@ -347,12 +352,16 @@
             "upstream_service_seconds": load.service_ms / 1000.0,
             "upstream_pressure": load.pressure,
             "peers_alive": n_alive,
+            "peers_draining": sum(peer.record.state is draining for peer in peers),
+            "peers_silent": len(peers) - n_alive,
             "loop_lag_seconds": self._lag_ms / 1000.0,
             "log_lines_lost": self._pipe.n_lost if self._pipe else 0,
             "connections_opened": self.pool.n_opened,
+            "caller_connections": len(self.callers.connections),
+            "caller_requests": self.callers.n_active,
+            "link_calls": sum(peer.link.n_pending for peer in peers),
+            "retries_left": self.retries.left(self.gate.service, now_ms),
         }
-        for name, value in values.items():
-            self.metrics.gauges[name].set(value)
 
 
 @asynccontextmanager
--- a/packages/policy/ibisspoke_policy/retry_window.py
+++ b/packages/policy/ibisspoke_policy/retry_window.py
@@ -32,14 +32,18 @@
 
     def take(self, service: str, now_ms: float) -> bool:
         """Count a retry, unless that would exceed the share."""
-        bucket = self._bucket(service, now_ms)
+        if self.left(service, now_ms) < 1.0:
+            return False
+        self._bucket(service, now_ms)[2] += 1
+        return True
+
+    def left(self, service: str, now_ms: float) -> float:
+        """Return how many retries are allowed now."""
+        self._bucket(service, now_ms)
         buckets = self._buckets_by_service[service]
         n_requests = sum(entry[1] for entry in buckets)
         n_retries = sum(entry[2] for entry in buckets)
-        if n_retries + 1 > self.ratio * n_requests + self.slack:
-            return False
-        bucket[2] += 1
-        return True
+        return self.ratio * n_requests + self.slack - n_retries
 
     def _bucket(self, service: str, now_ms: float) -> list[float]:
         buckets = self._buckets_by_service.setdefault(service, deque())
@@ -79,6 +83,10 @@
         self._resends.count_request(service, now_ms)
         self._reruns.count_request(service, now_ms)
 
+    def left(self, service: str, now_ms: float) -> float:
+        """Return how many more requests may be sent again that did not run."""
+        return self._resends.left(service, now_ms)
+
     def take(self, service: str, has_run: bool, now_ms: float) -> bool:
         """Count a retry, unless that would exceed the share."""
         window = self._reruns if has_run else self._resends
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -151,13 +151,15 @@
         """Return whether requests are running but none has ended for long."""
         if not self._running_by_id:
             return False
+        oldest_ms = next(iter(self._running_by_id.values())).started_ms
+        stalled_ms = now_ms - max(self._progress_ms, oldest_ms)
+        if stalled_ms <= MAX_STALL_MS:
+            return False
         slowest_ms = max(
             self.times.expected_ms(running.offer.route)
             for running in self._running_by_id.values()
         )
-        patience_ms = max(MAX_STALL_MS, STALL_SERVICE_TIMES * slowest_ms)
-        oldest_ms = next(iter(self._running_by_id.values())).started_ms
-        return now_ms - max(self._progress_ms, oldest_ms) > patience_ms
+        return stalled_ms > STALL_SERVICE_TIMES * slowest_ms
 
     def wait_ms(self, rank: tuple[int, int]) -> float:
         """Return how long a new request of ``rank`` would wait."""
--- a/tests/fleet/fleet_harness.py
+++ b/tests/fleet/fleet_harness.py
@@ -19,7 +19,7 @@
 from ibisspoke_adapter.headers import DIALECT
 from ibisspoke_adapter.store import PlatformStore
 from ibisspoke_mesh.caller_server import DEFAULT_LIMITS, CallerConnection, ServerState
-from ibisspoke_mesh.metrics_page import RequestMetrics
+from ibisspoke_mesh.metrics import NodeMetrics
 from ibisspoke_mesh.node import Adapter, Node, running_node
 from ibisspoke_mesh.settings import NodeSettings
 from ibisspoke_policy.clock import Clock
@@ -163,7 +163,7 @@
 
 def new_node(settings: NodeSettings) -> Node:
     """Return a node that does not run yet."""
-    metrics = RequestMetrics()
+    metrics = NodeMetrics()
     adapter = Adapter(
         DIALECT,
         PlatformStore(*settings.store, metrics),
