--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -11,8 +11,6 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.route_table import CallerLimits
 
-from .sockets import watch_liveness
-
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -116,7 +114,6 @@
         """Take in the new connection."""
         self._transport = cast(asyncio.Transport, transport)
         self._state.connections.add(self)
-        watch_liveness(transport)
 
     def data_received(self, data: bytes) -> None:
         """Take in received bytes."""
--- a/packages/mesh/ibisspoke_mesh/status_exchange.py
+++ b/packages/mesh/ibisspoke_mesh/status_exchange.py
@@ -114,8 +114,7 @@
             if peer.distance.same_data_centre and is_due:
                 self._send(peer)
         is_tight = any(self._rates.is_tight(name) for name in news)
-        has_record = self._rng.random() < RECORD_SHARE
-        self._relay.tick(self._status(own, has_record), is_tight)
+        self._relay.tick(self._relayed_status, is_tight)
         self._ask_for_proof(now_ms)
 
     def broadcast(self) -> None:
@@ -151,6 +150,11 @@
                 names.append(usage.organisation)
         return names
 
+    def _relayed_status(self) -> NodeStatus:
+        own = self._fleet.own
+        assert own is not None
+        return self._status(own, has_record=self._rng.random() < RECORD_SHARE)
+
     def _has_version_to_tell(self) -> bool:
         """Whether this node has a new version that the others learn from it."""
         is_new = self._config.version > self._told_version
--- a/packages/mesh/ibisspoke_mesh/status_relay.py
+++ b/packages/mesh/ibisspoke_mesh/status_relay.py
@@ -54,9 +54,10 @@
         """Take in the status that a node of this data centre has told."""
         self._latest_by_node[status.node] = (status, self._clock.now_ms())
 
-    def tick(self, own: NodeStatus, is_tight: bool) -> None:
+    def tick(self, own_status: Callable[[], NodeStatus], is_tight: bool) -> None:
         """Send digests where they are due, if this node is to.
 
+        :param own_status: returns what this node tells of itself.
         :param is_tight: whether nodes must soon agree on what is left of a rate.
         """
         rank = self._ranks.relay_rank
@@ -67,7 +68,8 @@
             sent_ms = self._sent_ms_by_data_centre.get(data_centre, float("-inf"))
             if now_ms - sent_ms >= _interval_ms(peers[0], is_tight):
                 self._sent_ms_by_data_centre[data_centre] = now_ms
-                self._send_digests(peers[min(rank, len(peers) - 1)], own, now_ms)
+                target = peers[min(rank, len(peers) - 1)]
+                self._send_digests(target, own_status(), now_ms)
 
     def take(self, digest: Digest) -> None:
         """Take in a digest, and pass it on if it came from another data centre."""
--- a/packages/policy/ibisspoke_policy/_rate_account.py
+++ b/packages/policy/ibisspoke_policy/_rate_account.py
@@ -109,7 +109,8 @@
         self._fleet_demand = 0.0
         self._n_nodes = 1
         self._shared_ms = float("-inf")
-        self._refilled_ms = now_ms
+        self._filled_ms = now_ms
+        self._share_filled_ms = now_ms
         self._demand = _Demand(now_ms)
         self._flow_by_node: dict[str, _NodeFlow] = {}
         self._seen_by_node: dict[str, Usage] = {}
@@ -179,6 +180,7 @@
 
         :param is_baseline: whether the first totals only set the start of the counting.
         """
+        self._fill(now_ms)
         seen = self._seen_by_node.get(node)
         self._seen_by_node[node] = usage
         flow = self._flow_by_node.get(node)
@@ -204,12 +206,10 @@
         self._seen_by_node.pop(node, None)
 
     def refill(self, is_starting: bool, n_nodes: int, now_ms: float) -> None:
-        """Bring the bucket up to date."""
-        elapsed_s = max(0.0, now_ms - self._refilled_ms) / 1000.0
-        self._refilled_ms = now_ms
-        self._ease(now_ms, elapsed_s * 1000.0)
-        full = self.burst + self._unreported  # reports to come will take that out
-        self.level = min(full, self.level + self.rate * elapsed_s)
+        """Bring the bucket and the own share up to date."""
+        self._fill(now_ms)
+        elapsed_s = max(0.0, now_ms - self._share_filled_ms) / 1000.0
+        self._share_filled_ms = now_ms
         if now_ms - self._shared_ms >= SHARE_INTERVAL_MS:
             self._shared_ms = now_ms
             self._share_out(is_starting, max(1, n_nodes), now_ms)
@@ -218,6 +218,15 @@
         most = max(kept, own_rate * SHARE_BURST_S)
         self._share_level = min(most, self._share_level + own_rate * elapsed_s)
 
+    def _fill(self, now_ms: float) -> None:
+        elapsed_ms = max(0.0, now_ms - self._filled_ms)
+        self._filled_ms = now_ms
+        self._ease(now_ms, elapsed_ms)
+        is_told = now_ms - self._shared_ms < REPORT_LAG_S * 1000.0
+        to_come = self._unreported if is_told else self.rate * REPORT_LAG_S
+        full = self.burst + to_come  # reports will take that out
+        self.level = min(full, self.level + self.rate * elapsed_ms / 1000.0)
+
     def _ease(self, now_ms: float, elapsed_ms: float) -> None:
         """Let a lowered limit sink a little further, in the last part of its time."""
         if self.rate == self._target.rate and self.burst == self._target.burst:
--- a/packages/policy/ibisspoke_policy/shared_rate.py
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -123,7 +123,6 @@
         for usage in usages:
             account = self._accounts_by_name.get(usage.organisation)
             if account is not None:
-                self._refill(account, now_ms)
                 account.take_report(node, usage, is_baseline, now_ms)
 
     def heard(self, node: str, told_ms: float) -> None:
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -97,6 +97,19 @@
         return self._by_priority.get(priority, 0.0) / total
 
 
+class _Queued(NamedTuple):
+    """A request that waits; in order of rank, then of arrival.
+
+    :param work_ms: what it will probably take at the upstream.
+    """
+
+    rank: tuple[int, int]
+    arrived_ms: float
+    id: int
+    offer: Offer
+    work_ms: float
+
+
 class _Running(NamedTuple):
     offer: Offer
     started_ms: float
@@ -115,7 +128,7 @@
         self._failures = DecayingShare(OUTCOME_WEIGHT, FAILURE_HALF_LIFE_MS)
         self._starved = DecayingShare(OUTCOME_WEIGHT, PRESSURE_HALF_LIFE_MS)
         self._shares = _TimeShares(now_ms)
-        self._queue: list[tuple[tuple[int, int], float, int, Offer]] = []
+        self._queue: list[_Queued] = []
         self._running_by_id: dict[int, _Running] = {}
         self._progress_ms = now_ms
 
@@ -165,16 +178,19 @@
         """Return how long a new request of ``rank`` would wait."""
         if self.limit <= 0:
             return float("inf")
-        return self._wait_behind(bisect.bisect_right(self._queue, (rank, math.inf)))
+        n_ahead = bisect.bisect_right(self._queue, (rank, math.inf))
+        return self._wait_behind(
+            n_ahead, sum(entry.work_ms for entry in self._queue[:n_ahead])
+        )
+
+    def _wait_behind(self, n_ahead: int, work_ms: float) -> float:
+        """Return how long the request behind ``n_ahead`` others would wait.
 
-    def _wait_behind(self, n_ahead: int) -> float:
-        """Return how long the request behind the first ``n_ahead`` would wait."""
+        :param work_ms: what these will take.
+        """
         if self.n_running + n_ahead < self.limit:
             return 0.0
-        work_ms = self.times.overall_ms
-        for entry in self._queue[:n_ahead]:
-            work_ms += self.times.expected_ms(entry[3].route)
-        return work_ms / self.limit
+        return (self.times.overall_ms + work_ms) / self.limit
 
     def offer(self, offer: Offer) -> QueueError | None:
         """Queue a request, or return why it is refused."""
@@ -185,7 +201,8 @@
             return QueueError.STALLED
         if not self._is_worth_waiting(offer, self.wait_ms(offer.rank)):
             return QueueError.FULL
-        entry = (offer.rank, offer.arrived_ms, offer.id, offer)
+        work_ms = self.times.expected_ms(offer.route)
+        entry = _Queued(offer.rank, offer.arrived_ms, offer.id, offer, work_ms)
         bisect.insort(self._queue, entry)
         return None
 
@@ -193,7 +210,7 @@
         """Return the next request to run, and count it as running."""
         if not self._queue or self.n_running >= self.limit:
             return None
-        offer = self._queue.pop(self._next_index())[3]
+        offer = self._queue.pop(self._next_index()).offer
         if not self._running_by_id:
             self._progress_ms = now_ms
         self._running_by_id[offer.id] = _Running(offer, now_ms)
@@ -219,8 +236,8 @@
 
         Less urgent ones keep a part of the upstream's time, so that none starves.
         """
-        last = self._queue[-1][3].rank[0]
-        if last == self._queue[0][3].rank[0]:
+        last = self._queue[-1].rank[0]
+        if last == self._queue[0].rank[0]:
             return 0
         if self._shares.share(last) >= MIN_TIME_SHARE:
             return 0
@@ -232,7 +249,7 @@
         :returns: False if it is running or unknown.
         """
         for index, entry in enumerate(self._queue):
-            if entry[2] == offer_id:
+            if entry.id == offer_id:
                 del self._queue[index]
                 return True
         return False
@@ -240,29 +257,37 @@
     def tick(self, now_ms: float) -> list[tuple[Offer, QueueError]]:
         """Remove requests whose wait has become useless, and return them."""
         removed: list[tuple[Offer, QueueError]] = []
-        kept = []
-        for position, entry in enumerate(self._queue):
-            error = self._fate(entry[3], position, now_ms)
+        kept: list[_Queued] = []
+        ahead_ms = 0.0
+        is_stalled = self.is_stalled(now_ms)
+        for entry in self._queue:
+            wait_ms = self._wait_behind(len(kept), ahead_ms)
+            error = self._fate(entry.offer, wait_ms, is_stalled, now_ms)
             if error is None:
                 kept.append(entry)
+                ahead_ms += entry.work_ms
             else:
-                removed.append((entry[3], error))
+                removed.append((entry.offer, error))
         self._queue = kept
         return removed
 
-    def _fate(self, offer: Offer, position: int, now_ms: float) -> QueueError | None:
+    def _fate(
+        self, offer: Offer, wait_ms: float, is_stalled: bool, now_ms: float
+    ) -> QueueError | None:
+        """Return why a request is removed, or None.
+
+        :param wait_ms: that it has still before it.
+        """
         if self.is_leaving:
             return QueueError.LEAVING
         if now_ms >= offer.expires_ms:
             return QueueError.EXPIRED
-        if self.is_stalled(now_ms):
+        if is_stalled:
             return QueueError.STALLED
         early_ms = offer.arrived_ms + EARLY_SHARE * offer.patience_ms
         if now_ms <= early_ms:
             waited_ms = now_ms - offer.arrived_ms
-            if not self._is_worth_waiting(
-                offer, self._wait_behind(position) + waited_ms
-            ):
+            if not self._is_worth_waiting(offer, wait_ms + waited_ms):
                 return QueueError.PREEMPTED
         return None
 
