--- a/packages/mesh/ibisspoke_mesh/acceptance.py
+++ b/packages/mesh/ibisspoke_mesh/acceptance.py
@@ -182,8 +182,8 @@
         service = self.splitter.pick(route)
         self._retries.count_request(service, now_ms)
         if not is_nested(route, holder):
-            pressure = self._fleet.pressure(service)
-            if not self._shedder.admits(service, route.priority, pressure, now_ms):
+            pressure = self._fleet.pressure(service, route.name)
+            if not self._shedder.admits(route.name, route.priority, pressure, now_ms):
                 if holder is not None:
                     self._rates.give_back(holder.organisation)
                 wait_ms = caller_ms * MAX_RETRY_SHARE * self._rng.uniform(0.5, 1.0)
--- a/packages/mesh/ibisspoke_mesh/dialect.py
+++ b/packages/mesh/ibisspoke_mesh/dialect.py
@@ -1,5 +1,6 @@
 """Names of the headers that callers, nodes and upstreams exchange."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 
@@ -12,9 +13,10 @@
     :param organisation: tells the upstream whose request it is.
     :param caller_service: tells the upstream which service called.
     :param expected_instance: only the upstream of that id may run the request.
-    :param instance: the id of the upstream that answers.
     :param signature: marks an answer as the upstream's own.
     :param not_run: marks an answer to a request that did not run.
+    :param parent_id: returns the id of the request that an upstream served when it sent
+        the one of a given id; empty where ids do not tell.
     """
 
     request_id: bytes
@@ -23,9 +25,9 @@
     organisation: bytes
     caller_service: bytes
     expected_instance: bytes
-    instance: bytes
     signature: bytes
     not_run: bytes
+    parent_id: Callable[[bytes], bytes]
 
     @property
     def set_by_nodes(self) -> frozenset[bytes]:
--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -28,9 +28,9 @@
 MAX_NODES = 4  # nodes asked for one request; refusals of a node cost no upstream
 MARGIN_MS = 25.0  # kept from the time left, so that the end is told in time
 RETRY_SPREAD = 0.2  # of the time left over which callers are asked to come back
+ROOMLESS = (OutcomeKind.REFUSED, OutcomeKind.SHED, OutcomeKind.TIMED_OUT)
 MIN_RERUN_MS = 100.0  # that must be left for running a request again
-STARVED_PRESSURE = 0.03  # from which failures of a service are put down to overload
-NESTED_PRIORITY = -1  # before all others: work has been done for these
+UNKNOWN_PARENT_RANK = (-1, 0)  # before all others: work has been done for these
 
 
 class Progress:
@@ -97,7 +97,8 @@
         finally:
             self._acceptance.settle(accepted, progress.may_have_run)
         if accepted.is_nested:
-            self._gate.note_nested(self._has_starved(accepted, outcome))
+            parent_id = self._dialect.parent_id(request_id)
+            self._gate.note_nested(parent_id, _has_starved(outcome))
         return self._final(request, accepted, progress, outcome)
 
     async def _accept(
@@ -115,13 +116,6 @@
         assert not isinstance(granted, RateQuestion)
         return granted
 
-    def _has_starved(self, accepted: Accepted, outcome: Outcome) -> bool:
-        """Tell whether a request failed for want of room here or deeper down."""
-        if outcome.kind is OutcomeKind.ANSWERED:
-            pressure = self._fleet.pressure(accepted.service)
-            return outcome.status >= 500 and pressure > STARVED_PRESSURE
-        return outcome.kind in (OutcomeKind.REFUSED, OutcomeKind.TIMED_OUT)
-
     async def _attempts(
         self, request: CallerRequest, accepted: Accepted, progress: Progress
     ) -> Outcome:
@@ -172,7 +166,7 @@
             request.body,
             request.method == b"HEAD",
             route.idempotent,
-            _rank(accepted),
+            self._rank(accepted),
             accepted.deadline_ms - now_ms - MARGIN_MS,
             route.objective_ms,
         )
@@ -223,7 +217,7 @@
         if outcome.kind is not OutcomeKind.SHED:
             if not accepted.route.idempotent:
                 return False
-            if self._fleet.pressure(accepted.service) > STARVED_PRESSURE:
+            if outcome.has_starved:
                 return False
             progress.best = _better(progress.best, outcome)
         if progress.n_sent >= accepted.route.max_attempts:
@@ -233,6 +227,21 @@
         has_run = outcome.kind is not OutcomeKind.SHED
         return self._retries.take(accepted.service, has_run, now_ms)
 
+    def _rank(self, accepted: Accepted) -> tuple[int, int]:
+        """Return the order in which a request runs.
+
+        Calls of an upstream follow the request that it serves, just before others of
+        that priority: work has been done for these. Priorities are doubled for that.
+        """
+        route, holder = accepted.route, accepted.holder
+        if not accepted.is_nested:
+            return (2 * route.priority, holder.priority if holder is not None else 0)
+        parent = self._gate.rank_of(self._dialect.parent_id(accepted.id))
+        if parent is None:
+            return UNKNOWN_PARENT_RANK
+        priority, organisation_priority = parent
+        return (priority if priority % 2 else priority - 1, organisation_priority)
+
     def _head(self, request: CallerRequest, accepted: Accepted) -> bytes:
         """Return request line and headers as the upstream gets them."""
         lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
@@ -318,11 +327,11 @@
         return CallerAnswer(refusal.status, headers, b"")
 
 
-def _rank(accepted: Accepted) -> tuple[int, int]:
-    route, holder = accepted.route, accepted.holder
-    if accepted.is_nested:
-        return (NESTED_PRIORITY, route.priority)
-    return (route.priority, holder.priority if holder is not None else 0)
+def _has_starved(outcome: Outcome) -> bool:
+    """Tell whether a request failed for want of room here or deeper down."""
+    if outcome.kind is OutcomeKind.ANSWERED:
+        return outcome.has_starved
+    return outcome.kind in ROOMLESS
 
 
 def _better(best: Outcome | None, latest: Outcome) -> Outcome:
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -64,7 +64,7 @@
         self.record = record
         self.link = link
         self.distance = distance
-        self.load = Load(0, 0, record.n_slots, 0.0, 0.0, 0.0)
+        self.load = Load(0, 0, record.n_slots, 0.0, 0.0, ())
         self.pace = Pace()
         self.n_own_known = 0
         self.known_ms = now_ms
@@ -116,7 +116,7 @@
         self.own: MemberRecord | None = None
         self.profiles = RouteProfiles()
         self._own_pace = Pace()
-        self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, 0.0, 0.0, 0.0)
+        self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, 0.0, 0.0, ())
         self.own_cold_until_ms = 0.0
         self._settings = settings
         self._origin = origin
@@ -137,7 +137,7 @@
             return peer
         if peer is not None and record.incarnation == peer.record.incarnation:
             if peer.record.instance != record.instance:
-                peer.load = Load(0, 0, record.n_slots, 0.0, 0.0, 0.0)
+                peer.load = Load(0, 0, record.n_slots, 0.0, 0.0, ())
             self._log_change(record, peer.record)
             self._remove(peer)
             peer.record = record
@@ -209,17 +209,27 @@
         profile.add(took_ms, pace.at(now_ms) or 1.0, n_bytes)
         pace.add(took_ms, profile.usual_ms, now_ms)
 
-    def pressure(self, service: str) -> float:
-        """Return the share of a service's requests that starve deeper down."""
+    def pressure(self, service: str, route: str) -> float:
+        """Return the share of a route's requests that starve deeper down.
+
+        Upstreams count by what they run, so that idle ones do not hide the others.
+        """
         now_ms = self._clock.now_ms()
-        pressures = [
-            peer.load.pressure
+        loads = [
+            peer.load
             for peer in self._peers_by_service.get(service, {}).values()
             if peer.record.state is UpstreamState.READY and peer.is_alive(now_ms)
         ]
         if self.own is not None and _serves(self.own, service):
-            pressures.append(self.own_load().pressure)
-        return sum(pressures) / len(pressures) if pressures else 0.0
+            loads.append(self.own_load())
+        total = starved = 0.0
+        for load in loads:
+            weight = load.n_running + 1.0
+            total += weight
+            for name, share in load.pressures:
+                if name == route:
+                    starved += weight * share
+        return starved / total if total else 0.0
 
     def tick(self) -> None:
         """Look after the links."""
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -28,6 +28,7 @@
     :param headers: of the answer, as lines on the wire.
     :param reason: why there is no answer.
     :param retry_after_ms: when there may be room.
+    :param has_starved: whether it failed for want of room at a service deeper down.
     """
 
     kind: OutcomeKind
@@ -36,6 +37,7 @@
     body: bytes = b""
     reason: str = ""
     retry_after_ms: float = 0.0
+    has_starved: bool = False
 
 
 class Attempt(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/mesh/ibisspoke_mesh/gate.py
+++ b/packages/mesh/ibisspoke_mesh/gate.py
@@ -4,6 +4,8 @@
 import itertools
 from collections.abc import Callable
 
+import msgspec
+
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.decaying_share import DecayingShare
 from ibisspoke_policy.upstream_life import (
@@ -28,7 +30,7 @@
 
 LOST_HEARTBEATS = 3.0  # intervals without a heartbeat or an answer until it is absent
 DRAIN_QUEUE_SHARE = 0.4  # of the drain time in which queued requests may still start
-NESTED_WEIGHT = 0.05  # of one call of the upstream; about the last twenty
+NESTED_WEIGHT = 0.05  # of one call of unknown parent; about the last twenty
 NESTED_HALF_LIFE_MS = 1_000.0  # longer than a request runs on after its call failed
 NESTED_STARVED_SHARE = 0.04  # from which failures of the upstream are put down to it
 MIN_RETRY_AFTER_MS = 100.0
@@ -40,7 +42,13 @@
 class _Running:
     """One attempt from its offer to its outcome."""
 
-    __slots__ = ("attempt", "deadline_at_ms", "on_outcome", "started_ms")
+    __slots__ = (
+        "attempt",
+        "deadline_at_ms",
+        "has_starved",
+        "on_outcome",
+        "started_ms",
+    )
 
     def __init__(
         self, attempt: Attempt, deadline_at_ms: float, on_outcome: OnOutcome
@@ -49,6 +57,7 @@
         self.deadline_at_ms = deadline_at_ms
         self.on_outcome = on_outcome
         self.started_ms: float | None = None
+        self.has_starved = False
 
 
 class Gate:
@@ -84,6 +93,7 @@
         self._drain_ms = drain_ms
         self._ids = itertools.count(1)
         self._running: dict[int, _Running] = {}
+        self._number_by_request_id: dict[bytes, int] = {}
         self._nested_starved = DecayingShare(NESTED_WEIGHT, NESTED_HALF_LIFE_MS)
         self._heard_ms = clock.now_ms()
         self._draining_ms: float | None = None
@@ -190,6 +200,7 @@
             self._refuse(on_outcome, error, self.queue.wait_ms(attempt.rank))
             return number
         self._running[number] = _Running(attempt, offer.expires_ms, on_outcome)
+        self._number_by_request_id[attempt.request_id] = number
         self._start_ready()
         return number
 
@@ -201,7 +212,7 @@
         running = self._running.get(number)
         if running is None or running.started_ms is not None:
             return False
-        del self._running[number]
+        self._forget(number)
         self.queue.withdraw(number)
         return True
 
@@ -217,7 +228,7 @@
         running = self._running.get(number)
         if running is None or not running.attempt.idempotent:
             return True
-        del self._running[number]
+        self._forget(number)
         was_sent = self._pool.cancel(number)
         self.queue.finish(number, self._clock.now_ms(), Ending.DROPPED)
         self._start_ready()
@@ -232,7 +243,7 @@
             if waited_ms > self._drain_ms * DRAIN_QUEUE_SHARE:
                 self.queue.is_leaving = True
         for offer, error in self.queue.tick(now_ms):
-            running = self._running.pop(offer.id, None)
+            running = self._forget(offer.id)
             if running is not None:
                 self._refuse(running.on_outcome, error, self.queue.wait_ms(offer.rank))
         silent_ms = now_ms - self._heard_ms
@@ -246,7 +257,7 @@
         old = self.queue
         old.is_leaving = True
         for offer, error in old.tick(self._clock.now_ms()):
-            running = self._running.pop(offer.id, None)
+            running = self._forget(offer.id)
             if running is not None:
                 self._refuse(running.on_outcome, error, NOT_FOUND_HERE_MS)
         return UpstreamQueue(limit, self._clock.now_ms())
@@ -303,9 +314,12 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         self._pool.release(number)
-        running = self._running.pop(number, None)
+        running = self._forget(number)
         outcome = _outcome_of(result)
-        queue.finish(number, now_ms, self._ending(outcome))
+        ending = self._ending(outcome, running)
+        if ending is Ending.STARVED:
+            outcome = msgspec.structs.replace(outcome, has_starved=True)
+        queue.finish(number, now_ms, ending)
         if isinstance(result, UpstreamAnswer):
             self._heard_ms = now_ms
         elif not result.was_sent and self.life.state is UpstreamState.READY:
@@ -325,22 +339,47 @@
             running.on_outcome(outcome)
         self._start_ready()
 
-    def note_nested(self, has_starved: bool) -> None:
+    def rank_of(self, request_id: bytes) -> tuple[int, int] | None:
+        """Return the rank of a request that runs at the upstream now."""
+        running = self._running_by_request_id(request_id)
+        return running.attempt.rank if running is not None else None
+
+    def note_nested(self, parent_id: bytes, has_starved: bool) -> None:
         """Take in how a call that the upstream made has ended.
 
+        :param parent_id: of the request that it made the call for, if that is known.
         :param has_starved: whether it failed for want of room at its service or
             deeper down.
         """
-        self._nested_starved.add(has_starved, self._clock.now_ms())
-
-    def _ending(self, outcome: Outcome) -> Ending:
-        if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
+        parent = self._running_by_request_id(parent_id)
+        if parent is None:
+            self._nested_starved.add(has_starved, self._clock.now_ms())
+        elif has_starved:
+            parent.has_starved = True
+
+    def _running_by_request_id(self, request_id: bytes) -> _Running | None:
+        number = self._number_by_request_id.get(request_id)
+        running = self._running.get(number) if number is not None else None
+        return running if running and running.started_ms is not None else None
+
+    def _forget(self, number: int) -> _Running | None:
+        running = self._running.pop(number, None)
+        if running is not None:
+            request_id = running.attempt.request_id
+            if self._number_by_request_id.get(request_id) == number:
+                del self._number_by_request_id[request_id]
+        return running
+
+    def _ending(self, outcome: Outcome, running: _Running | None) -> Ending:
+        if outcome.kind is not OutcomeKind.ANSWERED:
+            return Ending.FAILED
+        if outcome.status < 500:
             return Ending.ANSWERED
-        is_answer = outcome.kind is OutcomeKind.ANSWERED
-        nested_share = self._nested_starved.at(self._clock.now_ms())
-        if is_answer and nested_share > NESTED_STARVED_SHARE:
+        if running is not None and running.has_starved:
             return Ending.STARVED
-        return Ending.FAILED
+        nested_share = self._nested_starved.at(self._clock.now_ms())
+        has_starved = nested_share > NESTED_STARVED_SHARE
+        return Ending.STARVED if has_starved else Ending.FAILED
 
     def _refuse(self, on_outcome: OnOutcome, reason: str, wait_ms: float) -> None:
         retry_after_ms = max(MIN_RETRY_AFTER_MS, min(wait_ms, 60_000.0))
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -350,7 +350,7 @@
             "requests_queued": load.n_queued,
             "upstream_limit": load.limit,
             "upstream_service_seconds": load.service_ms / 1000.0,
-            "upstream_pressure": load.pressure,
+            "upstream_pressure": max((p for _, p in load.pressures), default=0.0),
             "peers_alive": n_alive,
             "peers_draining": sum(peer.record.state is draining for peer in peers),
             "peers_silent": len(peers) - n_alive,
--- a/packages/mesh/ibisspoke_mesh/status_messages.py
+++ b/packages/mesh/ibisspoke_mesh/status_messages.py
@@ -12,6 +12,9 @@
 MARK_MASK = 0xFFFFFF  # few bytes, and hardly ever the same for two organisations
 
 
+PackedLoad = tuple[int, int, int, int, int, tuple[tuple[str, int], ...]]
+
+
 class NodeStatus(msgspec.Struct, array_like=True, frozen=True):
     """What a node tells of itself.
 
@@ -26,7 +29,7 @@
     incarnation: int
     revision: int
     record: MemberRecord | None
-    load: tuple[int, int, int, int, int, int]
+    load: PackedLoad
     cold_ms: int
     usages: list[tuple[int, int, int]]
     version: int
@@ -76,7 +79,7 @@
     return _decoder.decode(data)
 
 
-def packed_load(load: Load) -> tuple[int, int, int, int, int, int]:
+def packed_load(load: Load) -> PackedLoad:
     """Return a load in whole numbers, which take few bytes."""
     return (
         load.n_running,
@@ -84,20 +87,20 @@
         load.limit,
         int(load.service_ms),
         int(load.failure_share * 1000.0),
-        int(load.pressure * 1000.0),
+        tuple((route, int(share * 1000.0)) for route, share in load.pressures),
     )
 
 
-def unpacked_load(packed: tuple[int, int, int, int, int, int]) -> Load:
+def unpacked_load(packed: PackedLoad) -> Load:
     """Return the load that :func:`packed_load` has packed."""
-    n_running, n_queued, limit, service_ms, failures, pressure = packed
+    n_running, n_queued, limit, service_ms, failures, pressures = packed
     return Load(
         n_running,
         n_queued,
         limit,
         float(service_ms),
         failures / 1000.0,
-        pressure / 1000.0,
+        tuple((route, share / 1000.0) for route, share in pressures),
     )
 
 
--- a/packages/policy/ibisspoke_policy/dependency_shedding.py
+++ b/packages/policy/ibisspoke_policy/dependency_shedding.py
@@ -17,40 +17,37 @@
 
 
 class DependencyShedder:
-    """Admit a share of the requests of each service and priority.
+    """Admit a share of the requests of each route.
 
-    The share shrinks while the service reports that its requests fail for want of
+    The share shrinks while upstreams report that the route's requests fail for want of
     room deeper down, and grows slowly otherwise.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._share_by_class: dict[tuple[str, int], float] = {}
-        self._stepped_ms: dict[tuple[str, int], float] = {}
+        self._share_by_route: dict[str, float] = {}
+        self._stepped_ms_by_route: dict[str, float] = {}
 
     def __repr__(self) -> str:
-        return f"DependencyShedder({self._share_by_class})"
+        return f"DependencyShedder({self._share_by_route})"
 
-    def admits(
-        self, service: str, priority: int, pressure: float, now_ms: float
-    ) -> bool:
+    def admits(self, route: str, priority: int, pressure: float, now_ms: float) -> bool:
         """Return whether to go on with a request.
 
-        :param pressure: share of the service's requests that fail for want of room.
+        :param pressure: share of the route's requests that fail for want of room.
         """
-        key = (service, priority)
-        share = self._share_by_class.get(key)
+        share = self._share_by_route.get(route)
         if share is None:
             if pressure <= _tolerance(priority):
                 return True
             share = 1.0
-            self._stepped_ms[key] = now_ms - STEP_MS
-        if now_ms - self._stepped_ms[key] >= STEP_MS:
-            self._stepped_ms[key] = now_ms
+            self._stepped_ms_by_route[route] = now_ms - STEP_MS
+        if now_ms - self._stepped_ms_by_route[route] >= STEP_MS:
+            self._stepped_ms_by_route[route] = now_ms
             share = _stepped(share, pressure - _tolerance(priority))
-            self._share_by_class[key] = share
+            self._share_by_route[route] = share
             if share >= 1.0:
-                del self._share_by_class[key]
+                del self._share_by_route[route]
         return self._rng.random() < share
 
 
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -6,11 +6,11 @@
 from typing import NamedTuple
 
 from .decaying_share import DecayingShare
+from .route_pressure import RoutePressures
 from .service_times import ServiceTimes
 
 OUTCOME_WEIGHT = 0.08  # of one outcome in the shares; about the last dozen
 FAILURE_HALF_LIFE_MS = 3_000.0  # then an upstream that is avoided gets a new chance
-PRESSURE_HALF_LIFE_MS = 700.0  # an overload deeper down may end at any moment
 MIN_TIME_SHARE = 0.15  # of the upstream's time that less urgent requests keep
 MIN_TIME_MS = 2_000.0  # of the upstream's time, from which shares mean something
 TIME_HALF_LIFE_MS = 2_000.0  # over which that share is kept
@@ -53,8 +53,8 @@
     :param service_ms: the average time that one takes.
         0 where nothing has been answered yet.
     :param failure_share: recent share of requests that the upstream failed.
-    :param pressure: recent share of requests that failed for want of room in the
-        services that the upstream calls.
+    :param pressures: routes with the recent share of their requests that failed for
+        want of room in the services that the upstream calls.
     """
 
     n_running: int
@@ -62,7 +62,7 @@
     limit: int
     service_ms: float
     failure_share: float
-    pressure: float
+    pressures: tuple[tuple[str, float], ...]
 
 
 class Ending(StrEnum):
@@ -126,7 +126,7 @@
         self.is_leaving = False
         self.times = ServiceTimes()
         self._failures = DecayingShare(OUTCOME_WEIGHT, FAILURE_HALF_LIFE_MS)
-        self._starved = DecayingShare(OUTCOME_WEIGHT, PRESSURE_HALF_LIFE_MS)
+        self._pressures = RoutePressures()
         self._shares = _TimeShares(now_ms)
         self._queue: list[_Queued] = []
         self._running_by_id: dict[int, _Running] = {}
@@ -157,7 +157,7 @@
             0 if closed else self.limit,
             self.times.overall_ms if self.times.is_known else 0.0,
             self._failures.at(now_ms),
-            self._starved.at(now_ms),
+            self._pressures.told(now_ms),
         )
 
     def is_stalled(self, now_ms: float) -> bool:
@@ -227,7 +227,8 @@
             return
         self._progress_ms = now_ms
         self._failures.add(ending is Ending.FAILED, now_ms)
-        self._starved.add(ending is Ending.STARVED, now_ms)
+        has_starved = ending is Ending.STARVED
+        self._pressures.add(running.offer.route, has_starved, now_ms)
         if ending is Ending.ANSWERED:
             self.times.add(running.offer.route, took_ms)
 
--- a/packages/policy/tests/test_dependency_shedding.py
+++ b/packages/policy/tests/test_dependency_shedding.py
@@ -39,7 +39,7 @@
     assert admitted_share(shedder, 2, 0.0, 5_000.0, 8.0) == 1.0
 
 
-def test_services_do_not_suffer_for_each_other():
+def test_routes_do_not_suffer_for_each_other():
     shedder = DependencyShedder(random.Random(1))
     admitted_share(shedder, 2, 0.8, 0.0, 5.0)
     assert shedder.admits("photos", 2, 0.0, 5_000.0)
--- a/packages/policy/tests/test_upstream_choice.py
+++ b/packages/policy/tests/test_upstream_choice.py
@@ -16,7 +16,7 @@
 
 
 def candidate(name: str, distance: Distance, **changes: object) -> Candidate:
-    load = Load(0, 0, 50, 200.0, 0.0, 0.0)._replace(**changes)
+    load = Load(0, 0, 50, 200.0, 0.0, ())._replace(**changes)
     return Candidate(name, distance, load, 0, 0, False)
 
 
--- a/packages/policy/tests/test_upstream_queue.py
+++ b/packages/policy/tests/test_upstream_queue.py
@@ -140,5 +140,5 @@
     queue = full_queue(limit=2)
     queue.finish(0, 10.0, Ending.STARVED)
     load = queue.load(10.0)
-    assert load.pressure > 0.0
+    assert [share > 0.0 for _, share in load.pressures] == [True]
     assert load.failure_share == 0.0
