--- a/packages/policy/ibisspoke_policy/dependency_shedding.py
+++ b/packages/policy/ibisspoke_policy/dependency_shedding.py
@@ -17,7 +17,7 @@
 
 
 class DependencyShedder:
-    """Admit a share of the requests of each route.
+    """Admit a share of the requests of each route and priority.
 
     The share shrinks while upstreams report that the route's requests fail for want of
     room deeper down, and grows slowly otherwise.
@@ -25,29 +25,30 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._share_by_route: dict[str, float] = {}
-        self._stepped_ms_by_route: dict[str, float] = {}
+        self._share_by_class: dict[tuple[str, int], float] = {}
+        self._stepped_ms_by_class: dict[tuple[str, int], float] = {}
 
     def __repr__(self) -> str:
-        return f"DependencyShedder({self._share_by_route})"
+        return f"DependencyShedder({self._share_by_class})"
 
     def admits(self, route: str, priority: int, pressure: float, now_ms: float) -> bool:
         """Return whether to go on with a request.
 
         :param pressure: share of the route's requests that fail for want of room.
         """
-        share = self._share_by_route.get(route)
+        key = (route, priority)
+        share = self._share_by_class.get(key)
         if share is None:
             if pressure <= _tolerance(priority):
                 return True
             share = 1.0
-            self._stepped_ms_by_route[route] = now_ms - STEP_MS
-        if now_ms - self._stepped_ms_by_route[route] >= STEP_MS:
-            self._stepped_ms_by_route[route] = now_ms
+            self._stepped_ms_by_class[key] = now_ms - STEP_MS
+        if now_ms - self._stepped_ms_by_class[key] >= STEP_MS:
+            self._stepped_ms_by_class[key] = now_ms
             share = _stepped(share, pressure - _tolerance(priority))
-            self._share_by_route[route] = share
+            self._share_by_class[key] = share
             if share >= 1.0:
-                del self._share_by_route[route]
+                del self._share_by_class[key]
         return self._rng.random() < share
 
 
