--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -165,6 +165,10 @@
     ) -> MemberRecord | None:
         """Return the node whose upstream should serve a request."""
         now_ms = self._clock.now_ms()
+        peers = self._reachable(service, excluded, now_ms)
+        own = self.own
+        serves = own is not None and _serves(own, service) and own.node not in excluded
+        sound = [peer for peer in peers if not peer.link.is_suspect]
         candidates = [
             Candidate(
                 peer.record.node,
@@ -175,14 +179,9 @@
                 peer.cold_until_ms > now_ms,
                 peer.pace.at(now_ms),
             )
-            for peer in self._peers_by_service.get(service, {}).values()
-            if peer.record.state is UpstreamState.READY
-            and peer.record.node not in excluded
-            and peer.link.unreachable_until_ms <= now_ms
-            and peer.is_alive(now_ms)
+            for peer in (sound if sound or serves else peers)
         ]
-        own = self.own
-        if own is not None and _serves(own, service) and own.node not in excluded:
+        if own is not None and serves:
             distance = Distance(True, True, LOCAL_RTT_MS)
             is_cold = self.own_cold_until_ms > now_ms
             load = self.own_load()
@@ -195,6 +194,17 @@
             return own
         return self.peers_by_id[chosen.id].record
 
+    def _reachable(self, service: str, excluded: set[str], now_ms: float) -> list[Peer]:
+        """Return the nodes of a service whose upstream takes requests."""
+        return [
+            peer
+            for peer in self._peers_by_service.get(service, {}).values()
+            if peer.record.state is UpstreamState.READY
+            and peer.record.node not in excluded
+            and peer.link.unreachable_until_ms <= now_ms
+            and peer.is_alive(now_ms)
+        ]
+
     def note_answer(self, node: str, route: str, took_ms: float, n_bytes: int) -> None:
         """Learn from an answer of a node's upstream.
 
@@ -269,6 +279,7 @@
             record.node,
             record.node,
             record.link_port,
+            distance.rtt_ms,
             self._origin,
             self._clock,
             self._log,
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -29,7 +29,8 @@
 from .sockets import watch_liveness
 
 CONNECT_TIMEOUT_MS = 600  # some 15 round trips of the slowest link
-PING_AFTER_MS = 300.0  # without a byte while calls wait
+PING_AFTER_MS = 200.0  # without a byte while calls wait
+SUSPECT_MS = 120.0  # beyond two round trips for an answer: some pauses of a busy node
 SILENT_MS = 700.0  # after a ping without an answer: the connection is dead
 RECOVER_MS = 1_500.0  # to learn over a new connection what became of a call
 UNREACHABLE_MS = 400.0  # a node that refused a connection is not tried again for it
@@ -105,6 +106,7 @@
     has never seen in the same life did not run and never will; of an earlier life
     nothing is known.
 
+    :param rtt_ms: round trip time.
     :param on_load: called with the load that comes with each reply.
     """
 
@@ -113,6 +115,7 @@
         name: str,
         host: str,
         port: int,
+        rtt_ms: float,
         origin: Origin,
         clock: Clock,
         log: DecisionLog,
@@ -124,11 +127,13 @@
         self.log = log
         self._host = host
         self._port = port
+        self._answer_ms = SUSPECT_MS + 2.0 * rtt_ms
         self._origin = origin
         self._on_load = on_load
         self._on_config = on_config
         self._connection: _LinkProtocol | None = None
         self._opening: asyncio.Task[None] | None = None
+        self._opening_ms = 0.0
         self._pending: dict[int, _Pending] = {}
         self._incarnation = 0
         self._config_wanted: int | None = None
@@ -143,6 +148,21 @@
         """Calls without an outcome."""
         return len(self._pending)
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the node owes an answer that takes longer than usual.
+
+        It may have vanished without a word. A request for it is better served by
+        another node until that is known.
+        """
+        now_ms = self.clock.now_ms()
+        if self._opening is not None:
+            return now_ms - self._opening_ms > self._answer_ms
+        connection = self._connection
+        if connection is None or connection.pinged_ms is None:
+            return False
+        return now_ms - connection.pinged_ms > self._answer_ms
+
     async def call(self, stream: int, attempt: Attempt) -> Outcome:
         """Send an attempt and return its outcome.
 
@@ -231,7 +251,7 @@
         """Ping a connection that is silent, and give up calls that cannot return."""
         now_ms = self.clock.now_ms()
         connection = self._connection
-        if connection is not None and self._pending:
+        if connection is not None:
             self._check_silence(connection, now_ms)
         for pending in list(self._pending.values()):
             lost_ms = pending.lost_ms
@@ -252,7 +272,7 @@
 
     def _check_silence(self, connection: _LinkProtocol, now_ms: float) -> None:
         if connection.pinged_ms is None:
-            if now_ms - connection.heard_ms > PING_AFTER_MS:
+            if self._pending and now_ms - connection.heard_ms > PING_AFTER_MS:
                 connection.pinged_ms = now_ms
                 self._send(Ping())
         elif now_ms - connection.pinged_ms > SILENT_MS:
@@ -267,10 +287,11 @@
     async def _opened(self) -> None:
         self._start_opening()
         if self._opening is not None:
-            await asyncio.wait([self._opening])
+            await asyncio.wait([self._opening], timeout=self._answer_ms / 1000.0)
 
     def _start_opening(self) -> None:
         if self._connection is None and self._opening is None:
+            self._opening_ms = self.clock.now_ms()
             self._opening = asyncio.ensure_future(self._open())
 
     async def _open(self) -> None:
--- /dev/null
+++ b/tests/fleet/test_silent_nodes.py
@@ -0,0 +1,69 @@
+"""Nodes that vanish without a word get no new requests."""
+
+import asyncio
+
+from fleet_harness import Vm, running_fleet, until
+
+PLACES = (("a", "north"),)
+PAUSE_S = 0.01  # between two requests
+NOTICED_S = 0.6  # the silence, a ping and its answer, and the tick in between
+
+
+async def _caller_and_two(fleet) -> tuple[Vm, Vm, Vm]:
+    caller, silent, sound = fleet.vms
+    await caller.upstream.announce("draining")
+    await until(lambda: caller.node.gate.life.state == "draining")
+    for _ in range(30):
+        assert (await caller.call()).status == 200
+    return caller, silent, sound
+
+
+def _fall_silent(vm: Vm) -> None:
+    """Let a node take no byte in, as after the loss of its VM."""
+    for connection in vm.node.calls.connections:
+        connection._reader._on_frame = lambda frame: None
+        connection._receive = lambda frame: None
+
+
+async def test_a_node_that_falls_silent_gets_no_new_request():
+    async with running_fleet(3, PLACES) as fleet:
+        caller, silent, _ = await _caller_and_two(fleet)
+        _fall_silent(silent)
+        link = caller.node.fleet.peers_by_id[silent.host].link
+        calls = []
+        n_sent = []
+        for _ in range(int(1.0 / PAUSE_S)):
+            calls.append(asyncio.ensure_future(caller.call()))
+            await asyncio.sleep(PAUSE_S)
+            n_sent.append(link.n_pending)
+        assert max(n_sent) > 0
+        noticed = n_sent[int(NOTICED_S / PAUSE_S)]
+        assert max(n_sent) <= noticed
+        answers = await asyncio.gather(*calls[int(NOTICED_S / PAUSE_S) :])
+        assert {answer.status for answer in answers} == {200}
+
+
+async def test_a_node_that_answers_again_gets_requests_again():
+    async with running_fleet(3, PLACES) as fleet:
+        caller, silent, _ = await _caller_and_two(fleet)
+        _fall_silent(silent)
+        link = caller.node.fleet.peers_by_id[silent.host].link
+        calls = [asyncio.ensure_future(caller.call()) for _ in range(8)]
+        await until(lambda: link.is_suspect)
+        await asyncio.gather(*calls)
+        await until(lambda: not link.is_suspect)
+        silent.upstream.ran.clear()
+        for _ in range(30):
+            assert (await caller.call()).status == 200
+        assert silent.upstream.ran
+
+
+async def test_a_suspect_is_asked_where_there_is_no_other(pair):
+    caller, silent = pair.vms
+    await caller.upstream.announce("draining")
+    await until(lambda: caller.node.gate.life.state == "draining")
+    assert (await caller.call()).status == 200
+    link = caller.node.fleet.peers_by_id[silent.host].link
+    link._connection.pinged_ms = 0.0
+    assert link.is_suspect
+    assert (await caller.call()).status == 200
