--- a/packages/policy/ibisspoke_policy/dependency_shedding.py
+++ b/packages/policy/ibisspoke_policy/dependency_shedding.py
@@ -43,19 +43,28 @@
                 return True
             share = 1.0
             self._stepped_ms_by_class[key] = now_ms - STEP_MS
-        if now_ms - self._stepped_ms_by_class[key] >= STEP_MS:
+        n_steps = int((now_ms - self._stepped_ms_by_class[key]) / STEP_MS)
+        if n_steps:
             self._stepped_ms_by_class[key] = now_ms
-            share = _stepped(share, pressure - _tolerance(priority))
+            share = _stepped(share, pressure - _tolerance(priority), n_steps)
             self._share_by_class[key] = share
             if share >= 1.0:
                 del self._share_by_class[key]
         return self._rng.random() < share
 
 
-def _stepped(share: float, excess: float) -> float:
+def _stepped(share: float, excess: float, n_steps: int) -> float:
+    """Return the share after some steps; it shrinks by one of them only.
+
+    Where requests are rare, a step may have passed long ago, and the overload, too.
+    """
     if excess > 0.0:
         return max(FLOOR, share * (1.0 - DECREASE * min(1.0, excess / FULL_EXCESS)))
-    return min(1.0, share * GROWTH + INCREASE)
+    for _ in range(n_steps):
+        share = share * GROWTH + INCREASE
+        if share >= 1.0:
+            return 1.0
+    return share
 
 
 def _tolerance(priority: int) -> float:
--- a/packages/policy/tests/test_dependency_shedding.py
+++ b/packages/policy/tests/test_dependency_shedding.py
@@ -39,6 +39,22 @@
     assert admitted_share(shedder, 2, 0.0, 5_000.0, 8.0) == 1.0
 
 
+def test_rare_requests_are_admitted_again_as_soon_as_frequent_ones():
+    shedder = DependencyShedder(random.Random(1))
+    admitted_share(shedder, 2, 0.8, 0.0, 5.0)
+    calm_ms = 5_000.0
+    shedder.admits("orders", 2, 0.0, calm_ms + 1_500.0)
+    late_ms = [calm_ms + 3_500.0, calm_ms + 5_000.0, calm_ms + 6_500.0]
+    assert all(shedder.admits("orders", 2, 0.0, now_ms) for now_ms in late_ms)
+
+
+def test_a_pause_does_not_shed_more_than_one_step():
+    shedder = DependencyShedder(random.Random(1))
+    shedder.admits("orders", 2, 0.6, 0.0)
+    shedder.admits("orders", 2, 0.6, 60_000.0)
+    assert admitted_share(shedder, 2, 0.0, 60_200.0, 2.0) == 1.0
+
+
 def test_routes_do_not_suffer_for_each_other():
     shedder = DependencyShedder(random.Random(1))
     admitted_share(shedder, 2, 0.8, 0.0, 5.0)
