--- a/packages/policy/ibisspoke_policy/upstream_choice.py
+++ b/packages/policy/ibisspoke_policy/upstream_choice.py
@@ -9,9 +9,9 @@
 # Losses are in parts of what an answer in time is worth.
 LATE_LOSS = 0.65  # of a late answer; users grant it a third of the worth
 FAILURE_LOSS = 1.5  # of a failure, which may cost a retry as well
-DATA_CENTRE_LOSS = 0.03  # for each KB to another one; their prices lie around it
+DATA_CENTRE_LOSS = 0.06  # for each KB to another one; users' prices: 0.01 to 0.08
 REGION_LOSS = 0.1  # for each KB to another region, where the link is narrow, too
-LATENCY_LOSS = 0.15  # of an answer that takes the whole objective, but is in time
+LATENCY_LOSS = 0.3  # of an answer that takes the whole objective, but is in time
 MIN_KB = 1.0  # heads and frames of a request and its answer
 JITTER_LOSS = 0.02  # so that nodes do not all choose the same
 COLD_PACE = 2.0  # of an upstream that has just started
