--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -7,6 +7,7 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.retry_window import RetryBudget
 
+from ._progress import Progress, better, has_starved
 from .acceptance import (
     MAX_RETRY_SHARE,
     MIN_RETRY_AFTER_MS,
@@ -28,22 +29,10 @@
 MAX_NODES = 4  # nodes asked for one request; refusals of a node cost no upstream
 MARGIN_MS = 25.0  # kept from the time left, so that the end is told in time
 RETRY_SPREAD = 0.2  # of the time left over which callers are asked to come back
-ROOMLESS = (OutcomeKind.REFUSED, OutcomeKind.SHED, OutcomeKind.TIMED_OUT)
 MIN_RERUN_MS = 100.0  # that must be left for running a request again
 UNKNOWN_PARENT_RANK = (-1, 0)  # before all others: work has been done for these
 
 
-class Progress:
-    """What became of a request so far."""
-
-    def __init__(self) -> None:
-        self.nodes: set[str] = set()
-        self.n_sent = 0
-        self.best: Outcome | None = None
-        self.retry_after_ms = 0.0
-        self.may_have_run = False
-
-
 class Entry:
     """Serve the requests of callers on this VM."""
 
@@ -98,7 +87,7 @@
             self._acceptance.settle(accepted, progress.may_have_run)
         if accepted.is_nested:
             parent_id = self._dialect.parent_id(request_id)
-            self._gate.note_nested(parent_id, _has_starved(outcome))
+            self._gate.note_nested(parent_id, has_starved(outcome))
         return self._final(request, accepted, progress, outcome)
 
     async def _accept(
@@ -145,7 +134,7 @@
                 peer=member.node,
                 left_ms=int(accepted.deadline_ms - self._clock.now_ms()),
             )
-        return _better(progress.best, outcome)
+        return better(progress.best, outcome)
 
     async def _attempt(
         self,
@@ -219,7 +208,7 @@
                 return False
             if outcome.has_starved:
                 return False
-            progress.best = _better(progress.best, outcome)
+            progress.best = better(progress.best, outcome)
         if progress.n_sent >= accepted.route.max_attempts:
             return False
         if accepted.deadline_ms - now_ms < MIN_RERUN_MS:
@@ -284,7 +273,7 @@
             refusal = Refusal(504, outcome.reason)
         else:
             refusal = Refusal(502, outcome.reason)
-        return self._refused(request, accepted.id, refusal, accepted)
+        return self._refused(request, accepted.id, refusal, accepted, progress)
 
     def _retry_after_ms(self, accepted: Accepted, progress: Progress) -> float:
         left_ms = accepted.caller_deadline_ms - self._clock.now_ms()
@@ -298,6 +287,7 @@
         request_id: bytes,
         refusal: Refusal,
         accepted: Accepted | None,
+        progress: Progress | None = None,
     ) -> CallerAnswer:
         self._metrics.refused(refusal.status, refusal.reason)
         now_ms = self._clock.now_ms()
@@ -314,6 +304,8 @@
                 "left_ms": int(accepted.deadline_ms - now_ms),
                 "held_ms": int(now_ms - request.arrived_ms),
             }
+        if progress is not None:
+            details["asked"] = " ".join(sorted(progress.nodes))
         self._log.write(
             f"refused {refusal.status}",
             request=request_id.decode("latin-1"),
@@ -327,22 +319,6 @@
         return CallerAnswer(refusal.status, headers, b"")
 
 
-def _has_starved(outcome: Outcome) -> bool:
-    """Tell whether a request failed for want of room here or deeper down."""
-    if outcome.kind is OutcomeKind.ANSWERED:
-        return outcome.has_starved
-    return outcome.kind in ROOMLESS
-
-
-def _better(best: Outcome | None, latest: Outcome) -> Outcome:
-    """Prefer an answer of an upstream, then the latest outcome."""
-    if best is None or latest.kind is OutcomeKind.ANSWERED:
-        return latest
-    if best.kind is OutcomeKind.ANSWERED:
-        return best
-    return best if latest.kind is OutcomeKind.REFUSED else latest
-
-
 def _connection_options(headers: list[tuple[bytes, bytes, bytes]]) -> set[bytes]:
     """Return the headers that the caller binds to its connection."""
     options: set[bytes] = set()
--- a/packages/mesh/ibisspoke_mesh/gate.py
+++ b/packages/mesh/ibisspoke_mesh/gate.py
@@ -16,6 +16,8 @@
 )
 from ibisspoke_policy.upstream_queue import Ending, Load, Offer, UpstreamQueue
 
+from ._running_attempts import OnOutcome, Running, RunningAttempts
+from ._upstream_outcome import MIN_RETRY_AFTER_MS, outcome_of
 from .decision_log import DecisionLog
 from .dialect import Dialect
 from .frames import Attempt, Outcome, OutcomeKind
@@ -23,7 +25,6 @@
 from .upstream_pool import Result as UpstreamResult
 from .upstream_pool import (
     UpstreamAnswer,
-    UpstreamFailure,
     UpstreamPool,
     UpstreamRequest,
 )
@@ -33,32 +34,8 @@
 NESTED_WEIGHT = 0.05  # of one call of unknown parent; about the last twenty
 NESTED_HALF_LIFE_MS = 1_000.0  # longer than a request runs on after its call failed
 NESTED_STARVED_SHARE = 0.04  # from which failures of the upstream are put down to it
-MIN_RETRY_AFTER_MS = 100.0
 NOT_FOUND_HERE_MS = 50.0
 
-OnOutcome = Callable[[Outcome], None]
-
-
-class _Running:
-    """One attempt from its offer to its outcome."""
-
-    __slots__ = (
-        "attempt",
-        "deadline_at_ms",
-        "has_starved",
-        "on_outcome",
-        "started_ms",
-    )
-
-    def __init__(
-        self, attempt: Attempt, deadline_at_ms: float, on_outcome: OnOutcome
-    ) -> None:
-        self.attempt = attempt
-        self.deadline_at_ms = deadline_at_ms
-        self.on_outcome = on_outcome
-        self.started_ms: float | None = None
-        self.has_starved = False
-
 
 class Gate:
     """Run attempts at the upstream of this VM within its limit.
@@ -92,8 +69,7 @@
         self._heartbeat_ms = heartbeat_ms
         self._drain_ms = drain_ms
         self._ids = itertools.count(1)
-        self._running: dict[int, _Running] = {}
-        self._number_by_request_id: dict[bytes, int] = {}
+        self._running = RunningAttempts()
         self._nested_starved = DecayingShare(NESTED_WEIGHT, NESTED_HALF_LIFE_MS)
         self._heard_ms = clock.now_ms()
         self._draining_ms: float | None = None
@@ -117,7 +93,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no attempt is queued or running."""
-        return not self._running
+        return not len(self._running)
 
     def load(self) -> Load:
         """Return what other nodes should know of this upstream."""
@@ -199,8 +175,7 @@
         if error is not None:
             self._refuse(on_outcome, error, self.queue.wait_ms(attempt.rank))
             return number
-        self._running[number] = _Running(attempt, offer.expires_ms, on_outcome)
-        self._number_by_request_id[attempt.request_id] = number
+        self._running.add(number, Running(attempt, offer.expires_ms, on_outcome))
         self._start_ready()
         return number
 
@@ -212,7 +187,7 @@
         running = self._running.get(number)
         if running is None or running.started_ms is not None:
             return False
-        self._forget(number)
+        self._running.pop(number)
         self.queue.withdraw(number)
         return True
 
@@ -228,7 +203,7 @@
         running = self._running.get(number)
         if running is None or not running.attempt.idempotent:
             return True
-        self._forget(number)
+        self._running.pop(number)
         was_sent = self._pool.cancel(number)
         self.queue.finish(number, self._clock.now_ms(), Ending.DROPPED)
         self._start_ready()
@@ -243,7 +218,7 @@
             if waited_ms > self._drain_ms * DRAIN_QUEUE_SHARE:
                 self.queue.is_leaving = True
         for offer, error in self.queue.tick(now_ms):
-            running = self._forget(offer.id)
+            running = self._running.pop(offer.id)
             if running is not None:
                 self._refuse(running.on_outcome, error, self.queue.wait_ms(offer.rank))
         silent_ms = now_ms - self._heard_ms
@@ -257,7 +232,7 @@
         old = self.queue
         old.is_leaving = True
         for offer, error in old.tick(self._clock.now_ms()):
-            running = self._forget(offer.id)
+            running = self._running.pop(offer.id)
             if running is not None:
                 self._refuse(running.on_outcome, error, NOT_FOUND_HERE_MS)
         return UpstreamQueue(limit, self._clock.now_ms())
@@ -287,7 +262,7 @@
             self._metrics.queue_times.add(now_ms - offer.arrived_ms)
             self._start(offer.id, running, now_ms)
 
-    def _start(self, number: int, running: _Running, now_ms: float) -> None:
+    def _start(self, number: int, running: Running, now_ms: float) -> None:
         running.started_ms = now_ms
         attempt = running.attempt
         remaining_ms = max(1, int(running.deadline_at_ms - now_ms))
@@ -314,8 +289,8 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         self._pool.release(number)
-        running = self._forget(number)
-        outcome = _outcome_of(result)
+        running = self._running.pop(number)
+        outcome = outcome_of(result)
         ending = self._ending(outcome, running)
         if ending is Ending.STARVED:
             outcome = msgspec.structs.replace(outcome, has_starved=True)
@@ -341,7 +316,7 @@
 
     def rank_of(self, request_id: bytes) -> tuple[int, int] | None:
         """Return the rank of a request that runs at the upstream now."""
-        running = self._running_by_request_id(request_id)
+        running = self._running.at_upstream(request_id)
         return running.attempt.rank if running is not None else None
 
     def note_nested(self, parent_id: bytes, has_starved: bool) -> None:
@@ -351,26 +326,13 @@
         :param has_starved: whether it failed for want of room at its service or
             deeper down.
         """
-        parent = self._running_by_request_id(parent_id)
+        parent = self._running.at_upstream(parent_id)
         if parent is None:
             self._nested_starved.add(has_starved, self._clock.now_ms())
         elif has_starved:
             parent.has_starved = True
 
-    def _running_by_request_id(self, request_id: bytes) -> _Running | None:
-        number = self._number_by_request_id.get(request_id)
-        running = self._running.get(number) if number is not None else None
-        return running if running and running.started_ms is not None else None
-
-    def _forget(self, number: int) -> _Running | None:
-        running = self._running.pop(number, None)
-        if running is not None:
-            request_id = running.attempt.request_id
-            if self._number_by_request_id.get(request_id) == number:
-                del self._number_by_request_id[request_id]
-        return running
-
-    def _ending(self, outcome: Outcome, running: _Running | None) -> Ending:
+    def _ending(self, outcome: Outcome, running: Running | None) -> Ending:
         if outcome.kind is not OutcomeKind.ANSWERED:
             return Ending.FAILED
         if outcome.status < 500:
@@ -387,23 +349,3 @@
             OutcomeKind.REFUSED, reason=str(reason), retry_after_ms=retry_after_ms
         )
         asyncio.get_running_loop().call_soon(on_outcome, outcome)
-
-
-def _outcome_of(result: UpstreamResult) -> Outcome:
-    if isinstance(result, UpstreamFailure):
-        kind = OutcomeKind.FAILED if result.was_sent else OutcomeKind.REFUSED
-        return Outcome(kind, reason=result.reason, retry_after_ms=MIN_RETRY_AFTER_MS)
-    if result.is_not_run and not 200 <= result.status < 300:
-        reason = f"the upstream turned it away with {result.status}"
-        return Outcome(
-            OutcomeKind.SHED,
-            status=result.status,
-            reason=reason,
-            retry_after_ms=MIN_RETRY_AFTER_MS,
-        )
-    if 200 <= result.status < 300 and (not result.is_signed or result.is_encoded):
-        reason = "the answer is not the upstream's own"
-        return Outcome(OutcomeKind.FAILED, status=result.status, reason=reason)
-    if result.status in (408, 421, 429, 503) and not result.is_signed:
-        return Outcome(OutcomeKind.FAILED, status=result.status, reason="unsigned")
-    return Outcome(OutcomeKind.ANSWERED, result.status, result.headers, result.body)
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -3,21 +3,20 @@
 import asyncio
 import logging
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import NamedTuple
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.retry_window import RetryBudget
 from ibisspoke_policy.route_table import CallerLimits, RouteTable
 from ibisspoke_policy.shared_rate import SharedRates
-from ibisspoke_policy.upstream_life import Life, UpstreamState
+from ibisspoke_policy.upstream_life import Life
 
 from .acceptance import Acceptance
 from .caller_server import (
     DEFAULT_LIMITS,
     CallerAnswer,
-    CallerConnection,
     CallerRequest,
     Handler,
     ServerState,
@@ -32,9 +31,10 @@
 from .gate import Gate
 from .member_rows import MemberRows
 from .metrics import NodeMetrics
+from .node_gauges import gauges
 from .node_ranks import NodeRanks
 from .peer_link import Origin
-from .peer_server import PeerCalls, PeerConnection
+from .peer_server import PeerCalls
 from .rate_homes import RateHomes
 from .settings import NodeSettings
 from .status_exchange import StatusExchange
@@ -49,7 +49,6 @@
 PAST_WAIT_MS = 300.0  # for the rows of other nodes, before the store is read
 N_FIRST_ASKED = 2  # nodes that a starting node asks for a configuration
 FIRST_ANSWER_MS = 400.0  # until it reads the store itself; some round trips
-BACKLOG = 1_024  # callers open many connections at once after an outage
 STOP_MIN_MS = 3_000.0  # readiness must be seen as gone before the listener is
 STOP_CLOSING_SHARE = 0.6  # of the stop time: later requests are refused
 STOP_END_SHARE = 0.9  # of the stop time: what still runs is given up
@@ -88,13 +87,13 @@
         self.clock = clock
         self.log = DecisionLog(clock)
         self.metrics = metrics
-        self._pipe = pipe
+        self.pipe = pipe
         rng = random.Random()
         origin = Origin(settings.host, int(clock.wall_ms()))
         self._incarnation = origin.incarnation
         self._revision = 0
         self._stopping_ms: float | None = None
-        self._lag_ms = 0.0
+        self.lag_ms = 0.0
         self._asked_ms = 0.0
         self.rates = SharedRates(clock.now_ms())
         self.config = ConfigState(
@@ -209,7 +208,7 @@
         from .metrics_page import metrics_page  # its library is large
 
         headers = b"content-type: text/plain; version=0.0.4\r\n"
-        return CallerAnswer(200, headers, metrics_page(self.metrics, self._gauges()))
+        return CallerAnswer(200, headers, metrics_page(self.metrics, gauges(self)))
 
     async def run_ticks(self) -> None:
         """Run the systems each tick, until cancelled."""
@@ -218,7 +217,7 @@
             due_ms = self.clock.now_ms() + TICK_MS
             await asyncio.sleep(TICK_MS / 1000.0)
             now_ms = self.clock.now_ms()
-            self._lag_ms = max(now_ms - due_ms, 0.95 * self._lag_ms)
+            self.lag_ms = max(now_ms - due_ms, 0.95 * self.lag_ms)
             self.gate.tick()
             n_ticks += 1
             if n_ticks % SLOW_TICKS == 0:
@@ -335,89 +334,3 @@
         self.status.broadcast()
         if life.latest is not None and self._stopping_ms is None:
             self.rows.publish()
-
-    def _gauges(self) -> dict[str, float]:
-        """Return the values of this moment, by name."""
-        now_ms = self.clock.now_ms()
-        load = self.gate.load()
-        peers = list(self.fleet.peers_by_id.values())
-        n_alive = sum(peer.is_alive(now_ms) for peer in peers)
-        draining = UpstreamState.DRAINING
-        return {
-            "config_version": self.config.version,
-            "config_proof_age_seconds": self.config.proof_age_ms() / 1000.0,
-            "requests_running": load.n_running,
-            "requests_queued": load.n_queued,
-            "upstream_limit": load.limit,
-            "upstream_service_seconds": load.service_ms / 1000.0,
-            "upstream_pressure": max((p for _, p in load.pressures), default=0.0),
-            "peers_alive": n_alive,
-            "peers_draining": sum(peer.record.state is draining for peer in peers),
-            "peers_silent": len(peers) - n_alive,
-            "loop_lag_seconds": self._lag_ms / 1000.0,
-            "log_lines_lost": self._pipe.n_lost if self._pipe else 0,
-            "connections_opened": self.pool.n_opened,
-            "caller_connections": len(self.callers.connections),
-            "caller_requests": self.callers.n_active,
-            "link_calls": sum(peer.link.n_pending for peer in peers),
-            "retries_left": self.retries.left(self.gate.service, now_ms),
-        }
-
-
-@asynccontextmanager
-async def running_node(node: Node) -> AsyncIterator[Node]:
-    """Run a node while the context is open."""
-    settings = node.settings
-    loop = asyncio.get_running_loop()
-    async with AsyncExitStack() as stack:
-        host = settings.host
-        await _listen_http(stack, node.server(node.readiness), settings.readiness)
-        await _listen_http(
-            stack, node.server(node.announcements), settings.announcements
-        )
-        metrics = node.server(node.metrics_answer)
-        await _listen_http(stack, metrics, (host, settings.metrics_port))
-        peers = await loop.create_server(
-            lambda: PeerConnection(node.calls), *settings.peers, backlog=BACKLOG
-        )
-        stack.callback(peers.close)
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: node.status, local_addr=(host, settings.status_port)
-        )
-        stack.callback(transport.close)
-        await _listen_http(stack, node.callers, settings.callers)
-        jobs: list[Callable[[], Awaitable[None]]] = [
-            node.run_ticks,
-            node.rows.publish_changes,
-            node.rows.follow,
-            node.follow_config,
-            node.prover.run,
-        ]
-        for job in jobs:
-            task = asyncio.ensure_future(_supervised(job))
-            stack.callback(task.cancel)
-        stack.callback(node.fleet.close)
-        logger.info("node started", extra={"service": settings.service})
-        yield node
-
-
-async def _listen_http(
-    stack: AsyncExitStack, state: ServerState, address: tuple[str, int]
-) -> None:
-    loop = asyncio.get_running_loop()
-    server = await loop.create_server(
-        lambda: CallerConnection(state), *address, backlog=BACKLOG
-    )
-    stack.callback(server.close)
-
-
-async def _supervised(job: Callable[[], Awaitable[None]]) -> None:
-    """Run a loop again after a fault in it, which is logged."""
-    while True:
-        try:
-            await job()
-        except asyncio.CancelledError:
-            raise
-        except Exception:
-            logger.exception("loop failed", extra={"job": repr(job)})
-            await asyncio.sleep(TICK_MS / 1000.0)
--- /dev/null
+++ b/packages/mesh/ibisspoke_mesh/node_gauges.py
@@ -0,0 +1,36 @@
+"""What the metrics page shows of the present state of a node."""
+
+from typing import TYPE_CHECKING
+
+from ibisspoke_policy.upstream_life import UpstreamState
+
+if TYPE_CHECKING:
+    from .node import Node
+
+
+def gauges(node: "Node") -> dict[str, float]:
+    """Return the values of this moment, by name."""
+    now_ms = node.clock.now_ms()
+    load = node.gate.load()
+    peers = list(node.fleet.peers_by_id.values())
+    n_alive = sum(peer.is_alive(now_ms) for peer in peers)
+    draining = UpstreamState.DRAINING
+    return {
+        "config_version": node.config.version,
+        "config_proof_age_seconds": node.config.proof_age_ms() / 1000.0,
+        "requests_running": load.n_running,
+        "requests_queued": load.n_queued,
+        "upstream_limit": load.limit,
+        "upstream_service_seconds": load.service_ms / 1000.0,
+        "upstream_pressure": max((p for _, p in load.pressures), default=0.0),
+        "peers_alive": n_alive,
+        "peers_draining": sum(peer.record.state is draining for peer in peers),
+        "peers_silent": len(peers) - n_alive,
+        "loop_lag_seconds": node.lag_ms / 1000.0,
+        "log_lines_lost": node.pipe.n_lost if node.pipe else 0,
+        "connections_opened": node.pool.n_opened,
+        "caller_connections": len(node.callers.connections),
+        "caller_requests": node.callers.n_active,
+        "link_calls": sum(peer.link.n_pending for peer in peers),
+        "retries_left": node.retries.left(node.gate.service, now_ms),
+    }
--- /dev/null
+++ b/packages/mesh/ibisspoke_mesh/node_process.py
@@ -0,0 +1,73 @@
+"""The listeners and loops of a running node."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from .caller_server import CallerConnection, ServerState
+from .node import TICK_MS, Node
+from .peer_server import PeerConnection
+
+BACKLOG = 1_024  # callers open many connections at once after an outage
+
+logger = logging.getLogger("ibisspoke")
+
+
+@asynccontextmanager
+async def running_node(node: Node) -> AsyncIterator[Node]:
+    """Run a node while the context is open."""
+    settings = node.settings
+    loop = asyncio.get_running_loop()
+    async with AsyncExitStack() as stack:
+        host = settings.host
+        await _listen_http(stack, node.server(node.readiness), settings.readiness)
+        await _listen_http(
+            stack, node.server(node.announcements), settings.announcements
+        )
+        metrics = node.server(node.metrics_answer)
+        await _listen_http(stack, metrics, (host, settings.metrics_port))
+        peers = await loop.create_server(
+            lambda: PeerConnection(node.calls), *settings.peers, backlog=BACKLOG
+        )
+        stack.callback(peers.close)
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: node.status, local_addr=(host, settings.status_port)
+        )
+        stack.callback(transport.close)
+        await _listen_http(stack, node.callers, settings.callers)
+        jobs: list[Callable[[], Awaitable[None]]] = [
+            node.run_ticks,
+            node.rows.publish_changes,
+            node.rows.follow,
+            node.follow_config,
+            node.prover.run,
+        ]
+        for job in jobs:
+            task = asyncio.ensure_future(_supervised(job))
+            stack.callback(task.cancel)
+        stack.callback(node.fleet.close)
+        logger.info("node started", extra={"service": settings.service})
+        yield node
+
+
+async def _listen_http(
+    stack: AsyncExitStack, state: ServerState, address: tuple[str, int]
+) -> None:
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: CallerConnection(state), *address, backlog=BACKLOG
+    )
+    stack.callback(server.close)
+
+
+async def _supervised(job: Callable[[], Awaitable[None]]) -> None:
+    """Run a loop again after a fault in it, which is logged."""
+    while True:
+        try:
+            await job()
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            logger.exception("loop failed", extra={"job": repr(job)})
+            await asyncio.sleep(TICK_MS / 1000.0)
--- a/tests/fleet/fleet_harness.py
+++ b/tests/fleet/fleet_harness.py
@@ -20,7 +20,8 @@
 from ibisspoke_adapter.store import PlatformStore
 from ibisspoke_mesh.caller_server import DEFAULT_LIMITS, CallerConnection, ServerState
 from ibisspoke_mesh.metrics import NodeMetrics
-from ibisspoke_mesh.node import Adapter, Node, running_node
+from ibisspoke_mesh.node import Adapter, Node
+from ibisspoke_mesh.node_process import running_node
 from ibisspoke_mesh.settings import NodeSettings
 from ibisspoke_policy.clock import Clock
 from ibisspoke_standins.fleet_store import FleetStore
--- a/tests/fleet/test_restart.py
+++ b/tests/fleet/test_restart.py
@@ -16,7 +16,7 @@
 )
 
 from ibisspoke_adapter.configuration import CONFIG_KEY, CONFIG_TABLE
-from ibisspoke_mesh.node import running_node
+from ibisspoke_mesh.node_process import running_node
 from ibisspoke_standins.fleet_upstream import FleetUpstream
 
 HOST, STORE_HOST = "127.250.7.1", "127.250.7.100"
