Tell when the proof for keys is lost and regained, and measure the cost of lines

The log said which requests were refused for want of a proof, but not when a node lost it and had it again.

--- a/benchmarks/mesh_cost.py
+++ b/benchmarks/mesh_cost.py
@@ -1,4 +1,4 @@
-"""Cost of the node on the users' platform: a request, an idle second, datagrams.
+"""Cost of the node on the users' platform: a request, an idle second, datagrams, logs.
 
 All nodes run in this process, so the figures are processor time of all of them,
 divided. Run from the root: ``python benchmarks/mesh_cost.py``.
@@ -6,9 +6,12 @@
 
 import asyncio
 import json
+import logging
+import os
 import sys
 import time
 from pathlib import Path
+from unittest import mock
 
 ROOT = Path(__file__).resolve().parents[1]
 sys.path[:0] = [str(ROOT / "tests" / "fleet"), str(ROOT / "platform")]
@@ -16,6 +19,8 @@
 import uvloop  # noqa: E402
 from fleet_harness import connect, request_bytes, running_fleet  # noqa: E402
 
+from ibisspoke_mesh import decision_log  # noqa: E402
+
 N_REQUESTS = 3_000
 N_WARM_UP = 300
 IDLE_S = 6.0
@@ -65,6 +70,62 @@
     }
 
 
+async def burst() -> dict[str, dict[str, float]]:
+    """Return processor time of a refused request and its log lines, by bound.
+
+    Lines go to the null device, in the format of a node.
+    """
+    unbounded = mock.patch.object(decision_log, "LINES_PER_S", 1e9)
+    unbounded_burst = mock.patch.object(decision_log, "BURST_LINES", 1e9)
+    report = {"bounded": await _refusals()}
+    with unbounded, unbounded_burst:
+        report["unbounded"] = await _refusals()
+    logging.getLogger("ibisspoke").disabled = True
+    report["no log"] = await _refusals()
+    logging.getLogger("ibisspoke").disabled = False
+    return report
+
+
+async def _refusals() -> dict[str, float]:
+    handler = _CountingLines(os.open(os.devnull, os.O_WRONLY))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
+    async with running_fleet(1) as fleet:
+        caller = await connect(fleet.vms[0].host)
+
+        async def call(n: int) -> None:
+            for _ in range(n):
+                caller.transport.write(request_bytes("/lookup/1", key="unknown"))
+                assert (await caller.answers.get()).status == 401
+
+        await call(N_WARM_UP)
+        handler.n_lines = 0
+        started, began = time.process_time(), time.monotonic()
+        await call(N_REQUESTS)
+        used_ms = (time.process_time() - started) * 1000.0
+        elapsed_s = time.monotonic() - began
+    return {
+        "cpu_ms": round(used_ms / N_REQUESTS, 3),
+        "refusals_per_s": round(N_REQUESTS / elapsed_s),
+        "lines_per_s": round(handler.n_lines / elapsed_s),
+    }
+
+
+class _CountingLines(decision_log.PipeHandler):
+    """Writes lines as a node does, and counts them."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__(descriptor)
+        self.setFormatter(decision_log.line_formatter("n1"))
+        self.n_lines = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line."""
+        self.n_lines += 1
+        super().emit(record)
+
+
 class _Counting:
     n_bytes = 0
 
@@ -81,6 +142,7 @@
     """Print all figures as JSON."""
     report = {
         "request_cpu_ms_with_both_ends": round(await request_ms(), 3),
+        "burst": await burst(),
         "idle": [await idle(n_nodes) for n_nodes in FLEET_SIZES],
     }
     print(json.dumps(report, indent=2))
--- a/packages/mesh/ibisspoke_mesh/config_state.py
+++ b/packages/mesh/ibisspoke_mesh/config_state.py
@@ -45,6 +45,7 @@
         self._on_adopted = on_adopted
         self._document = b""
         self._reply: ConfigReply | None = None
+        self._is_proven = False
 
     def __repr__(self) -> str:
         return f"ConfigState({self.table!r})"
@@ -103,6 +104,19 @@
         """Return how old the proof is that the configuration is current."""
         return self.freshness.age_ms(self.version, self._clock.boot_ms())
 
+    def tick(self, bound_ms: float) -> None:
+        """Tell when the proof grows too old for keys, and when it is young again.
+
+        :param bound_ms: age up to which keys are taken.
+        """
+        age_ms = self.proof_age_ms()
+        is_proven = age_ms < bound_ms
+        if is_proven == self._is_proven:
+            return
+        self._is_proven = is_proven
+        event = "keys proven" if is_proven else "keys not proven"
+        self._log.write(event, version=self.version, age_ms=int(age_ms))
+
     def _adopt(self, document: bytes, row_version: int, source: str) -> bool:
         decoded = self._decode(document)
         if isinstance(decoded, Err):
--- a/packages/mesh/ibisspoke_mesh/decision_log.py
+++ b/packages/mesh/ibisspoke_mesh/decision_log.py
@@ -36,16 +36,19 @@
             self.n_lost += 1
 
 
+def line_formatter(node_id: str) -> logging.Formatter:
+    """Return the format of a node's lines."""
+    return MsgspecFormatter(
+        "%(levelname)s %(message)s",
+        static_fields={"node": node_id},
+        rename_fields={"levelname": "level", "message": "event"},
+    )
+
+
 def configure_logging(node_id: str) -> PipeHandler:
     """Send JSON lines to standard output."""
     handler = PipeHandler(1)
-    handler.setFormatter(
-        MsgspecFormatter(
-            "%(levelname)s %(message)s",
-            static_fields={"node": node_id},
-            rename_fields={"levelname": "level", "message": "event"},
-        )
-    )
+    handler.setFormatter(line_formatter(node_id))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -248,6 +248,7 @@
         self.fleet.own_cold_until_ms = self.gate.cold_until_ms
         self.fleet.tick()
         self.status.tick()
+        self.config.tick(self.settings.key_proof_ms)
         self.log.tick()
         for server in self.servers:
             server.tick()
--- a/packages/mesh/tests/test_config_state.py
+++ b/packages/mesh/tests/test_config_state.py
@@ -1,3 +1,4 @@
+import logging
 import zlib
 
 from result import Err, Ok
@@ -66,3 +67,18 @@
     state.take_changes(changes(b"x"), True, clock.boot_ms())
     assert state.version == 3
     assert state.proof_age_ms() == 1_000.0
+
+
+def test_a_proof_that_is_lost_and_regained_is_told_once_each(caplog):
+    caplog.set_level(logging.INFO, "ibisspoke")
+    clock = ManualClock(10_000.0)
+    state, _ = make_state(clock)
+    state.tick(4_000.0)
+    state.take_changes(changes(b"3"), True, clock.boot_ms())
+    for _ in range(3):
+        state.tick(4_000.0)
+        clock.advance(2_500.0)
+    state.confirm(3, clock.boot_ms())
+    state.tick(4_000.0)
+    told = [(r.message, r.age_ms) for r in caplog.records if "keys" in r.message]
+    assert told == [("keys proven", 0), ("keys not proven", 5_000), ("keys proven", 0)]
