Test silence by what is noticed and not by the clock

The test counted requests 0.6 s after the silence, which a busy machine may stretch. It now waits until the node is suspected, which must happen within 1 s, and then no request more may go to it.

--- a/tests/fleet/test_silent_nodes.py
+++ b/tests/fleet/test_silent_nodes.py
@@ -5,8 +5,7 @@
 from fleet_harness import Vm, running_fleet, until
 
 PLACES = (("a", "north"),)
-PAUSE_S = 0.01  # between two requests
-NOTICED_S = 0.6  # the silence, a ping and its answer, and the tick in between
+NOTICED_S = 1.0  # well before the link counts as lost
 
 
 async def _caller_and_two(fleet) -> tuple[Vm, Vm, Vm]:
@@ -30,17 +29,14 @@
         caller, silent, _ = await _caller_and_two(fleet)
         _fall_silent(silent)
         link = caller.node.fleet.peers_by_id[silent.host].link
-        calls = []
-        n_sent = []
-        for _ in range(int(1.0 / PAUSE_S)):
-            calls.append(asyncio.ensure_future(caller.call()))
-            await asyncio.sleep(PAUSE_S)
-            n_sent.append(link.n_pending)
-        assert max(n_sent) > 0
-        noticed = n_sent[int(NOTICED_S / PAUSE_S)]
-        assert max(n_sent) <= noticed
-        answers = await asyncio.gather(*calls[int(NOTICED_S / PAUSE_S) :])
-        assert {answer.status for answer in answers} == {200}
+        early = [asyncio.ensure_future(caller.call()) for _ in range(20)]
+        await until(lambda: link.is_suspect, NOTICED_S)
+        n_sent = link.n_pending
+        assert n_sent > 0
+        later = await asyncio.gather(*(caller.call() for _ in range(20)))
+        assert {answer.status for answer in later} == {200}
+        assert link.n_pending <= n_sent
+        await asyncio.gather(*early)
 
 
 async def test_a_node_that_answers_again_gets_requests_again():
