--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -29,6 +29,7 @@
 DEFAULT_LIMITS = CallerLimits(16_384, 64 * 1024 * 1024, 3_000.0, 15_000.0)
 MAX_PIPELINED = 16  # requests read ahead on one connection before reading pauses
 IDLE_GRACE_MS = 500.0  # beyond the idle timeout, so that no request meets the close
+STOP_IDLE_MS = 300.0  # in a stop; a caller that has just connected sends its request
 
 
 class CallerRequest(NamedTuple):
@@ -86,11 +87,6 @@
         for connection in list(self.connections):
             connection.check_time(now_ms, limits)
 
-    def close_idle(self) -> None:
-        """Close connections without a request."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
-
 
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller; requests are answered in order."""
@@ -158,13 +154,10 @@
             if not self._in_body and now_ms - since_ms > limits.header_timeout_ms:
                 self._reject(408)
             return
-        if now_ms - self._active_ms > limits.idle_timeout_ms + IDLE_GRACE_MS:
-            self._transport.close()
-
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is being read or answered."""
-        is_idle = self._task is None and self._reading_since_ms is None
-        if is_idle and self._transport is not None:
+        bound_ms = limits.idle_timeout_ms + IDLE_GRACE_MS
+        if self._state.is_stopping:
+            bound_ms = STOP_IDLE_MS
+        if now_ms - self._active_ms > bound_ms:
             self._transport.close()
 
     # Callbacks of the parser.
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -268,14 +268,13 @@
         self.gate.is_stopping = True
         self.callers.is_stopping = True
         self._tell_change()
-        self.callers.close_idle()
         removal = asyncio.ensure_future(self.rows.remove())
         while (elapsed_ms := self.clock.now_ms() - started_ms) < (
             stop_ms * STOP_END_SHARE
         ):
             if elapsed_ms > stop_ms * STOP_CLOSING_SHARE:
                 self.acceptance.is_closing = True
-            is_idle = self.callers.n_active == 0 and self.gate.is_idle
+            is_idle = not self.callers.connections and self.gate.is_idle
             if elapsed_ms >= STOP_MIN_MS and is_idle:
                 break
             await asyncio.sleep(TICK_MS / 1000.0)
--- a/tests/fleet/test_stop.py
+++ b/tests/fleet/test_stop.py
@@ -32,6 +32,28 @@
     await stopping
 
 
+async def test_a_connection_that_was_just_opened_or_used_is_served_in_a_stop(pair):
+    first = pair.vms[0]
+    opened, used = await connect(first.host), await connect(first.host)
+    used.transport.write(request_bytes("/lookup/1"))
+    assert (await used.answers.get()).status == 200
+    stopping = asyncio.ensure_future(first.node.stop())
+    await asyncio.sleep(0.05)
+    for caller in (opened, used):
+        caller.transport.write(request_bytes("/lookup/2"))
+        assert (await caller.answers.get()).status == 200
+    await stopping
+
+
+async def test_idle_connections_are_closed_in_a_stop(pair):
+    first = pair.vms[0]
+    idle = await connect(first.host)
+    stopping = asyncio.ensure_future(first.node.stop())
+    await asyncio.wait_for(idle.closed.wait(), 1.0)
+    await stopping
+    assert not first.node.callers.connections
+
+
 async def test_others_stop_sending_to_a_node_that_stops(pair):
     first, second = pair.vms
     stopping = asyncio.ensure_future(first.node.stop())
