--- a/benchmarks/mesh_soak.py
+++ b/benchmarks/mesh_soak.py
@@ -23,13 +23,6 @@
 sys.path[:0] = [str(ROOT / "tests" / "fleet"), str(ROOT / "platform")]
 
 import uvloop  # noqa: E402
-from _mesh_promises import (  # noqa: E402
-    CALM_SHARE,
-    Arrival,
-    Request,
-    answered_share,
-    broken_promises,
-)
 from fleet_harness import (  # noqa: E402
     CONTROL,
     STORE,
@@ -46,6 +39,13 @@
 from ibisspoke_mesh.node import Node  # noqa: E402
 from ibisspoke_mesh.node_process import running_node  # noqa: E402
 from ibisspoke_standins import fleet_upstream as upstreams  # noqa: E402
+from ibisspoke_standins.fleet_promises import (  # noqa: E402
+    CALM_SHARE,
+    Arrival,
+    Request,
+    answered_share,
+    broken_promises,
+)
 from ibisspoke_standins.fleet_store import FleetStore  # noqa: E402
 from ibisspoke_standins.fleet_upstream import FleetUpstream  # noqa: E402
 
