Leave a line for cancelled requests, and name also the node that has not answered

A request that its caller gave up left no line. The nodes that were asked were noted after their answer, so that a refusal with 504 did not name the one that owed it, which is the one to look at. `ibisspoke explain` has a sentence for the new line.

--- a/packages/ctl/ibisspoke_ctl/explain.py
+++ b/packages/ctl/ibisspoke_ctl/explain.py
@@ -115,6 +115,9 @@
     if last.event == "answered after a repeat":
         n_sent = last.fields.get("n_sent")
         return f"Answered after {n_sent} upstreams had it; the first gave no use."
+    if last.event == "cancelled":
+        held_ms = last.fields.get("held_ms")
+        return f"Cancelled: its caller had gone after {held_ms} ms. It may have run."
     if last.event.startswith("refused "):
         status = last.event.removeprefix("refused ")
         why = SENTENCE_BY_REASON.get(reason, reason or "no reason was logged")
--- a/packages/ctl/tests/test_explain.py
+++ b/packages/ctl/tests/test_explain.py
@@ -59,6 +59,7 @@
         ("refused 504", {"reason": "no answer within the time limit"}),
         ("answered after a repeat", {"n_sent": 2}),
         ("sent again", {"reason": "cut"}),
+        ("cancelled", {"held_ms": 420}),
     ],
 )
 def test_each_fate_has_its_sentence(event, fields, snapshot):
--- a/packages/mesh/ibisspoke_mesh/entry.py
+++ b/packages/mesh/ibisspoke_mesh/entry.py
@@ -73,7 +73,7 @@
         request_id = headers.get(self._dialect.request_id, b"")
         accepted = await self._accept(request, headers, request_id)
         if isinstance(accepted, Refusal):
-            return self._refused(request, request_id, accepted, None)
+            return self._refused(request_id, accepted, {})
         progress = Progress()
         try:
             remaining_ms = accepted.deadline_ms - self._clock.now_ms()
@@ -83,6 +83,12 @@
             outcome = progress.best or Outcome(
                 OutcomeKind.TIMED_OUT, reason="no answer within the time limit"
             )
+        except asyncio.CancelledError:
+            details = self._details(request, accepted, progress)
+            self._log.write(
+                "cancelled", request=request_id.decode("latin-1"), **details
+            )
+            raise
         finally:
             self._acceptance.settle(accepted, progress.may_have_run)
         if accepted.is_nested:
@@ -117,8 +123,8 @@
             )
             if member is None:
                 break
-            outcome = await self._attempt(request, accepted, progress, member, head)
             progress.nodes.add(member.node)
+            outcome = await self._attempt(request, accepted, progress, member, head)
             progress.retry_after_ms = max(
                 progress.retry_after_ms, outcome.retry_after_ms
             )
@@ -273,7 +279,8 @@
             refusal = Refusal(504, outcome.reason)
         else:
             refusal = Refusal(502, outcome.reason)
-        return self._refused(request, accepted.id, refusal, accepted, progress)
+        details = self._details(request, accepted, progress)
+        return self._refused(accepted.id, refusal, details)
 
     def _retry_after_ms(self, accepted: Accepted, progress: Progress) -> float:
         left_ms = accepted.caller_deadline_ms - self._clock.now_ms()
@@ -282,35 +289,17 @@
         return max(50.0, min(wait_ms, MAX_RETRY_SHARE * left_ms))
 
     def _refused(
-        self,
-        request: CallerRequest,
-        request_id: bytes,
-        refusal: Refusal,
-        accepted: Accepted | None,
-        progress: Progress | None = None,
+        self, request_id: bytes, refusal: Refusal, details: dict[str, str | int]
     ) -> CallerAnswer:
         self._metrics.refused(refusal.status, refusal.reason)
-        now_ms = self._clock.now_ms()
-        details: dict[str, str | int] = {"version": self._acceptance.version}
         if refusal.organisation:
             details["organisation"] = refusal.organisation
-        if accepted is not None:
-            details |= {
-                "route": accepted.route.name,
-                "service": accepted.service,
-                "organisation": (
-                    accepted.holder.organisation if accepted.holder else ""
-                ),
-                "left_ms": int(accepted.deadline_ms - now_ms),
-                "held_ms": int(now_ms - request.arrived_ms),
-            }
-        if progress is not None:
-            details["asked"] = " ".join(sorted(progress.nodes))
         self._log.write(
             f"refused {refusal.status}",
             request=request_id.decode("latin-1"),
             reason=refusal.reason,
             retry_after_ms=int(refusal.retry_after_ms),
+            version=self._acceptance.version,
             **details,
         )
         headers = b"%b: %b\r\n" % (self._dialect.request_id, request_id)
@@ -318,6 +307,21 @@
             headers += b"retry-after: %.3f\r\n" % (refusal.retry_after_ms / 1000.0)
         return CallerAnswer(refusal.status, headers, b"")
 
+    def _details(
+        self, request: CallerRequest, accepted: Accepted, progress: Progress
+    ) -> dict[str, str | int]:
+        """Return what decided the end of a request, for its line."""
+        now_ms = self._clock.now_ms()
+        holder = accepted.holder
+        return {
+            "route": accepted.route.name,
+            "service": accepted.service,
+            "organisation": holder.organisation if holder is not None else "",
+            "left_ms": int(accepted.deadline_ms - now_ms),
+            "held_ms": int(now_ms - request.arrived_ms),
+            "asked": " ".join(sorted(progress.nodes)),
+        }
+
 
 def _connection_options(headers: list[tuple[bytes, bytes, bytes]]) -> set[bytes]:
     """Return the headers that the caller binds to its connection."""
