Learn at once that the store is back, and test each kind of line

Found by the test of the lines: after an outage a node waited for changes with a call of 28 s, and took the store for lost until it ended. Nodes that have lost the store rank last, so after an outage of all, each took itself for a watcher for up to 28 s. The first call after a failure now does not wait.

--- a/packages/mesh/ibisspoke_mesh/table_watch.py
+++ b/packages/mesh/ibisspoke_mesh/table_watch.py
@@ -67,9 +67,9 @@
             if self._after is None:
                 result = await self._store.snapshot(self._table)
             else:
-                result = await self._store.changes(
-                    self._table, self._after, self._wait_ms
-                )
+                # a call that waits would tell only at its end that the store is back
+                wait_ms = self._wait_ms if self._lost_ms is None else 0
+                result = await self._store.changes(self._table, self._after, wait_ms)
             if isinstance(result, Err):
                 await self._failed(result.err_value)
                 continue
--- a/tests/fleet/test_lines.py
+++ b/tests/fleet/test_lines.py
@@ -6,6 +6,7 @@
 import pytest
 from fleet_harness import connect, request_bytes, until
 
+from ibisspoke_adapter.configuration import CONFIG_KEY, CONFIG_TABLE
 from ibisspoke_standins import fleet_upstream as upstreams
 
 
@@ -80,6 +81,81 @@
     assert line.left_ms > 0
 
 
+def told(caplog) -> dict[str, logging.LogRecord]:
+    """Return the latest line of each event."""
+    return {record.message: record for record in caplog.records}
+
+
+async def test_what_is_learnt_of_nodes_is_told(pair, caplog):
+    first, second = pair.vms
+    await second.upstream.announce("draining")
+    await until(lambda: "node changed" in told(caplog))
+    assert told(caplog)["upstream state"].state == "draining"
+    assert (told(caplog)["node changed"].peer, told(caplog)["node changed"].state) == (
+        second.host,
+        "draining",
+    )
+    await second.upstream.leave()
+    assert told(caplog)["upstream leaves"].instance == second.upstream.instance
+
+
+async def test_a_lost_upstream_is_told_with_what_showed_it(single, caplog):
+    vm = single.vms[0]
+    await vm.upstream.stop()
+    await vm.call()
+    assert told(caplog)["upstream absent"].instance == vm.upstream.instance
+    assert told(caplog)["upstream absent"].why
+
+
+async def test_a_lost_link_tells_how_many_requests_were_on_it(pair, caplog):
+    first, second = pair.vms
+    await first.upstream.announce("draining")
+    await until(lambda: first.node.gate.life.state == "draining")
+    second.upstream.work_s = 0.3
+    calls = [asyncio.ensure_future(first.call()) for _ in range(3)]
+    await until(lambda: len(second.upstream.ran) == 3)
+    for connection in list(second.node.calls.connections):
+        connection.close()
+    await asyncio.gather(*calls)
+    line = told(caplog)["link lost"]
+    assert (line.peer, line.n_pending) == (second.host, 3)
+
+
+async def test_a_node_that_cannot_be_reached_is_told(pair, caplog):
+    first, second = pair.vms
+    link = first.node.fleet.peers_by_id[second.host].link
+    link._port = 1
+    await first.upstream.announce("draining")
+    await until(lambda: first.node.gate.life.state == "draining")
+    await first.call()
+    assert told(caplog)["node unreachable"].peer == second.host
+
+
+async def test_the_store_is_told_when_lost_and_regained(single, caplog):
+    single.store.down = True
+    await single.configure(2)
+    await until(lambda: "store lost" in told(caplog))
+    assert told(caplog)["store lost"].kind
+    single.store.down = False
+    await until(lambda: "store regained" in told(caplog))
+    assert told(caplog)["store regained"].after_ms > 0
+
+
+async def test_configurations_are_told_when_adopted_and_when_unreadable(single, caplog):
+    await single.configure(2)
+    await until(lambda: "configuration adopted" in told(caplog))
+    assert told(caplog)["configuration adopted"].version == 2
+    await single.store.put(CONFIG_TABLE, CONFIG_KEY, b"no configuration")
+    await until(lambda: "configuration unreadable" in told(caplog))
+    assert told(caplog)["configuration unreadable"].in_force == 2
+
+
+async def test_a_datagram_that_cannot_be_read_names_its_sender(single, caplog):
+    vm = single.vms[0]
+    vm.node.status.datagram_received(b"\xff", ("10.0.0.9", 1))
+    assert told(caplog)["datagram unreadable"].sender == "10.0.0.9"
+
+
 async def test_requests_while_the_node_has_no_proof_say_so(single, caplog):
     vm = single.vms[0]
     vm.node.config.freshness.__init__()
