Make the test of silent nodes able to fail again

It passed with suspects chosen like other nodes, since by then the load alone kept requests away.

It now sends a request each 10 ms until the node is suspected, within 1 s, and thirty more at the same pace, none of which may go to it.

--- a/tests/fleet/test_silent_nodes.py
+++ b/tests/fleet/test_silent_nodes.py
@@ -5,6 +5,8 @@
 from fleet_harness import Vm, running_fleet, until
 
 PLACES = (("a", "north"),)
+PAUSE_S = 0.01  # between two requests
+N_LATER = 30
 NOTICED_S = 1.0  # well before the link counts as lost
 
 
@@ -29,16 +31,29 @@
         caller, silent, _ = await _caller_and_two(fleet)
         _fall_silent(silent)
         link = caller.node.fleet.peers_by_id[silent.host].link
-        early = [asyncio.ensure_future(caller.call()) for _ in range(20)]
-        await until(lambda: link.is_suspect, NOTICED_S)
+        early = await _calls_until(caller, lambda: link.is_suspect)
         n_sent = link.n_pending
         assert n_sent > 0
-        later = await asyncio.gather(*(caller.call() for _ in range(20)))
-        assert {answer.status for answer in later} == {200}
-        assert link.n_pending <= n_sent
+        later = []
+        for _ in range(N_LATER):
+            later.append(asyncio.ensure_future(caller.call()))
+            await asyncio.sleep(PAUSE_S)
+            assert link.n_pending <= n_sent
+        answers = await asyncio.gather(*later)
+        assert {answer.status for answer in answers} == {200}
         await asyncio.gather(*early)
 
 
+async def _calls_until(caller: Vm, condition) -> list[asyncio.Task]:
+    """Send a request each pause until a condition holds."""
+    calls = []
+    async with asyncio.timeout(NOTICED_S):
+        while not condition():
+            calls.append(asyncio.ensure_future(caller.call()))
+            await asyncio.sleep(PAUSE_S)
+    return calls
+
+
 async def test_a_node_that_answers_again_gets_requests_again():
     async with running_fleet(3, PLACES) as fleet:
         caller, silent, _ = await _caller_and_two(fleet)
