Log and count by route where requests and attempts end

Lines about single requests are bounded in a burst, and counters name a reason but no route.

Each node now writes one line every two seconds with complete counts by route: outcomes of callers' requests, endings of attempts at its upstream, and the time that these were queued and running. The same counts are on the metrics page.

--- a/packages/mesh/ibisspoke_mesh/_pending_attempts.py
+++ b/packages/mesh/ibisspoke_mesh/_pending_attempts.py
@@ -11,6 +11,7 @@
     """An attempt that is queued or running."""
 
     __slots__ = (
+        "arrived_ms",
         "attempt",
         "deadline_at_ms",
         "has_starved",
@@ -19,9 +20,14 @@
     )
 
     def __init__(
-        self, attempt: Attempt, deadline_at_ms: float, on_outcome: OnOutcome
+        self,
+        attempt: Attempt,
+        arrived_ms: float,
+        deadline_at_ms: float,
+        on_outcome: OnOutcome,
     ) -> None:
         self.attempt = attempt
+        self.arrived_ms = arrived_ms
         self.deadline_at_ms = deadline_at_ms
         self.on_outcome = on_outcome
         self.started_ms: float | None = None
--- a/packages/mesh/ibisspoke_mesh/metrics.py
+++ b/packages/mesh/ibisspoke_mesh/metrics.py
@@ -6,6 +6,8 @@
 TIME_BUCKETS_MS = (5.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_500.0, 3_000.0, 6e3)
 Labels = tuple[str, ...]
 MAX_REASON_CHARS = 40  # reasons are labels, whose values are kept for ever
+MAX_ROUTES = 200  # label values; further routes are counted together
+OTHER_ROUTES = "other routes"
 
 
 class TimeHistogram:
@@ -29,6 +31,9 @@
 class NodeMetrics:
     """Metrics of a node, by labels.
 
+    :ivar requests: ended requests of callers, by route and outcome.
+    :ivar attempts: ended attempts at the upstream of this VM, by route and ending.
+    :ivar attempt_ms: total time of these attempts, by route and phase.
     :ivar answers: responses of upstreams, by priority and status.
     :ivar refusals: responses of the node itself, by status and reason.
     :ivar retries: requests sent to another node, by outcome of the earlier attempt.
@@ -41,6 +46,9 @@
     """
 
     def __init__(self) -> None:
+        self.requests: Counter[Labels] = Counter()
+        self.attempts: Counter[Labels] = Counter()
+        self.attempt_ms: Counter[Labels] = Counter()
         self.answers: Counter[Labels] = Counter()
         self.refusals: Counter[Labels] = Counter()
         self.retries: Counter[Labels] = Counter()
@@ -50,6 +58,7 @@
         self.queue_times = TimeHistogram()
         self.upstream_times = TimeHistogram()
         self.link_times = TimeHistogram()
+        self._routes: set[str] = set()
 
     def __repr__(self) -> str:
         return f"NodeMetrics(n_answers={sum(self.answers.values())})"
@@ -63,6 +72,26 @@
             times = self.answer_times[label] = TimeHistogram()
         times.add(duration_ms)
 
+    def count_request(self, route: str, outcome: str) -> None:
+        """Count an ended request of a caller."""
+        self.requests[self._route_label(route), outcome[:MAX_REASON_CHARS]] += 1
+
+    def count_attempt(
+        self, route: str, ending: str, queued_ms: float, running_ms: float
+    ) -> None:
+        """Count an ended attempt, and the time that it was queued and running."""
+        label = self._route_label(route)
+        self.attempts[label, ending] += 1
+        self.attempt_ms[label, "queued"] += round(queued_ms)
+        self.attempt_ms[label, "running"] += round(running_ms)
+
     def count_refusal(self, status: int, reason: str) -> None:
         """Count a response of the node itself."""
         self.refusals[str(status), reason[:MAX_REASON_CHARS]] += 1
+
+    def _route_label(self, route: str) -> str:
+        if route not in self._routes:
+            if len(self._routes) >= MAX_ROUTES:
+                return OTHER_ROUTES
+            self._routes.add(route)
+        return route
--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -48,6 +48,24 @@
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics."""
         metrics = self._metrics
+        yield _counter(
+            "requests",
+            "Ended requests of callers.",
+            ["route", "outcome"],
+            metrics.requests,
+        )
+        yield _counter(
+            "attempts",
+            "Ended attempts at the upstream of this VM.",
+            ["route", "ending"],
+            metrics.attempts,
+        )
+        yield _counter(
+            "attempt_milliseconds",
+            "Time of these attempts.",
+            ["route", "phase"],
+            metrics.attempt_ms,
+        )
         yield _counter(
             "answers", "Answers of upstreams.", ["priority", "status"], metrics.answers
         )
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -40,6 +40,7 @@
 from .status_receiver import StatusReceiver
 from .store import WatchedTables
 from .table_watch import TableWatch
+from .traffic_log import TrafficLog
 from .upstream_dispatcher import UpstreamDispatcher
 from .upstream_pool import UpstreamPool
 
@@ -191,6 +192,7 @@
         self.announcements = adapter.announcements(
             self.dispatcher, self.rows.wait_until_saved
         )
+        self.traffic_log = TrafficLog(metrics, clock, self.log)
         self.servers: list[ServerState] = []
         self.callers = self.server(self.request_handler.handle)
         self._publish_change()
@@ -260,6 +262,7 @@
         self.status.tick()
         self.config.tick(self.settings.key_proof_ms)
         self.log.tick()
+        self.traffic_log.tick()
         for server in self.servers:
             server.tick()
 
--- a/packages/mesh/ibisspoke_mesh/request_admission.py
+++ b/packages/mesh/ibisspoke_mesh/request_admission.py
@@ -31,12 +31,14 @@
     :param reason: for the log and the metrics.
     :param retry_after_ms: when the caller may retry; 0 if it should not.
     :param organisation: the one whose rate was exceeded, if any.
+    :param route: name of the request's route, if it was admitted or shed.
     """
 
     status: int
     reason: str
     retry_after_ms: float = 0.0
     organisation: str = ""
+    route: str = ""
 
 
 class RateCheckNeeded(NamedTuple):
@@ -188,7 +190,7 @@
                 if owner is not None:
                     self._rates.refund(owner.organisation)
                 wait_ms = caller_ms * MAX_RETRY_SHARE * self._rng.uniform(0.5, 1.0)
-                return Refusal(503, "dependency_overloaded", wait_ms)
+                return Refusal(503, "dependency_overloaded", wait_ms, route=route.name)
         arrived_ms = request.arrived_ms
         return AdmittedRequest(
             request_id,
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -88,6 +88,7 @@
             self._log.write(
                 "cancelled", request=request_id.decode("latin-1"), **details
             )
+            self._metrics.count_request(admitted.route.name, "cancelled")
             raise
         finally:
             self._admission.refund_if_not_run(admitted, progress.may_have_run)
@@ -272,8 +273,10 @@
     ) -> CallerResponse:
         if outcome.kind is OutcomeKind.ANSWERED:
             duration_ms = self._clock.now_ms() - request.arrived_ms
-            self._metrics.count_answer(
-                admitted.route.priority, outcome.status, duration_ms
+            route = admitted.route
+            self._metrics.count_answer(route.priority, outcome.status, duration_ms)
+            self._metrics.count_request(
+                route.name, _answer_label(outcome, duration_ms, route.objective_ms)
             )
             if progress.n_sent > 1:
                 self._log.write(
@@ -290,6 +293,7 @@
             refusal = Refusal(504, outcome.reason)
         else:
             refusal = Refusal(502, outcome.reason)
+        refusal = refusal._replace(route=admitted.route.name)
         details = self._log_fields(request, admitted, progress)
         return self._refusal_response(admitted.id, refusal, details)
 
@@ -305,6 +309,9 @@
         self, request_id: bytes, refusal: Refusal, details: dict[str, str | int]
     ) -> CallerResponse:
         self._metrics.count_refusal(refusal.status, refusal.reason)
+        if refusal.route:
+            label = f"{refusal.status} {refusal.reason}"
+            self._metrics.count_request(refusal.route, label)
         if refusal.organisation:
             details["organisation"] = refusal.organisation
         self._log.write(
@@ -339,6 +346,13 @@
         }
 
 
+def _answer_label(outcome: Outcome, duration_ms: float, objective_ms: float) -> str:
+    """Return the outcome of an answered request, for the metrics."""
+    if outcome.status >= 500:
+        return "starved" if outcome.has_starved else "failed by the upstream"
+    return "answered" if duration_ms <= objective_ms else "answered late"
+
+
 def _connection_options(headers: list[tuple[bytes, bytes, bytes]]) -> set[bytes]:
     """Return the names of headers that apply only to the caller's connection."""
     options: set[bytes] = set()
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -166,10 +166,13 @@
         number = next(self._numbers)
         now_ms = self._clock.now_ms()
         if attempt.instance != self.instance or attempt.service != self.service:
-            self._refuse(on_outcome, "upstream_replaced", WRONG_UPSTREAM_RETRY_MS)
+            self._refuse(
+                attempt, on_outcome, "upstream_replaced", WRONG_UPSTREAM_RETRY_MS
+            )
             return number
         if self.state is not UpstreamState.READY:
-            self._refuse(on_outcome, f"upstream_{self.state}", WRONG_UPSTREAM_RETRY_MS)
+            reason = f"upstream_{self.state}"
+            self._refuse(attempt, on_outcome, reason, WRONG_UPSTREAM_RETRY_MS)
             return number
         offer = Offer(
             number,
@@ -181,9 +184,11 @@
         )
         error = self.queue.offer(offer)
         if error is not None:
-            self._refuse(on_outcome, error, self.queue.wait_ms(attempt.rank))
+            wait_ms = self.queue.wait_ms(attempt.rank)
+            self._refuse(attempt, on_outcome, error, wait_ms)
             return number
-        self._pending.add(number, PendingAttempt(attempt, offer.expires_ms, on_outcome))
+        pending = PendingAttempt(attempt, now_ms, offer.expires_ms, on_outcome)
+        self._pending.add(number, pending)
         self._start_ready()
         return number
 
@@ -213,7 +218,9 @@
             return True
         self._pending.pop(number)
         was_sent = self._pool.cancel(number)
-        self.queue.finish(number, self._clock.now_ms(), Ending.DROPPED)
+        now_ms = self._clock.now_ms()
+        self.queue.finish(number, now_ms, Ending.DROPPED)
+        self._count_ended(pending, Ending.DROPPED, now_ms)
         self._start_ready()
         return was_sent
 
@@ -228,7 +235,8 @@
         for offer, error in self.queue.tick(now_ms):
             pending = self._pending.pop(offer.id)
             if pending is not None:
-                self._refuse(pending.on_outcome, error, self.queue.wait_ms(offer.rank))
+                wait_ms = self.queue.wait_ms(offer.rank)
+                self._refuse(pending.attempt, pending.on_outcome, error, wait_ms)
         silent_ms = now_ms - self._last_seen_ms
         ready = self.upstream.state is UpstreamState.READY
         if ready and silent_ms > MAX_MISSED_HEARTBEATS * self._heartbeat_ms:
@@ -242,7 +250,9 @@
         for offer, error in old.tick(self._clock.now_ms()):
             pending = self._pending.pop(offer.id)
             if pending is not None:
-                self._refuse(pending.on_outcome, error, WRONG_UPSTREAM_RETRY_MS)
+                self._refuse(
+                    pending.attempt, pending.on_outcome, error, WRONG_UPSTREAM_RETRY_MS
+                )
         return UpstreamQueue(limit, self._clock.now_ms())
 
     def _track_draining(self, state: UpstreamState) -> None:
@@ -310,6 +320,7 @@
         if pending is not None:
             if pending.started_ms is not None:
                 self._metrics.upstream_times.add(now_ms - pending.started_ms)
+            self._count_ended(pending, ending, now_ms)
             if outcome.kind is not OutcomeKind.ANSWERED:
                 self._log.write(
                     "attempt failed",
@@ -351,7 +362,22 @@
         has_starved = nested_share > NESTED_STARVED_SHARE
         return Ending.STARVED if has_starved else Ending.FAILED
 
-    def _refuse(self, on_outcome: OnOutcome, reason: str, wait_ms: float) -> None:
+    def _count_ended(
+        self, pending: PendingAttempt, ending: Ending, now_ms: float
+    ) -> None:
+        """Count an attempt that was started, and its times, by its route."""
+        started_ms = now_ms if pending.started_ms is None else pending.started_ms
+        self._metrics.count_attempt(
+            pending.attempt.route,
+            ending,
+            started_ms - pending.arrived_ms,
+            now_ms - started_ms,
+        )
+
+    def _refuse(
+        self, attempt: Attempt, on_outcome: OnOutcome, reason: str, wait_ms: float
+    ) -> None:
+        self._metrics.count_attempt(attempt.route, str(reason), 0.0, 0.0)
         retry_after_ms = max(MIN_RETRY_AFTER_MS, min(wait_ms, 60_000.0))
         outcome = Outcome(
             OutcomeKind.REFUSED, reason=str(reason), retry_after_ms=retry_after_ms
--- a/tests/fleet/test_log_lines.py
+++ b/tests/fleet/test_log_lines.py
@@ -7,6 +7,7 @@
 from fleet_harness import connect, request_bytes, until
 
 from ibisspoke_adapter.configuration import CONFIG_KEY, CONFIG_TABLE
+from ibisspoke_mesh import decision_log, traffic_log
 from ibisspoke_standins import fleet_upstream as upstreams
 
 
@@ -81,6 +82,34 @@
     assert line.left_ms > 0
 
 
+async def test_where_the_requests_of_a_route_end_is_logged_completely(
+    single, caplog, monkeypatch
+):
+    monkeypatch.setattr(traffic_log, "INTERVAL_MS", 300.0)
+    vm = single.vms[0]
+    n_more_than_lines = 3 * int(decision_log.BURST_LINES)
+    vm.upstream.behaviour = upstreams.lose_answer
+    for _ in range(n_more_than_lines):
+        await vm.call("/order/1", method="POST", body=b"x")
+    vm.upstream.behaviour = upstreams.answer
+    await vm.call("/lookup/1")
+    vm.node.dispatcher.queue.is_leaving = True
+    await vm.call("/lookup/1")
+
+    def total(field: str, route: str, label: str) -> int:
+        lines = [record for record in caplog.records if record.message == "traffic"]
+        counts = [getattr(line, field).get(route, {}) for line in lines]
+        return sum(by_label.get(label, 0) for by_label in counts)
+
+    await until(lambda: total("requests", "lookup", "503 leaving") == 1)
+    lost = "502 the connection to the upstream ended"
+    assert total("requests", "order", lost) == n_more_than_lines
+    assert total("attempts", "order", "failed") == n_more_than_lines
+    assert total("requests", "lookup", "answered") == 1
+    assert total("attempts", "lookup", "leaving") == 1
+    assert total("attempt_ms", "lookup", "running") > 0
+
+
 def latest_lines(caplog) -> dict[str, logging.LogRecord]:
     """Return the latest log line of each event."""
     return {record.message: record for record in caplog.records}
