Do not take failures of nested calls for a lack of capacity or for a bad upstream

Callers of lookups got 503 'dependency_overloaded' while the services that they need were nearly idle.

Cause: a call that an upstream rejected counted as a lack of capacity, although its node never sends more than the upstream has slots. So pressure rose to nearly 1, and the entries went down to a tenth of their requests. That freed nothing that was short, and the share grew back only seconds after the rejections had ended.

A parent whose call failed without a lack of capacity counted as a failure of its own upstream, which the choice of an upstream then avoided although nothing was wrong there.

Now a rejection is a lack of capacity only while all slots of the upstream are taken. A parent with a failed call, one given up or one still open says nothing about its own upstream.

Open: an upstream that announces more slots than it has is not recognised by its rejections; requests to it are refused late instead of early.

--- a/packages/mesh/ibisspoke_mesh/_pending_attempts.py
+++ b/packages/mesh/ibisspoke_mesh/_pending_attempts.py
@@ -7,14 +7,35 @@
 OnOutcome = Callable[[Outcome], None]
 
 
+class NestedCall:
+    """How a call that an upstream makes ends; given up until it is set.
+
+    :ivar has_starved: whether it failed for lack of capacity at its service or further
+        downstream.
+    """
+
+    __slots__ = ("has_failed", "has_starved")
+
+    def __init__(self) -> None:
+        self.has_failed = True
+        self.has_starved = False
+
+
 class PendingAttempt:
-    """An attempt that is queued or running."""
+    """An attempt that is queued or running.
+
+    :ivar n_open_calls: calls that the upstream made for it and that have not ended.
+    :ivar has_failed_call: whether one of them failed or was given up.
+    :ivar has_starved: whether one of them failed for lack of capacity.
+    """
 
     __slots__ = (
         "arrived_ms",
         "attempt",
         "deadline_at_ms",
+        "has_failed_call",
         "has_starved",
+        "n_open_calls",
         "on_outcome",
         "started_ms",
     )
@@ -31,6 +52,8 @@
         self.deadline_at_ms = deadline_at_ms
         self.on_outcome = on_outcome
         self.started_ms: float | None = None
+        self.n_open_calls = 0
+        self.has_failed_call = False
         self.has_starved = False
 
 
--- a/packages/mesh/ibisspoke_mesh/_request_progress.py
+++ b/packages/mesh/ibisspoke_mesh/_request_progress.py
@@ -2,7 +2,7 @@
 
 from .frames import Outcome, OutcomeKind
 
-CAPACITY_FAILURES = (OutcomeKind.REFUSED, OutcomeKind.SHED, OutcomeKind.TIMED_OUT)
+CAPACITY_FAILURES = (OutcomeKind.REFUSED, OutcomeKind.TIMED_OUT)
 
 
 class RequestProgress:
@@ -18,11 +18,16 @@
 
 def has_starved(outcome: Outcome) -> bool:
     """Return whether a request failed for lack of capacity here or downstream."""
-    if outcome.kind is OutcomeKind.ANSWERED:
+    if outcome.kind in (OutcomeKind.ANSWERED, OutcomeKind.SHED):
         return outcome.has_starved
     return outcome.kind in CAPACITY_FAILURES
 
 
+def has_failed(outcome: Outcome) -> bool:
+    """Return whether a request got no usable answer."""
+    return outcome.kind is not OutcomeKind.ANSWERED or outcome.status >= 500
+
+
 def preferred_outcome(best: Outcome | None, latest: Outcome) -> Outcome:
     """Return the outcome to keep: a response of an upstream, else the latest one.
 
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -28,7 +28,8 @@
     :param headers: encoded header lines of the response.
     :param reason: why there is no response.
     :param retry_after_ms: when the upstream may have capacity.
-    :param has_starved: whether it failed for lack of capacity at a downstream service.
+    :param has_starved: whether it failed for lack of capacity here or at a downstream
+        service.
     """
 
     kind: OutcomeKind
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -7,7 +7,12 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.retry_window import RetryBudget
 
-from ._request_progress import RequestProgress, has_starved, preferred_outcome
+from ._request_progress import (
+    RequestProgress,
+    has_failed,
+    has_starved,
+    preferred_outcome,
+)
 from .caller_server import CallerRequest, CallerResponse
 from .decision_log import DecisionLog
 from .dialect import HOP_BY_HOP, Dialect
@@ -75,27 +80,40 @@
         if isinstance(admitted, Refusal):
             return self._refusal_response(request_id, admitted, {})
         progress = RequestProgress()
+        if not admitted.is_nested:
+            outcome = await self._run(request, admitted, progress)
+        else:
+            parent_id = self._dialect.parent_id(request_id)
+            with self._dispatcher.nested_call(parent_id) as call:
+                outcome = await self._run(request, admitted, progress)
+                call.has_failed = has_failed(outcome)
+                call.has_starved = has_starved(outcome)
+        return self._final_response(request, admitted, progress, outcome)
+
+    async def _run(
+        self,
+        request: CallerRequest,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+    ) -> Outcome:
+        """Run a request within its time limit."""
         try:
             remaining_ms = admitted.deadline_ms - self._clock.now_ms()
             async with asyncio.timeout(max(0.0, remaining_ms) / 1000.0):
-                outcome = await self._run_attempts(request, admitted, progress)
+                return await self._run_attempts(request, admitted, progress)
         except TimeoutError:
-            outcome = progress.best_outcome or Outcome(
+            return progress.best_outcome or Outcome(
                 OutcomeKind.TIMED_OUT, reason="no answer within the time limit"
             )
         except asyncio.CancelledError:
             details = self._log_fields(request, admitted, progress)
             self._log.write(
-                "cancelled", request=request_id.decode("latin-1"), **details
+                "cancelled", request=admitted.id.decode("latin-1"), **details
             )
             self._metrics.count_request(admitted.route.name, "cancelled")
             raise
         finally:
             self._admission.refund_if_not_run(admitted, progress.may_have_run)
-        if admitted.is_nested:
-            parent_id = self._dialect.parent_id(request_id)
-            self._dispatcher.record_nested_outcome(parent_id, has_starved(outcome))
-        return self._final_response(request, admitted, progress, outcome)
 
     async def _admit(
         self, request: CallerRequest, headers: dict[bytes, bytes], request_id: bytes
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import msgspec
 
@@ -16,7 +17,12 @@
     UpstreamTracker,
 )
 
-from ._pending_attempts import OnOutcome, PendingAttempt, PendingAttempts
+from ._pending_attempts import (
+    NestedCall,
+    OnOutcome,
+    PendingAttempt,
+    PendingAttempts,
+)
 from ._upstream_outcome import MIN_RETRY_AFTER_MS, outcome_of
 from .decision_log import DecisionLog
 from .dialect import Dialect
@@ -310,7 +316,10 @@
         pending = self._pending.pop(number)
         outcome = outcome_of(result)
         ending = self._ending(outcome, pending)
-        if ending is Ending.STARVED:
+        if ending is Ending.STARVED or (
+            # an upstream may also reject while it has free slots
+            outcome.kind is OutcomeKind.SHED and queue.is_saturated
+        ):
             outcome = msgspec.structs.replace(outcome, has_starved=True)
         queue.finish(number, now_ms, ending)
         if isinstance(result, UpstreamResponse):
@@ -338,18 +347,27 @@
         pending = self._pending.find_started(request_id)
         return pending.attempt.rank if pending is not None else None
 
-    def record_nested_outcome(self, parent_id: bytes, has_starved: bool) -> None:
-        """Record the outcome of a nested call, one that the upstream made.
+    @contextmanager
+    def nested_call(self, parent_id: bytes) -> Iterator[NestedCall]:
+        """Attribute a call that the upstream makes to the request it is made for.
+
+        A call that is given up within the context counts as failed.
 
-        :param parent_id: id of the request that the upstream was serving, if known.
-        :param has_starved: whether the call failed for lack of capacity at its service
-            or further downstream.
+        :param parent_id: id of the request that the upstream is serving, if known.
         """
         parent = self._pending.find_started(parent_id)
-        if parent is None:
-            self._nested_starved_share.add(has_starved, self._clock.now_ms())
-        elif has_starved:
-            parent.has_starved = True
+        call = NestedCall()
+        if parent is not None:
+            parent.n_open_calls += 1
+        try:
+            yield call
+        finally:
+            if parent is None:
+                self._nested_starved_share.add(call.has_starved, self._clock.now_ms())
+            else:
+                parent.n_open_calls -= 1
+                parent.has_failed_call |= call.has_failed
+                parent.has_starved |= call.has_starved
 
     def _ending(self, outcome: Outcome, pending: PendingAttempt | None) -> Ending:
         if outcome.kind is not OutcomeKind.ANSWERED:
@@ -358,6 +376,8 @@
             return Ending.ANSWERED
         if pending is not None and pending.has_starved:
             return Ending.STARVED
+        if pending is not None and (pending.has_failed_call or pending.n_open_calls):
+            return Ending.CALL_FAILED
         nested_share = self._nested_starved_share.at(self._clock.now_ms())
         has_starved = nested_share > NESTED_STARVED_SHARE
         return Ending.STARVED if has_starved else Ending.FAILED
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -71,6 +71,7 @@
     ANSWERED = "answered"
     FAILED = "failed"
     STARVED = "starved"  # a service that the upstream calls was overloaded
+    CALL_FAILED = "call failed"  # a call that the upstream made failed otherwise
     DROPPED = "dropped"  # the caller no longer waited
 
 
@@ -148,6 +149,11 @@
         """Number of requests in the queue."""
         return len(self._queue)
 
+    @property
+    def is_saturated(self) -> bool:
+        """Whether all slots of the upstream are taken."""
+        return len(self._running_by_id) >= self.limit
+
     def load(self, now_ms: float) -> Load:
         """Return the load to report to other nodes."""
         closed = self.is_leaving or self.is_stalled(now_ms)
@@ -226,8 +232,9 @@
         if ending is Ending.DROPPED:
             return
         self._last_progress_ms = now_ms
-        self._failures.add(ending is Ending.FAILED, now_ms)
         has_starved = ending is Ending.STARVED
+        if ending is not Ending.CALL_FAILED:  # says nothing about this upstream
+            self._failures.add(ending is Ending.FAILED, now_ms)
         self._pressures.add(running.offer.route, has_starved, now_ms)
         if ending is Ending.ANSWERED:
             self.service_times.add(running.offer.route, took_ms)
--- a/tests/fleet/fleet_harness.py
+++ b/tests/fleet/fleet_harness.py
@@ -209,11 +209,15 @@
 
 @asynccontextmanager
 async def running_fleet(
-    n_vms: int, places: tuple[tuple[str, str], ...] = (("a", "north"),), **changes
+    n_vms: int,
+    places: tuple[tuple[str, str], ...] = (("a", "north"),),
+    services: tuple[str, ...] = ("shop",),
+    **changes,
 ) -> AsyncIterator[Fleet]:
     """Run VMs with a store and an initial configuration.
 
     :param places: pairs of data centre and region, assigned to the VMs in turn.
+    :param services: services, assigned to the VMs in turn.
     """
     net = f"127.{1 + os.getpid() % 200}.{next(_hosts) % 250}"
     async with AsyncExitStack() as stack:
@@ -227,11 +231,15 @@
                     address,
                     data_centre=data_centre,
                     region=region,
+                    service=service,
                     **changes,
                 )
             )
-            for number, (data_centre, region) in zip(
-                range(1, n_vms + 1), itertools.cycle(places), strict=False
+            for number, (data_centre, region), service in zip(
+                range(1, n_vms + 1),
+                itertools.cycle(places),
+                itertools.cycle(services),
+                strict=False,
             )
         ]
         fleet = Fleet(vms, store, net)
