--- a/packages/standins/ibisspoke_standins/fleet_upstream.py
+++ b/packages/standins/ibisspoke_standins/fleet_upstream.py
@@ -133,6 +133,30 @@
     return False
 
 
+def endless(start: bytes, repeated: bytes, pause_s: float = 0.0) -> Behaviour:
+    """Return a behaviour that sends bytes until the node closes the connection.
+
+    :param start: sent once.
+    :param repeated: sent again and again after it.
+    :param pause_s: time between two repetitions.
+    """
+
+    async def respond(
+        upstream: "FleetUpstream",
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        upstream.executed_requests.append(request)
+        writer.write(start.replace(b"REQUEST_ID", request.id.encode()))
+        while True:
+            writer.write(repeated)
+            await writer.drain()
+            upstream.n_endless_bytes += len(repeated)
+            await asyncio.sleep(pause_s)
+
+    return respond
+
+
 def stamped_answer(
     request: ReceivedRequest, instance: str, status: bytes = b"200 OK"
 ) -> bytes:
@@ -170,6 +194,7 @@
         self.executed_requests: list[ReceivedRequest] = []
         self.received_requests: list[ReceivedRequest] = []
         self.n_finished = 0
+        self.n_endless_bytes = 0
         self.n_connections = 0
         self.start_ms = 1_000
         self._sequence = 0
@@ -177,6 +202,11 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
+    @property
+    def n_open(self) -> int:
+        """Number of open connections."""
+        return len(self._writers)
+
     def __repr__(self) -> str:
         return f"FleetUpstream({self.instance!r}, n_ran={len(self.executed_requests)})"
 
