Compare few random upstreams, and forget that one was slow or failing

Five seconds after the servers of returns had stopped rejecting, 5 of 16 still got nothing and 7 were above 70%.

Causes, all of the choice by old or wrong information: - each node compared all upstreams, so that all sent to the one reported as best until its next report; - the wait for a slot counted as slowness of the upstream, and was remembered for 5 s after it had gone; - failures faded by half in 3 s and the service time of an idle upstream never, so that an upstream which got no requests could not show that it was well again; - a queue cost its wait only, not that of the requests behind, so that fast upstreams had queues while slower ones were idle.

Now a node compares two random upstreams of the nearest place and one of each farther one. The node beside an upstream reports how long a request ran. A wait costs more than running time, and the load is taken as uncertain. Failures fade by half in a second, and a service time is not reported two seconds after the last answer.

--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -7,7 +7,7 @@
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.route_profile import Pace, RouteProfiles
-from ibisspoke_policy.upstream_choice import Candidate, Distance, choose
+from ibisspoke_policy.upstream_choice import Candidate, Distance, choose, sample
 from ibisspoke_policy.upstream_queue import Load
 from ibisspoke_policy.upstream_tracker import UpstreamState
 
@@ -171,7 +171,10 @@
         peers = self._reachable(service, excluded, now_ms)
         own = self.own
         serves = own is not None and _serves(own, service) and own.node not in excluded
-        healthy = [peer for peer in peers if not peer.link.is_suspect]
+        usable = [peer for peer in peers if not peer.link.is_suspect]
+        if not usable and not serves:
+            usable = peers
+        accepting = [peer for peer in usable if peer.load.limit > 0] or usable
         candidates = [
             Candidate(
                 peer.record.node,
@@ -182,7 +185,7 @@
                 peer.cold_until_ms > now_ms,
                 peer.pace.at(now_ms),
             )
-            for peer in (healthy if healthy or serves else peers)
+            for peer in sample(accepting, _distance, self._rng)
         ]
         if own is not None and serves:
             distance = Distance(True, True, LOCAL_RTT_MS)
@@ -209,20 +212,20 @@
         ]
 
     def record_response(
-        self, node: str, route: str, duration_ms: float, n_bytes: int
+        self, node: str, route: str, running_ms: float, n_bytes: int
     ) -> None:
         """Update route and node statistics by a response of a node's upstream.
 
+        :param running_ms: how long the request ran at the upstream.
         :param n_bytes: size of the request and its response.
         """
         peer = self.peers_by_id.get(node)
         pace = peer.pace if peer is not None else self._own_pace
         now_ms = self._clock.now_ms()
         profile = self.profiles.of(route)
-        if peer is not None:
-            duration_ms = max(1.0, duration_ms - peer.distance.rtt_ms)
-        profile.add(duration_ms, pace.at(now_ms) or 1.0, n_bytes)
-        pace.add(duration_ms, profile.median_ms, now_ms)
+        running_ms = max(1.0, running_ms)
+        profile.add(running_ms, pace.at(now_ms) or 1.0, n_bytes)
+        pace.add(running_ms, profile.median_ms, now_ms)
 
     def pressure(self, service: str, route: str) -> float:
         """Return the share of a route's requests that starve downstream.
@@ -308,5 +311,9 @@
         )
 
 
+def _distance(peer: Peer) -> Distance:
+    return peer.distance
+
+
 def _serves(record: MemberRecord, service: str) -> bool:
     return record.service == service and record.state is UpstreamState.READY
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -30,6 +30,7 @@
     :param retry_after_ms: when the upstream may have capacity.
     :param has_starved: whether it failed for lack of capacity here or at a downstream
         service.
+    :param running_ms: how long it ran at the upstream, without the wait for a slot.
     """
 
     kind: OutcomeKind
@@ -39,6 +40,7 @@
     reason: str = ""
     retry_after_ms: float = 0.0
     has_starved: bool = False
+    running_ms: float = 0.0
 
 
 class Attempt(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -203,11 +203,13 @@
             progress.may_have_run = may_have_run
         if outcome.kind is not OutcomeKind.REFUSED:
             progress.n_sent += 1
-        if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
-            duration_ms = self._clock.now_ms() - now_ms
+        is_answered = outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500
+        if is_answered and outcome.running_ms:  # absent in replies of earlier versions
             n_bytes = len(head) + len(request.body)
             n_bytes += len(outcome.headers) + len(outcome.body)
-            self._fleet.record_response(member.node, route.name, duration_ms, n_bytes)
+            self._fleet.record_response(
+                member.node, route.name, outcome.running_ms, n_bytes
+            )
         return outcome
 
     async def _run_here(
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -328,7 +328,9 @@
             self._mark_absent(result.reason, now_ms - self._last_seen_ms)
         if pending is not None:
             if pending.started_ms is not None:
-                self._metrics.upstream_times.add(now_ms - pending.started_ms)
+                running_ms = now_ms - pending.started_ms
+                self._metrics.upstream_times.add(running_ms)
+                outcome = msgspec.structs.replace(outcome, running_ms=running_ms)
             self._count_ended(pending, ending, now_ms)
             if outcome.kind is not OutcomeKind.ANSWERED:
                 self._log.write(
--- a/packages/policy/ibisspoke_policy/upstream_choice.py
+++ b/packages/policy/ibisspoke_policy/upstream_choice.py
@@ -1,7 +1,9 @@
 """Selection of the upstream with the lowest expected cost for a request."""
 
+import math
 import random
-from typing import NamedTuple
+from collections.abc import Callable, Sequence
+from typing import NamedTuple, TypeVar
 
 from .route_profile import RouteProfile
 from .upstream_queue import Load
@@ -12,14 +14,22 @@
 CROSS_DATA_CENTRE_COST_PER_KB = 0.06  # users put it at 0.01 to 0.08
 CROSS_REGION_COST_PER_KB = 0.1  # the link to another region is also narrow
 LATENCY_COST = 0.3  # of an answer that takes exactly the latency objective
+WAIT_COST = 1.0  # of a wait as long as the objective; also delays those behind it
 MIN_KB = 1.0  # headers and frames of a request and its answer
 JITTER_COST = 0.02  # random, so that nodes do not all choose the same upstream
 COLD_PACE_FACTOR = 2.0  # slowdown of an upstream that has just started
 BUSY_PACE_INCREASE = 0.3  # relative slowdown of an upstream at its limit
-WAIT_LOAD_SHARE = 0.9  # of the limit; above it requests may have to wait
+# Load reports are old and do not show what other nodes have sent since. In units of
+# the square root of the limit, as the number of arrivals varies.
+LOAD_UNCERTAINTY = 0.5
 EXPLORATION_SHARE = 0.005  # of requests, to keep the latency of all upstreams known
 MAX_EXPLORATION_FAILURE_SHARE = 0.1  # failing upstreams are not explored
-MAX_CANDIDATES = 24  # above it, a sample is compared; a few near ones suffice
+# Two random upstreams of the nearest place are compared, and one of each farther one.
+# If all nodes compared all, they would all send to the one reported as least loaded.
+N_NEAREST_COMPARED = 2
+
+
+_Entry = TypeVar("_Entry")
 
 
 class Distance(NamedTuple):
@@ -67,19 +77,38 @@
     pace *= 1.0 + BUSY_PACE_INCREASE * min(1.0, n_ahead / limit)
     if candidate.is_cold:
         pace *= COLD_PACE_FACTOR
-    excess = max(0.0, n_ahead + 1 - WAIT_LOAD_SHARE * limit)
+    excess = _expected_excess(n_ahead + 1 - limit, LOAD_UNCERTAINTY * math.sqrt(limit))
     wait_ms = excess * (load.service_ms or profile.median_ms) / limit
-    wait_ms += candidate.distance.rtt_ms
-    late_share = profile.late_share(pace, objective_ms - wait_ms)
-    latency_share = (wait_ms + profile.median_ms * pace) / objective_ms
+    rtt_ms = candidate.distance.rtt_ms
+    late_share = profile.late_share(pace, objective_ms - wait_ms - rtt_ms)
+    latency_share = (rtt_ms + profile.median_ms * pace) / objective_ms
     return (
         LATE_COST * late_share
         + LATENCY_COST * latency_share
+        + WAIT_COST * wait_ms / objective_ms
         + FAILURE_COST * load.failure_share
         + _transfer_cost(candidate.distance, profile)
     )
 
 
+def sample(
+    entries: Sequence[_Entry],
+    distance: Callable[[_Entry], Distance],
+    rng: random.Random,
+) -> list[_Entry]:
+    """Return a few random entries of each distance, most of the nearest one."""
+    groups: dict[tuple[bool, bool], list[_Entry]] = {}
+    for entry in entries:
+        place = distance(entry)
+        groups.setdefault((place.same_data_centre, place.same_region), []).append(entry)
+    sampled: list[_Entry] = []
+    for key in sorted(groups, reverse=True):
+        n_compared = 1 if sampled else N_NEAREST_COMPARED
+        group = groups[key]
+        sampled += rng.sample(group, min(n_compared, len(group)))
+    return sampled
+
+
 def choose(
     candidates: list[Candidate],
     profile: RouteProfile,
@@ -92,8 +121,6 @@
     """
     if not candidates:
         return None
-    if len(candidates) > MAX_CANDIDATES:
-        candidates = _sample(candidates, rng)
     accepting = [c for c in candidates if c.load.limit > 0] or candidates
     if rng.random() < EXPLORATION_SHARE:
         near = [c for c in accepting if _may_explore(c)]
@@ -110,6 +137,12 @@
     return min(accepting, key=cost_with_jitter)
 
 
+def _expected_excess(excess: float, uncertainty: float) -> float:
+    """Return the mean positive part of an excess that is known inexactly."""
+    ratio = excess / uncertainty
+    return excess if ratio > 30.0 else uncertainty * math.log1p(math.exp(ratio))
+
+
 def _transfer_cost(distance: Distance, profile: RouteProfile) -> float:
     kb = max(MIN_KB, profile.n_bytes / 1024.0)
     if not distance.same_region:
@@ -122,12 +155,3 @@
     has_room = load.n_running + load.n_queued < load.limit
     is_healthy = load.failure_share < MAX_EXPLORATION_FAILURE_SHARE
     return candidate.distance.same_region and has_room and is_healthy
-
-
-def _sample(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
-    """Return some candidates, preferring those in the same data centre."""
-    near = [c for c in candidates if c.distance.same_data_centre]
-    rest = [c for c in candidates if not c.distance.same_data_centre]
-    near = rng.sample(near, min(len(near), MAX_CANDIDATES - 2))
-    n_rest = max(2, MAX_CANDIDATES - len(near))
-    return near + rng.sample(rest, min(len(rest), n_rest))
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -10,7 +10,8 @@
 from .service_times import ServiceTimes
 
 OUTCOME_WEIGHT = 0.08  # of one outcome in the shares; averages about the last 12
-FAILURE_HALF_LIFE_MS = 3_000.0  # then an upstream that was avoided is tried again
+FAILURE_HALF_LIFE_MS = 1_000.0  # then an upstream that was avoided is tried again
+SERVICE_TIME_VALIDITY_MS = 2_000.0  # after the last end of a request
 MIN_LESS_URGENT_TIME_SHARE = 0.15  # of the upstream's time
 MIN_RECORDED_TIME_MS = 2_000.0  # with less, the shares are not meaningful
 TIME_SHARE_HALF_LIFE_MS = 2_000.0
@@ -51,7 +52,7 @@
     """Load of an upstream, as its node reports it to other nodes.
 
     :param limit: concurrency limit; 0 if no requests are accepted.
-    :param service_ms: average service time; 0 before the first answer.
+    :param service_ms: average service time; 0 if no recent one is known.
     :param failure_share: recent share of requests that failed at the upstream.
     :param pressures: routes with the recent share of their requests that failed because
         a service called by the upstream was overloaded.
@@ -157,11 +158,15 @@
     def load(self, now_ms: float) -> Load:
         """Return the load to report to other nodes."""
         closed = self.is_leaving or self.is_stalled(now_ms)
+        is_known = self.service_times.has_answers and (
+            self._running_by_id
+            or now_ms - self._last_progress_ms < SERVICE_TIME_VALIDITY_MS
+        )
         return Load(
             self.n_running,
             self.n_queued,
             0 if closed else self.limit,
-            self.service_times.overall_ms if self.service_times.has_answers else 0.0,
+            self.service_times.overall_ms if is_known else 0.0,
             self._failures.at(now_ms),
             self._pressures.reported(now_ms),
         )
--- a/packages/policy/tests/test_upstream_queue.py
+++ b/packages/policy/tests/test_upstream_queue.py
@@ -142,3 +142,24 @@
     load = queue.load(10.0)
     assert [share > 0.0 for _, share in load.pressures] == [True]
     assert load.failure_share == 0.0
+
+
+def test_failures_are_forgotten_within_seconds_without_requests():
+    # Guards against upstreams that stay avoided after their failures have ended.
+    queue = UpstreamQueue(4, 0.0)
+    for number in range(40):
+        assert queue.offer(offer(number)) is None
+        queue.start_next(0.0)
+        queue.finish(number, 10.0, Ending.FAILED)
+    assert queue.load(10.0).failure_share > 0.9
+    assert queue.load(5_000.0).failure_share < 0.05
+
+
+def test_the_service_time_of_an_idle_upstream_is_not_reported_for_long():
+    # Guards against upstreams that stay avoided since they were slow in an overload.
+    queue = UpstreamQueue(4, 0.0)
+    assert queue.offer(offer(1)) is None
+    queue.start_next(0.0)
+    queue.finish(1, 900.0, Ending.ANSWERED)
+    assert queue.load(1_000.0).service_ms > 0.0
+    assert queue.load(4_000.0).service_ms == 0.0
--- a/tests/fleet/test_requests.py
+++ b/tests/fleet/test_requests.py
@@ -142,3 +142,13 @@
     await until(lambda: len(second.upstream.executed_requests) == 1)
     caller.transport.close()
     await until(lambda: second.node.dispatcher.is_idle, timeout_s=0.5)
+
+
+async def test_the_wait_for_a_slot_is_not_taken_for_a_slow_upstream(pair):
+    first, second = pair.vms
+    second.upstream.n_slots = 1
+    await second.upstream.announce()
+    await first.upstream.announce("draining")
+    second.upstream.execution_s = 0.05
+    await asyncio.gather(*(first.call() for _ in range(8)))
+    assert first.node.fleet.profiles.of("lookup").median_ms < 100.0
