Leave retries to the most urgent requests, and count them over the whole window

Now each service's retries keep a reserve for the most urgent requests, twice their share of the requests. A retry also counted for up to half a second less than the window, since buckets left it by their start; they stay for one bucket longer now.

--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -35,6 +35,7 @@
 RESPONSE_MARGIN_MS = 25.0  # reserved so that the response arrives before the deadline
 RETRY_SPREAD_SHARE = 0.2  # of the time left, over which retries of callers are spread
 MIN_RETRY_TIME_MS = 100.0  # time that must be left to run a request again
+MOST_URGENT_RANK = 0  # of requests of priority 0 and the calls made for them
 UNKNOWN_PARENT_RANK = (-1, 0)  # before all others; work was spent on the parent
 
 
@@ -137,6 +138,8 @@
         progress: RequestProgress,
     ) -> Outcome:
         head = self._request_head(request, admitted)
+        if self._rank(admitted)[0] <= MOST_URGENT_RANK:
+            self._retries.count_urgent(admitted.service, self._clock.now_ms())
         objective_ms = admitted.route.objective_ms
         outcome = Outcome(OutcomeKind.REFUSED, reason="no upstream is known")
         while len(progress.tried_nodes) < MAX_TRIED_NODES:
@@ -249,7 +252,8 @@
         if admitted.deadline_ms - now_ms < MIN_RETRY_TIME_MS:
             return False
         has_run = outcome.kind is not OutcomeKind.SHED
-        return self._retries.try_acquire(admitted.service, has_run, now_ms)
+        is_urgent = self._rank(admitted)[0] <= MOST_URGENT_RANK
+        return self._retries.try_acquire(admitted.service, has_run, is_urgent, now_ms)
 
     def _rank(self, admitted: AdmittedRequest) -> tuple[int, int]:
         """Return the queue rank of a request; lower ranks run first.
--- a/packages/policy/ibisspoke_policy/retry_window.py
+++ b/packages/policy/ibisspoke_policy/retry_window.py
@@ -7,6 +7,21 @@
 RERUN_RATIO_SHARE = 0.15  # less, as a rerun repeats nested calls, up to 3 deep
 RESEND_SLACK_SHARE = 0.6
 RERUN_SLACK_SHARE = 0.1
+# Share of the retries that is left to the most urgent requests, as a multiple of their
+# share of the requests.
+URGENT_RESERVE_FACTOR = 2.0
+
+
+class _Bucket:
+    """Counts of a short time."""
+
+    __slots__ = ("n_requests", "n_retries", "n_urgent", "start_ms")
+
+    def __init__(self, start_ms: float) -> None:
+        self.start_ms = start_ms
+        self.n_requests = 0
+        self.n_urgent = 0
+        self.n_retries = 0
 
 
 class RetryWindow:
@@ -21,37 +36,51 @@
         self.ratio = ratio
         self.slack = slack
         self.window_ms = window_ms
-        self._buckets_by_service: dict[str, deque[list[float]]] = {}
+        self._buckets_by_service: dict[str, deque[_Bucket]] = {}
 
     def __repr__(self) -> str:
         return f"RetryWindow(ratio={self.ratio}, slack={self.slack:.1f})"
 
     def count_request(self, service: str, now_ms: float) -> None:
         """Count the first attempt of a request."""
-        self._bucket(service, now_ms)[1] += 1
+        self._bucket(service, now_ms).n_requests += 1
 
-    def try_acquire(self, service: str, now_ms: float) -> bool:
-        """Count a retry, unless that would exceed the share."""
-        if self.available(service, now_ms) < 1.0:
+    def count_urgent(self, service: str, now_ms: float) -> None:
+        """Count a request, counted before, as one of the most urgent ones."""
+        self._bucket(service, now_ms).n_urgent += 1
+
+    def try_acquire(self, service: str, is_urgent: bool, now_ms: float) -> bool:
+        """Count a retry, unless that would exceed the share.
+
+        Requests that are not urgent leave a part of the share to those that are.
+        """
+        if self.available(service, now_ms, is_urgent) < 1.0:
             return False
-        self._bucket(service, now_ms)[2] += 1
+        self._bucket(service, now_ms).n_retries += 1
         return True
 
-    def available(self, service: str, now_ms: float) -> float:
+    def available(self, service: str, now_ms: float, is_urgent: bool = True) -> float:
         """Return how many retries are allowed now."""
         self._bucket(service, now_ms)
-        buckets = self._buckets_by_service[service]
-        n_requests = sum(entry[1] for entry in buckets)
-        n_retries = sum(entry[2] for entry in buckets)
-        return self.ratio * n_requests + self.slack - n_retries
-
-    def _bucket(self, service: str, now_ms: float) -> list[float]:
+        n_requests = n_urgent = n_retries = 0
+        window_start_ms = now_ms - self.window_ms
+        for bucket in self._buckets_by_service[service]:
+            n_retries += bucket.n_retries
+            if bucket.start_ms > window_start_ms:
+                n_requests += bucket.n_requests
+                n_urgent += bucket.n_urgent
+        allowed = self.ratio * n_requests + self.slack
+        if not is_urgent and n_requests:
+            allowed *= 1.0 - min(1.0, URGENT_RESERVE_FACTOR * n_urgent / n_requests)
+        return allowed - n_retries
+
+    def _bucket(self, service: str, now_ms: float) -> _Bucket:
         buckets = self._buckets_by_service.setdefault(service, deque())
-        while buckets and buckets[0][0] <= now_ms - self.window_ms:
+        while buckets and buckets[0].start_ms <= now_ms - self.window_ms - BUCKET_MS:
             buckets.popleft()
         start_ms = now_ms - now_ms % BUCKET_MS
-        if not buckets or buckets[-1][0] != start_ms:
-            buckets.append([start_ms, 0.0, 0.0])
+        if not buckets or buckets[-1].start_ms != start_ms:
+            buckets.append(_Bucket(start_ms))
         return buckets[-1]
 
 
@@ -83,11 +112,18 @@
         self._resends.count_request(service, now_ms)
         self._reruns.count_request(service, now_ms)
 
+    def count_urgent(self, service: str, now_ms: float) -> None:
+        """Count a request, counted before, as one of the most urgent ones."""
+        self._resends.count_urgent(service, now_ms)
+        self._reruns.count_urgent(service, now_ms)
+
     def available(self, service: str, now_ms: float) -> float:
         """Return how many requests that did not run may be resent now."""
         return self._resends.available(service, now_ms)
 
-    def try_acquire(self, service: str, has_run: bool, now_ms: float) -> bool:
+    def try_acquire(
+        self, service: str, has_run: bool, is_urgent: bool, now_ms: float
+    ) -> bool:
         """Count a retry, unless that would exceed the share."""
         window = self._reruns if has_run else self._resends
-        return window.try_acquire(service, now_ms)
+        return window.try_acquire(service, is_urgent, now_ms)
