Bound what an upstream may send for one request, and for how long

An upstream in trouble may send bytes that are no answer without end, in a head or a body, until its connection is closed. The node read on: thirteen such streams (a reason, a header name or value, headers, empty lines, interim responses, answers to others, a body, chunks, a chunk size, a chunk extension, trailers) went on until the caller's deadline, and for an order, which is not cancelled then, for ever. Its memory grew until the process was killed, and the slot was never free again.

Cause: no limit on what is received for a request, and no deadline for attempts that may run only once.

All unfinished answers of an upstream hold at most 48 MiB; above it the largest is cut off. An attempt that runs 0.5 s after its deadline is cut off with an unknown outcome.

--- a/packages/mesh/ibisspoke_mesh/_pending_attempts.py
+++ b/packages/mesh/ibisspoke_mesh/_pending_attempts.py
@@ -88,6 +88,14 @@
                 del self._number_by_request_id[request_id]
         return pending
 
+    def overdue(self, now_ms: float) -> list[int]:
+        """Return the numbers of started attempts whose deadline was before a time."""
+        return [
+            number
+            for number, pending in self._by_number.items()
+            if pending.started_ms is not None and pending.deadline_at_ms < now_ms
+        ]
+
     def find_started(self, request_id: bytes) -> PendingAttempt | None:
         """Return the attempt of a request that was sent to the upstream, or None."""
         number = self._number_by_request_id.get(request_id)
--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -27,6 +27,8 @@
     504: b"Gateway Timeout",
 }
 DEFAULT_LIMITS = CallerLimits(16_384, 64 * 1024 * 1024, 3_000.0, 15_000.0)
+# Read at once by the event loop; bytes of a head count only once they were parsed.
+MAX_READ_BYTES = 256 * 1024
 MAX_PIPELINED_REQUESTS = 16  # read ahead on a connection before reading pauses
 IDLE_GRACE_MS = 500.0  # after the idle timeout; no request should race the close
 STOP_IDLE_TIMEOUT_MS = 300.0  # during a stop; lets new connections send their request
@@ -101,6 +103,7 @@
         self._reading_since_ms: float | None = None
         self._in_body = False
         self._is_closing = False
+        self._n_unfinished_head_bytes = 0
         self._reset()
 
     def __repr__(self) -> str:
@@ -123,6 +126,8 @@
             self._reject(400)
         except httptools.HttpParserError:
             self._reject(self._error_status or 400)
+        else:
+            self._limit_unfinished_head(len(data))
 
     def eof_received(self) -> bool:
         """Return False, so that the transport closes itself."""
@@ -214,6 +219,16 @@
         ):
             self._transport.pause_reading()
 
+    def _limit_unfinished_head(self, n_bytes: int) -> None:
+        """Reject a head whose single line is longer than all of a head may be."""
+        if self._in_body or self._reading_since_ms is None:
+            self._n_unfinished_head_bytes = 0
+            return
+        self._n_unfinished_head_bytes += n_bytes
+        limit = self._state.limits().max_header_bytes + MAX_READ_BYTES
+        if self._n_unfinished_head_bytes > limit:
+            self._reject(431)
+
     def _count_head_bytes(self, n_bytes: int) -> None:
         self._n_head_bytes += n_bytes
         if self._n_head_bytes > self._state.limits().max_header_bytes:
--- a/packages/mesh/ibisspoke_mesh/http_client.py
+++ b/packages/mesh/ibisspoke_mesh/http_client.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from .answer_size import AnswerSize
 from .sockets import enable_liveness_checks
 
 CONNECT_TIMEOUT_MS = 700  # a round trip between regions takes 40 ms
@@ -35,6 +36,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._answer: asyncio.Future[HttpResponse] | None = None
         self._body: list[bytes] = []
+        self._size = AnswerSize()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, and enable liveness checks."""
@@ -45,15 +47,22 @@
         assert self.transport is not None
         self._answer = asyncio.get_running_loop().create_future()
         self._body = []
+        self._size = AnswerSize()
         self.transport.write(data)
         return await self._answer
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes; unsolicited ones close the connection."""
+        if self._answer is None:
+            self._fail("bytes that belong to no answer")
+            return
+        self._size.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"unreadable answer: {error}")
+        if excess := self._size.excess():
+            self._fail(excess)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request, if any."""
@@ -61,11 +70,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._size.add_body(len(body))
         self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Deliver the response."""
         status = self._parser.get_status_code()
+        if status < 200:
+            return
         keeps = self._parser.should_keep_alive()
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(HttpResponse(status, b"".join(self._body)))
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -41,6 +41,9 @@
 NESTED_HALF_LIFE_MS = 1_000.0  # longer than a parent runs after its nested call failed
 NESTED_STARVED_SHARE = 0.04  # above it, upstream failures are attributed to starvation
 WRONG_UPSTREAM_RETRY_MS = 50.0
+# After its deadline, until an attempt is cut off that may run only once: the upstream
+# stops at the deadline by itself and may still tell the outcome.
+OVERDUE_MS = 500.0
 
 
 class UpstreamDispatcher:
@@ -243,12 +246,32 @@
             if pending is not None:
                 wait_ms = self.queue.wait_ms(offer.rank)
                 self._refuse(pending.attempt, pending.on_outcome, error, wait_ms)
+        for number in self._pending.overdue(now_ms - OVERDUE_MS):
+            self._cut_off(number, now_ms)
         silent_ms = now_ms - self._last_seen_ms
         ready = self.upstream.state is UpstreamState.READY
         if ready and silent_ms > MAX_MISSED_HEARTBEATS * self._heartbeat_ms:
             self._mark_absent("no heartbeat", silent_ms)
         self._start_ready()
 
+    def _cut_off(self, number: int, now_ms: float) -> None:
+        """End an attempt that the upstream neither answers nor stops."""
+        pending = self._pending.pop(number)
+        assert pending is not None
+        self._pool.cancel(number)
+        self.queue.finish(number, now_ms, Ending.FAILED)
+        self._count_ended(pending, Ending.FAILED, now_ms)
+        reason = "the upstream went on after the deadline"
+        self._log.write(
+            "attempt failed",
+            request=pending.attempt.request_id.decode("latin-1"),
+            reason=reason,
+            kind=OutcomeKind.TIMED_OUT.name,
+            n_running=self.queue.n_running,
+            limit=self.queue.limit,
+        )
+        pending.on_outcome(Outcome(OutcomeKind.TIMED_OUT, reason=reason))
+
     def _replace_queue(self, limit: int) -> UpstreamQueue:
         """Return a queue for a new upstream, and refuse what the old one holds."""
         old = self.queue
--- a/packages/mesh/ibisspoke_mesh/upstream_pool.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pool.py
@@ -9,6 +9,7 @@
 
 from ibisspoke_policy.clock import Clock
 
+from .answer_size import AnswerSize
 from .dialect import HOP_BY_HOP, Dialect
 from .sockets import enable_liveness_checks
 
@@ -16,6 +17,8 @@
 DEFAULT_IDLE_TIMEOUT_MS = 4_000.0  # if the upstream sends no timeout
 IDLE_TIMEOUT_SHARE = 0.6  # of the upstream's timeout; no request should race its close
 MAX_IDLE_CONNECTIONS = 64  # any further idle connections are closed
+# Of all unfinished answers together; leaves room in the smallest memory of a node.
+MAX_BUFFERED_BYTES = 48 * 1024 * 1024
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -73,6 +76,8 @@
         self._answered_id: bytes | None = None
         self._closes = False
         self._is_reusable = False
+        self._size = AnswerSize()
+        self.n_buffered_bytes = 0
         self.idle_until_ms = 0.0
         self._reset_response()
 
@@ -93,11 +98,13 @@
         """Send a request; its callback receives the result."""
         assert self._transport is not None
         self._request = request
+        self._size = AnswerSize()
         self._transport.write(request.data)
 
     def abort(self) -> None:
         """Close immediately, and drop the request without a result."""
         self._request = None
+        self._drop_body()
         if self._transport is not None:
             self._transport.abort()
 
@@ -106,6 +113,7 @@
         if self._request is None:
             self.abort()
             return
+        self._size.add_received(len(data))
         error: Exception | None = None
         try:
             self._parser.feed_data(data)
@@ -115,6 +123,14 @@
             self._deliver(reusable=self._is_reusable and error is None)
         elif error is not None:
             self._fail(f"the upstream's answer cannot be read: {error}")
+        elif excess := self._size.excess():
+            self._fail(excess)
+        else:
+            self._pool.limit_buffered_bytes()
+
+    def cut_off(self) -> None:
+        """Fail the request, as unfinished answers take too much memory together."""
+        self._fail(f"unfinished answers exceed {MAX_BUFFERED_BYTES} bytes together")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete a response that ends with the connection, or fail the request."""
@@ -185,7 +201,10 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         if self._answer is None:
+            self._size.add_body(len(body))
             self._body.append(body)
+            self.n_buffered_bytes += len(body)
+            self._pool.n_buffered_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Complete the response if it belongs to the current request."""
@@ -203,10 +222,15 @@
             return self._answered_id == self._request.id
         return self._status >= 400
 
+    def _drop_body(self) -> None:
+        self._body: list[bytes] = []
+        self._pool.n_buffered_bytes -= self.n_buffered_bytes
+        self.n_buffered_bytes = 0
+
     def _reset_response(self) -> None:
         self._status = 0
         self._headers: list[bytes] = []
-        self._body: list[bytes] = []
+        self._drop_body()
         self._answered_id = None
         self._is_signed = self._is_not_run = self._is_encoded = False
         self._closes = False
@@ -223,6 +247,7 @@
             self._is_not_run or self._status == 421,
             self._is_encoded,
         )
+        self._drop_body()
 
     def _deliver(self, reusable: bool) -> None:
         request, self._request = self._request, None
@@ -237,6 +262,7 @@
 
     def _fail(self, reason: str) -> None:
         request, self._request = self._request, None
+        self._drop_body()
         if self._transport is not None:
             self._transport.abort()
         if request is not None:
@@ -247,10 +273,12 @@
     """Connections to one upstream; the most recently used is reused first.
 
     :param host: IP address of the upstream.
+    :ivar n_buffered_bytes: size of the bodies of all unfinished answers.
     """
 
     def __init__(self, host: str, port: int, dialect: Dialect, clock: Clock) -> None:
         self.dialect = dialect
+        self.n_buffered_bytes = 0
         self._host = host
         self._port = port
         self._clock = clock
@@ -305,6 +333,16 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def limit_buffered_bytes(self) -> None:
+        """Cut off the largest unfinished answers while all are too large together."""
+        if self.n_buffered_bytes <= MAX_BUFFERED_BYTES:
+            return
+        by_size = sorted(self._busy.values(), key=lambda busy: -busy.n_buffered_bytes)
+        for connection in by_size:
+            if self.n_buffered_bytes <= MAX_BUFFERED_BYTES:
+                return
+            connection.cut_off()
+
     def close_idle(self) -> None:
         """Close all idle connections, for example because the upstream has changed."""
         while self._idle:
