Do not end when the settings change while the program loads

A SIGHUP in the first tenths of a second of a node's life ended it, since the handler was installed only after all modules were loaded.

--- a/tests/fleet/test_program.py
+++ b/tests/fleet/test_program.py
@@ -146,6 +146,29 @@
     assert "upstream.heartbeat_ms" in text
 
 
+async def test_a_reload_while_it_starts_does_not_end_it(tmp_path):
+    # Guards against a node that ends since its settings change while it loads.
+    path = tmp_path / "node.toml"
+    os.mkfifo(path)  # the program waits for its settings
+    async with running_program(path) as process:
+        settings = await _open_when_read(path)
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        os.write(settings, b"[node]\n")
+        os.close(settings)
+        await asyncio.wait_for(process.communicate(), 10)
+    assert process.returncode == 2  # it has read the settings, which are incomplete
+
+
+async def _open_when_read(path: Path) -> int:
+    async with asyncio.timeout(15):
+        while True:
+            try:
+                return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError:  # nobody reads yet
+                await asyncio.sleep(0.02)
+
+
 @pytest.mark.parametrize("section", ["node", "listen", "upstream", "store", "bounds"])
 def test_each_section_is_required(section):
     lines = SETTINGS.split("\n\n")
