--- a/packages/policy/ibisspoke_policy/retry_window.py
+++ b/packages/policy/ibisspoke_policy/retry_window.py
@@ -3,10 +3,8 @@
 from collections import deque
 
 BUCKET_MS = 500.0
-RESEND_RATIO_SHARE = 0.4  # of the configured ratio, for requests that did not run
-RERUN_RATIO_SHARE = 0.15  # less, as a rerun repeats nested calls, up to 3 deep
-RESEND_SLACK_SHARE = 0.6
-RERUN_SLACK_SHARE = 0.1
+RESEND_SHARE = 0.68  # of the configured retries, for requests that did not run
+RERUN_SHARE = 0.08  # less, as a rerun repeats nested calls, up to 3 deep
 # Share of the retries that is left to the most urgent requests, as a multiple of their
 # share of the requests.
 URGENT_RESERVE_FACTOR = 2.0
@@ -102,10 +100,10 @@
 
     def configure(self, ratio: float, slack: float, n_nodes: int) -> None:
         """Apply the ratio and slack of the whole fleet."""
-        self._resends.ratio = ratio * RESEND_RATIO_SHARE
-        self._resends.slack = slack / n_nodes * RESEND_SLACK_SHARE
-        self._reruns.ratio = ratio * RERUN_RATIO_SHARE
-        self._reruns.slack = slack / n_nodes * RERUN_SLACK_SHARE
+        self._resends.ratio = ratio * RESEND_SHARE
+        self._resends.slack = slack / n_nodes * RESEND_SHARE
+        self._reruns.ratio = ratio * RERUN_SHARE
+        self._reruns.slack = slack / n_nodes * RERUN_SHARE
 
     def count_request(self, service: str, now_ms: float) -> None:
         """Count the first attempt of a request."""
