--- a/packages/standins/ibisspoke_standins/fleet_upstream.py
+++ b/packages/standins/ibisspoke_standins/fleet_upstream.py
@@ -7,6 +7,7 @@
 
 from ibisspoke_mesh.http_client import HttpClient, HttpError
 
+DEFAULT_EXECUTION_S = 0.005
 CLOSE_POLL_INTERVAL_S = 0.01  # a request is cancelled when its connection closes
 
 
@@ -188,7 +189,7 @@
         self.instance = instance
         self.service = service
         self.address = (host, port)
-        self.execution_s = 0.005
+        self.execution_s = DEFAULT_EXECUTION_S
         self.behaviour: Behaviour = answer
         self.n_slots = 8
         self.executed_requests: list[ReceivedRequest] = []
--- /dev/null
+++ b/tests/fleet/test_process_soak.py
@@ -0,0 +1,29 @@
+"""A short run of the process soak, and the seeds that have failed."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[2]
+SECONDS = 25
+SEEDS = {
+    5: "a run that never failed",
+    32: "a change of the settings ended a node while it loaded",
+}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_guarantees_hold_under_faults_from_outside(seed):
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(ROOT / "benchmarks" / "process_soak.py"),
+        f"--seconds={SECONDS}",
+        f"--seed={seed}",
+        "--net=127.72",
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    assert process.returncode == 0, output.decode()
