Check only a few random nodes for each request

A node looked at all nodes of a service for each attempt, and at all of its loads for each request's pressure, so that both cost more with each node added and with each retry of a rejected request. It now draws nodes of each distance until it has enough that are usable, and keeps the pressure of a route for 50 ms.

--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -21,6 +21,8 @@
 OTHER_REGION_RTT_MS = 42.0  # twice the one-way delay between regions that users state
 STATUS_TIMEOUT_MS = 1_700.0  # own data centre; a bit more than three intervals
 RELAYED_STATUS_TIMEOUT_MS = 2_700.0  # other data centres; a relay may be replaced
+PRESSURE_VALIDITY_MS = 50.0  # shorter than the shedding steps that depend on it
+MAX_PRESSURE_ROUTES = 1_000
 FIRST_STATUS_TIMEOUT_MS = 3_000.0  # until then, a node without statuses counts as alive
 
 
@@ -113,6 +115,8 @@
     ) -> None:
         self.peers_by_id: dict[str, Peer] = {}
         self._peers_by_service: dict[str, dict[str, Peer]] = {}
+        self._groups_by_service: dict[str, list[list[Peer]]] = {}
+        self._pressure_by_route: dict[tuple[str, str], tuple[float, float]] = {}
         self.own: MemberRecord | None = None
         self.profiles = RouteProfiles()
         self._own_pace = Pace()
@@ -168,13 +172,11 @@
     ) -> MemberRecord | None:
         """Return the record of the node that should run a request, or None."""
         now_ms = self._clock.now_ms()
-        peers = self._reachable(service, excluded, now_ms)
         own = self.own
         serves = own is not None and _serves(own, service) and own.node not in excluded
-        usable = [peer for peer in peers if not peer.link.is_suspect]
-        if not usable and not serves:
-            usable = peers
-        accepting = [peer for peer in usable if peer.load.limit > 0] or usable
+        peers = self._sample(service, excluded, now_ms, is_fallback=False)
+        if not peers and not serves:
+            peers = self._sample(service, excluded, now_ms, is_fallback=True)
         candidates = [
             Candidate(
                 peer.record.node,
@@ -185,7 +187,7 @@
                 peer.cold_until_ms > now_ms,
                 peer.pace.at(now_ms),
             )
-            for peer in sample(accepting, _distance, self._rng)
+            for peer in peers
         ]
         if own is not None and serves:
             distance = Distance(True, True, LOCAL_RTT_MS)
@@ -200,16 +202,37 @@
             return own
         return self.peers_by_id[chosen.id].record
 
-    def _reachable(self, service: str, excluded: set[str], now_ms: float) -> list[Peer]:
-        """Return the other nodes of a service whose upstream accepts requests."""
-        return [
-            peer
-            for peer in self._peers_by_service.get(service, {}).values()
-            if peer.record.state is UpstreamState.READY
-            and peer.record.node not in excluded
-            and peer.link.unreachable_until_ms <= now_ms
-            and peer.is_alive(now_ms)
-        ]
+    def _sample(
+        self, service: str, excluded: set[str], now_ms: float, is_fallback: bool
+    ) -> list[Peer]:
+        """Return a few random nodes of a service whose upstream accepts requests.
+
+        :param is_fallback: whether to include nodes that may have failed, and upstreams
+            that accept nothing at the moment.
+        """
+
+        def is_usable(peer: Peer) -> bool:
+            return (
+                peer.record.state is UpstreamState.READY
+                and peer.record.node not in excluded
+                and peer.link.unreachable_until_ms <= now_ms
+                and peer.is_alive(now_ms)
+                and (is_fallback or (peer.load.limit > 0 and not peer.link.is_suspect))
+            )
+
+        return sample(self._groups(service), is_usable, self._rng)
+
+    def _groups(self, service: str) -> list[list[Peer]]:
+        """Return the nodes of a service by distance, the nearest ones first."""
+        groups = self._groups_by_service.get(service)
+        if groups is None:
+            by_place: dict[tuple[bool, bool], list[Peer]] = {}
+            for peer in self._peers_by_service.get(service, {}).values():
+                place = (peer.distance.same_data_centre, peer.distance.same_region)
+                by_place.setdefault(place, []).append(peer)
+            groups = [by_place[place] for place in sorted(by_place, reverse=True)]
+            self._groups_by_service[service] = groups
+        return groups
 
     def record_response(
         self, node: str, route: str, running_ms: float, n_bytes: int
@@ -234,6 +257,16 @@
         the overload of others.
         """
         now_ms = self._clock.now_ms()
+        key = (service, route)
+        pressure, computed_ms = self._pressure_by_route.get(key, (0.0, float("-inf")))
+        if now_ms - computed_ms >= PRESSURE_VALIDITY_MS:
+            pressure = self._current_pressure(service, route, now_ms)
+            if len(self._pressure_by_route) >= MAX_PRESSURE_ROUTES:
+                self._pressure_by_route.clear()
+            self._pressure_by_route[key] = (pressure, now_ms)
+        return pressure
+
+    def _current_pressure(self, service: str, route: str, now_ms: float) -> float:
         loads = [
             peer.load
             for peer in self._peers_by_service.get(service, {}).values()
@@ -264,11 +297,13 @@
         node, service = peer.record.node, peer.record.service
         self.peers_by_id[node] = peer
         self._peers_by_service.setdefault(service, {})[node] = peer
+        self._groups_by_service.pop(service, None)
 
     def _remove(self, peer: Peer) -> None:
         node, service = peer.record.node, peer.record.service
         del self.peers_by_id[node]
         del self._peers_by_service[service][node]
+        self._groups_by_service.pop(service, None)
         if not self._peers_by_service[service]:
             del self._peers_by_service[service]
 
@@ -311,9 +346,5 @@
         )
 
 
-def _distance(peer: Peer) -> Distance:
-    return peer.distance
-
-
 def _serves(record: MemberRecord, service: str) -> bool:
     return record.service == service and record.state is UpstreamState.READY
--- a/packages/policy/ibisspoke_policy/upstream_choice.py
+++ b/packages/policy/ibisspoke_policy/upstream_choice.py
@@ -27,6 +27,7 @@
 # Two random upstreams of the nearest place are compared, and one of each farther one.
 # If all nodes compared all, they would all send to the one reported as least loaded.
 N_NEAREST_COMPARED = 2
+SAMPLE_TRIES = 3  # random entries that are checked for each one wanted
 
 
 _Entry = TypeVar("_Entry")
@@ -92,23 +93,41 @@
 
 
 def sample(
-    entries: Sequence[_Entry],
-    distance: Callable[[_Entry], Distance],
+    groups: Sequence[Sequence[_Entry]],
+    is_usable: Callable[[_Entry], bool],
     rng: random.Random,
 ) -> list[_Entry]:
-    """Return a few random entries of each distance, most of the nearest one."""
-    groups: dict[tuple[bool, bool], list[_Entry]] = {}
-    for entry in entries:
-        place = distance(entry)
-        groups.setdefault((place.same_data_centre, place.same_region), []).append(entry)
+    """Return a few random usable entries, most of them of the first group with any.
+
+    :param groups: entries by distance, the nearest ones first.
+    """
     sampled: list[_Entry] = []
-    for key in sorted(groups, reverse=True):
-        n_compared = 1 if sampled else N_NEAREST_COMPARED
-        group = groups[key]
-        sampled += rng.sample(group, min(n_compared, len(group)))
+    for group in groups:
+        n_wanted = 1 if sampled else N_NEAREST_COMPARED
+        sampled += _sample_group(group, n_wanted, is_usable, rng)
     return sampled
 
 
+def _sample_group(
+    group: Sequence[_Entry],
+    n_wanted: int,
+    is_usable: Callable[[_Entry], bool],
+    rng: random.Random,
+) -> list[_Entry]:
+    """Return up to ``n_wanted`` usable entries, mostly without checking all."""
+    n_tried = min(len(group), SAMPLE_TRIES * n_wanted)
+    found: list[_Entry] = []
+    for entry in rng.sample(group, n_tried):
+        if is_usable(entry):
+            found.append(entry)
+            if len(found) == n_wanted:
+                return found
+    if found:
+        return found
+    usable = [entry for entry in group if is_usable(entry)]
+    return rng.sample(usable, min(n_wanted, len(usable)))
+
+
 def choose(
     candidates: list[Candidate],
     profile: RouteProfile,
--- a/packages/policy/tests/test_upstream_choice.py
+++ b/packages/policy/tests/test_upstream_choice.py
@@ -81,8 +81,15 @@
     assert chosen(here, candidate("near", NEAR)) == {"near"}
 
 
-def sampled(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
-    return sample(candidates, lambda entry: entry.distance, rng)
+def sampled(
+    candidates: list[Candidate], rng: random.Random, unusable: str = "-"
+) -> list[Candidate]:
+    """Return a sample without the candidates whose name starts with ``unusable``."""
+    groups = [
+        [entry for entry in candidates if entry.distance == distance]
+        for distance in (HERE, NEAR, FAR)
+    ]
+    return sample(groups, lambda entry: not entry.id.startswith(unusable), rng)
 
 
 def test_a_sample_of_many_includes_the_own_data_centre():
@@ -101,6 +108,17 @@
     assert {len(sampled(far[:1], random.Random(seed))) for seed in range(9)} == {1}
 
 
+def test_a_sample_holds_a_usable_entry_where_there_is_one():
+    near = [candidate(f"gone-{i}", NEAR) for i in range(40)]
+    near.append(candidate("left", NEAR))
+    far = [candidate(f"far-{i}", FAR) for i in range(3)]
+    for seed in range(30):
+        few = sampled(near + far, random.Random(seed), unusable="gone")
+        assert sorted(entry.id.split("-")[0] for entry in few) == ["far", "left"]
+    few = sampled(near[:40] + far, random.Random(1), unusable="gone")
+    assert [entry.id.split("-")[0] for entry in few] == ["far", "far"]
+
+
 def test_nodes_with_the_same_reports_do_not_all_send_to_the_least_loaded():
     # Guards against overloading one upstream after the other while the rest is idle.
     loads = [candidate(str(i), HERE, n_running=10 + 8 * i) for i in range(5)]
