Skip totals of organisations that repeat what is known

Each total is repeated for 2.5 s and comes over two relays, and each repeat refilled a bucket and two averages, to no effect.

A total that is known already is now skipped, and totals are repeated for 1.5 s: over each path still twice.

--- a/packages/mesh/ibisspoke_mesh/status_exchange.py
+++ b/packages/mesh/ibisspoke_mesh/status_exchange.py
@@ -29,7 +29,8 @@
 STATUS_INTERVAL_MS = 500.0
 USAGE_INTERVAL_MS = 200.0  # minimum interval per node while usage changes
 USAGE_STEP = 0.02  # of one second's rate; larger changes are sent early
-USAGE_REPEAT_MS = 2_500.0  # totals are repeated, since datagrams may be lost
+# Totals are sent at least twice, also over the relays, since datagrams may be lost.
+USAGE_REPEAT_MS = 1_500.0
 PROOF_REQUEST_AGE_MS = 1_200.0  # age of the own proof, from which others are asked
 PROOF_REQUEST_INTERVAL_MS = 250.0  # minimum interval between such requests
 N_PROOF_SOURCES = 2  # of the preferred nodes; one may be disconnected
--- a/packages/policy/ibisspoke_policy/_rate_account.py
+++ b/packages/policy/ibisspoke_policy/_rate_account.py
@@ -197,8 +197,10 @@
 
         :param is_baseline: whether the node's first totals are only the starting point.
         """
-        self._fill(now_ms)
         last_usage = self._last_usage_by_node.get(node)
+        if last_usage == usage:  # most reports repeat what another one has brought
+            return
+        self._fill(now_ms)
         self._last_usage_by_node[node] = usage
         rates = self._rates_by_node.get(node)
         if rates is None:
--- a/packages/policy/tests/test_shared_rate.py
+++ b/packages/policy/tests/test_shared_rate.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from ibisspoke_policy.shared_rate import Admission, Home, SharedRates
+from ibisspoke_policy._rate_account import RateAccount
+from ibisspoke_policy.shared_rate import Admission, Home, SharedRates, Usage
 
 N_NODES = 16
 N_DATA_CENTRES = 4  # two in each of the two regions
@@ -301,3 +302,41 @@
     is_admitted(rates, 5_000.0)
     rates.configure({"shop": (100.0, 100.0)}, 5_000.0, 2_000.0)
     assert rates.rate("shop") == 100.0
+
+
+def test_repeated_totals_change_nothing():
+    once, often = SharedRates(0.0), SharedRates(0.0)
+    rng = random.Random(4)
+    totals = {"n1": 0, "n2": 0}
+    for rates in (once, often):
+        rates.configure({"shop": (50.0, 60.0)}, 0.0, 0.0)
+        rates.set_fleet_size(3)
+    for now_ms in range(0, 20_000, 100):
+        node = rng.choice(["n1", "n2"])
+        totals[node] += rng.randrange(4)
+        usage = [Usage("shop", totals[node], totals[node])]
+        once.apply_report(node, usage, False, now_ms)
+        for _ in range(5):
+            often.apply_report(node, usage, False, now_ms)
+        for rates in (once, often):
+            for name in totals:
+                rates.record_report_time(name, now_ms)
+        assert is_admitted(once, now_ms) == is_admitted(often, now_ms)
+
+
+def test_repeated_totals_cost_no_refill(monkeypatch):
+    # Guards against a control cost that grows with nodes times organisations.
+    n_fills = 0
+    fill = RateAccount._fill
+
+    def counted_fill(account, now_ms):
+        nonlocal n_fills
+        n_fills += 1
+        fill(account, now_ms)
+
+    monkeypatch.setattr(RateAccount, "_fill", counted_fill)
+    rates = SharedRates(0.0)
+    rates.configure({"shop": (50.0, 60.0)}, 0.0, 0.0)
+    for now_ms in range(1_000):
+        rates.apply_report("n1", [Usage("shop", 7, 7)], False, now_ms)
+    assert n_fills == 1
