--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -15,12 +15,11 @@
 from .frames import ConfigReply
 from .peer_link import NodeIncarnation, PeerLink
 from .settings import NodeSettings
+from .status_timeouts import StatusTimeouts
 
 LOCAL_RTT_MS = 1.0  # within a data centre; mostly two kernels and two event loops
 REGION_RTT_MS = 3.0
 OTHER_REGION_RTT_MS = 42.0  # twice the one-way delay between regions that users state
-STATUS_TIMEOUT_MS = 1_700.0  # own data centre; a bit more than three intervals
-RELAYED_STATUS_TIMEOUT_MS = 2_700.0  # other data centres; a relay may be replaced
 PRESSURE_VALIDITY_MS = 50.0  # shorter than the shedding steps that depend on it
 MAX_PRESSURE_ROUTES = 1_000
 FIRST_STATUS_TIMEOUT_MS = 3_000.0  # until then, a node without statuses counts as alive
@@ -58,14 +57,28 @@
 
 
 class Peer:
-    """Another node, with its link and its latest status."""
+    """Another node, with its link and its latest status.
+
+    :ivar digest_ms: when a digest of it arrived, which only relays send.
+    :ivar expects_statuses: whether its version expects statuses from each node of its
+        data centre.
+    """
 
     def __init__(
-        self, record: MemberRecord, link: PeerLink, distance: Distance, now_ms: float
+        self,
+        record: MemberRecord,
+        link: PeerLink,
+        distance: Distance,
+        timeouts: StatusTimeouts,
+        now_ms: float,
     ) -> None:
         self.record = record
         self.link = link
         self.distance = distance
+        self._timeouts = timeouts
+        self._is_lost = False
+        self.digest_ms = float("-inf")
+        self.expects_statuses = False
         self.load = Load(0, 0, record.n_slots, 0.0, 0.0, ())
         self.pace = Pace()
         self.n_pending_at_report = 0
@@ -81,20 +94,29 @@
     def is_alive(self, now_ms: float) -> bool:
         """Return whether a status of the node was received recently."""
         if self.last_seen_ms is None:
-            return now_ms - self.discovered_ms < FIRST_STATUS_TIMEOUT_MS
-        is_direct = self.distance.same_data_centre
-        bound_ms = STATUS_TIMEOUT_MS if is_direct else RELAYED_STATUS_TIMEOUT_MS
+            is_new = now_ms - self.discovered_ms < FIRST_STATUS_TIMEOUT_MS
+            return is_new and not self._is_lost
+        if self._is_lost:
+            return False
+        is_near = self.distance.same_data_centre
+        timeouts = self._timeouts
+        bound_ms = timeouts.data_centre_ms if is_near else timeouts.remote_ms
         return now_ms - self.last_seen_ms < bound_ms
 
     def mark_seen(self, now_ms: float) -> None:
         """Record that a message of the node was received."""
+        self._is_lost = False
         self.last_seen_ms = now_ms
 
+    def mark_lost(self) -> None:
+        """Record that the relays of its data centre hear nothing of the node."""
+        self._is_lost = True
+
     def update_load(self, load: Load, sent_ms: float) -> None:
         """Store the load that the node reported at ``sent_ms``."""
         self.load = load
         self.n_pending_at_report = self.link.n_pending
-        self.last_seen_ms = sent_ms
+        self.mark_seen(sent_ms)
 
 
 class Fleet:
@@ -114,7 +136,9 @@
         on_config: Callable[[ConfigReply], None],
     ) -> None:
         self.peers_by_id: dict[str, Peer] = {}
+        self.timeouts = StatusTimeouts()
         self._peers_by_service: dict[str, dict[str, Peer]] = {}
+        self._peers_by_data_centre: dict[str, list[Peer]] = {}
         self._groups_by_service: dict[str, list[list[Peer]]] = {}
         self._pressure_by_route: dict[tuple[str, str], tuple[float, float]] = {}
         self.own: MemberRecord | None = None
@@ -132,6 +156,31 @@
     def __repr__(self) -> str:
         return f"Fleet(n_peers={len(self.peers_by_id)})"
 
+    @property
+    def data_centres(self) -> list[str]:
+        """Data centres of the other nodes."""
+        return list(self._peers_by_data_centre)
+
+    def data_centre_peers(self, data_centre: str) -> list[Peer]:
+        """Return the other nodes of a data centre."""
+        return self._peers_by_data_centre.get(data_centre, [])
+
+    def own_data_centre_peers(self) -> list[Peer]:
+        """Return the other nodes of this node's data centre."""
+        return self.data_centre_peers(self._settings.data_centre)
+
+    def record_of(self, node: str) -> MemberRecord | None:
+        """Return the record of a node, which may be this one."""
+        if self.own is not None and node == self.own.node:
+            return self.own
+        peer = self.peers_by_id.get(node)
+        return peer.record if peer is not None else None
+
+    def order_of(self, node: str) -> tuple[int, int] | None:
+        """Return the sort key of a node's record, or None if it is not known."""
+        record = self.record_of(node)
+        return record.order if record is not None else None
+
     def update_record(self, record: MemberRecord) -> Peer | None:
         """Add or update a node by a record from the store or from the node itself.
 
@@ -284,9 +333,10 @@
         return starved / total if total else 0.0
 
     def tick(self) -> None:
-        """Check the timeouts of all links."""
+        """Check the timeouts of all links in use."""
         for peer in self.peers_by_id.values():
-            peer.link.tick()
+            if peer.link.is_waiting:
+                peer.link.tick()
 
     def close(self) -> None:
         """Close all links."""
@@ -298,6 +348,9 @@
         self.peers_by_id[node] = peer
         self._peers_by_service.setdefault(service, {})[node] = peer
         self._groups_by_service.pop(service, None)
+        data_centre = peer.record.data_centre
+        self._peers_by_data_centre.setdefault(data_centre, []).append(peer)
+        self._update_timeouts()
 
     def _remove(self, peer: Peer) -> None:
         node, service = peer.record.node, peer.record.service
@@ -306,6 +359,15 @@
         self._groups_by_service.pop(service, None)
         if not self._peers_by_service[service]:
             del self._peers_by_service[service]
+        data_centre = peer.record.data_centre
+        self._peers_by_data_centre[data_centre].remove(peer)
+        if not self._peers_by_data_centre[data_centre]:
+            del self._peers_by_data_centre[data_centre]
+        self._update_timeouts()
+
+    def _update_timeouts(self) -> None:
+        n_near = len(self.own_data_centre_peers())
+        self.timeouts.set_sizes(n_near, len(self.peers_by_id) - n_near)
 
     def _new_peer(self, record: MemberRecord) -> Peer:
         settings = self._settings
@@ -332,7 +394,8 @@
             on_load,
             self._on_config,
         )
-        peer = Peer(record, link, distance, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        peer = Peer(record, link, distance, self.timeouts, now_ms)
         return peer
 
     def _log_change(self, record: MemberRecord, old: MemberRecord | None) -> None:
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -99,7 +99,9 @@
         self._stopping_ms: float | None = None
         self.tick_lag_ms = 0.0
         self._config_requested_ms = 0.0
-        self.rates = SharedRates(clock.now_ms())
+        self.rates = SharedRates(clock.now_ms(), settings.data_centre)
+        # Slots of rates follow the wall clock of the start, whatever its later steps.
+        self._slot_origin_ms = clock.wall_ms() - clock.boot_ms()
         self.config = ConfigState(
             adapter.config_key, adapter.decode_config, clock, self.log, self._on_adopted
         )
@@ -187,7 +189,6 @@
             self.log,
             lambda: self.dispatcher.cold_until_ms - clock.now_ms(),
             lambda: self.watch.is_lost,
-            self.rows.request_read,
         )
         self.announcements = adapter.announcements(
             self.dispatcher, self.rows.wait_until_saved
@@ -255,7 +256,9 @@
 
     def _run_slow_checks(self) -> None:
         """Run the checks that are not needed on every tick."""
-        self.rates.set_fleet_size(len(self.fleet.peers_by_id) + 1)
+        self.rates.set_time(self._slot_origin_ms + self.clock.boot_ms())
+        n_nodes = len(self.fleet.peers_by_id) + 1
+        self.rates.set_fleet(n_nodes, self.fleet.data_centres)
         self.calls.tick()
         self.fleet.own_cold_until_ms = self.dispatcher.cold_until_ms
         self.fleet.tick()
--- a/packages/mesh/ibisspoke_mesh/node_ranks.py
+++ b/packages/mesh/ibisspoke_mesh/node_ranks.py
@@ -1,18 +1,24 @@
 """Selection of the nodes that serve as watchers and relays, the same on all nodes."""
 
 import random
+from functools import lru_cache
 from typing import NamedTuple
 
 from ibisspoke_policy.clock import Clock
-from ibisspoke_policy.rendezvous import score
+from ibisspoke_policy.rendezvous import ranked, score
 
 from .fleet import Fleet, Peer
 
 WATCH_TOPIC = "configuration"
 RELAY_TOPIC = "status"
 N_WATCHERS = 2  # per data centre; one may lose its connection to the store
+GATEWAY_TOPIC = "gateway"
 N_RELAYS = 2  # per data centre, to different nodes; one may be disconnected
+RELAY_TIMEOUT_MS = (
+    1_200.0  # without a digest; before the other nodes seem to have failed
+)
 REFRESH_MS = 250.0  # half of the status interval
+MAX_SCORES = 20_000  # cached; a few for each node
 
 
 class _Ranked(NamedTuple):
@@ -38,7 +44,10 @@
         self._verify_rank = 0
         self._relay_rank = 0
         self._sources: list[Peer] = []
-        self._relays_by_data_centre: dict[str, list[Peer]] = {}
+        self._relays: list[Peer] = []
+        self._relay_since_ms_by_node: dict[str, float] = {}
+        self._region_targets: list[tuple[str, Peer]] = []
+        self._other_region_targets: list[tuple[str, Peer]] = []
 
     def __repr__(self) -> str:
         return f"NodeRanks(watch={self._watch_rank}, relay={self._relay_rank})"
@@ -71,10 +80,22 @@
         return self._relay_rank
 
     @property
-    def relays_by_data_centre(self) -> dict[str, list[Peer]]:
-        """Nodes of each other data centre to send digests to, by relay rank."""
+    def relays(self) -> list[Peer]:
+        """The other nodes of the data centre that are its relays."""
         self._refresh()
-        return self._relays_by_data_centre
+        return self._relays
+
+    @property
+    def region_targets(self) -> list[tuple[str, Peer]]:
+        """The other data centres of the region, each with a node to send digests to."""
+        self._refresh()
+        return self._region_targets
+
+    @property
+    def other_region_targets(self) -> list[tuple[str, Peer]]:
+        """A data centre of each other region, with a node to send digests to."""
+        self._refresh()
+        return self._other_region_targets
 
     def _refresh(self) -> None:
         now_ms = self._clock.now_ms()
@@ -84,7 +105,8 @@
         self._refreshed_ms = now_ms
         alive = [p for p in self._fleet.peers_by_id.values() if p.is_alive(now_ms)]
         self._rank_watchers(own.node, alive)
-        self._rank_relays(own.node, alive)
+        self._rank_relays(own.node, now_ms)
+        self._choose_targets(alive)
 
     def _rank_watchers(self, own: str, alive: list[Peer]) -> None:
         in_region = [peer for peer in alive if peer.distance.same_region]
@@ -100,35 +122,62 @@
         self._verify_rank = len(preceding)
         self._watch_rank = sum(peer.distance.same_data_centre for peer in preceding)
 
-    def _rank_relays(self, own: str, alive: list[Peer]) -> None:
-        ranked = _ranked(RELAY_TOPIC, alive)
-        self._relay_rank = sum(
-            entry.peer.distance.same_data_centre
-            and entry.score > _score(RELAY_TOPIC, own)
-            for entry in ranked
-        )
-        relays: dict[str, list[Peer]] = {}
-        for entry in ranked:
-            if not entry.peer.distance.same_data_centre:
-                relays.setdefault(entry.peer.record.data_centre, []).append(entry.peer)
-        for data_centre, peers in self._peers_by_data_centre().items():
-            if data_centre not in relays:
-                relays[data_centre] = [self._rng.choice(peers)]
-        self._relays_by_data_centre = relays
-
-    def _peers_by_data_centre(self) -> dict[str, list[Peer]]:
-        """Return all known nodes of other data centres, alive or not.
-
-        One of them is tried if none of its data centre is alive, since the network may
-        be connected again.
-        """
-        peers: dict[str, list[Peer]] = {}
-        for peer in self._fleet.peers_by_id.values():
-            if not peer.distance.same_data_centre:
-                peers.setdefault(peer.record.data_centre, []).append(peer)
-        return peers
-
+    def _rank_relays(self, own: str, now_ms: float) -> None:
+        """Find the relays of the own data centre, and this node's rank among them.
 
+        A relay that sends no digests is passed over.
+        """
+        since_ms_by_node: dict[str, float] = {}
+        relays: list[Peer] = []
+        own_rank = 0
+        alive = [p for p in self._fleet.own_data_centre_peers() if p.is_alive(now_ms)]
+        for _, peer in _ranked(RELAY_TOPIC, alive):
+            if len(relays) >= N_RELAYS:
+                break
+            node = peer.record.node
+            since_ms = self._relay_since_ms_by_node.get(node, now_ms)
+            since_ms_by_node[node] = since_ms
+            if now_ms - max(since_ms, peer.digest_ms) > RELAY_TIMEOUT_MS:
+                continue
+            relays.append(peer)
+            own_rank += _score(RELAY_TOPIC, node) > _score(RELAY_TOPIC, own)
+        self._relay_since_ms_by_node = since_ms_by_node
+        self._relays, self._relay_rank = relays, own_rank
+
+    def _choose_targets(self, alive: list[Peer]) -> None:
+        """Choose the nodes of other data centres to send digests to.
+
+        If none of a data centre is alive, any of its nodes is tried, since the network
+        may be connected again.
+        """
+        alive_by_data_centre: dict[str, list[Peer]] = {}
+        for peer in alive:
+            name = peer.record.data_centre
+            alive_by_data_centre.setdefault(name, []).append(peer)
+        own = self._fleet.own
+        assert own is not None
+        targets_by_region: dict[str, list[tuple[str, Peer]]] = {}
+        for name in self._fleet.data_centres:
+            if name == own.data_centre:
+                continue
+            peers = _ranked(RELAY_TOPIC, alive_by_data_centre.get(name, []))
+            if peers:
+                target = peers[min(self._relay_rank, len(peers) - 1)].peer
+            else:
+                target = self._rng.choice(self._fleet.data_centre_peers(name))
+            region = target.record.region
+            targets_by_region.setdefault(region, []).append((name, target))
+        self._region_targets = targets_by_region.pop(own.region, [])
+        self._other_region_targets = []
+        for targets in targets_by_region.values():
+            by_name = dict(targets)
+            reachable = [name for name in by_name if name in alive_by_data_centre]
+            names = ranked(f"{GATEWAY_TOPIC}/{own.data_centre}", reachable or by_name)
+            name = names[0] if reachable else self._rng.choice(names)
+            self._other_region_targets.append((name, by_name[name]))
+
+
+@lru_cache(maxsize=MAX_SCORES)
 def _score(topic: str, node: str) -> tuple[bytes, str]:
     return (score(topic, node), node)
 
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -246,6 +246,13 @@
             pending.lost_ms = now_ms
         self._start_opening()
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether calls are pending or a ping is unanswered, so that ticks matter."""
+        connection = self._connection
+        is_pinged = connection is not None and connection.pinged_ms is not None
+        return bool(self._pending) or is_pinged
+
     def tick(self) -> None:
         """Ping a silent connection, and fail calls that cannot be recovered."""
         now_ms = self.clock.now_ms()
--- a/packages/mesh/ibisspoke_mesh/status_exchange.py
+++ b/packages/mesh/ibisspoke_mesh/status_exchange.py
@@ -16,36 +16,43 @@
 from .node_ranks import NodeRanks
 from .status_messages import (
     Digest,
+    NodeLoad,
     NodeStatus,
+    RecordRequest,
     Status,
     decode,
     encode,
     pack_load,
-    pack_usage,
+    pack_usages,
 )
 from .status_receiver import StatusReceiver
-from .status_relay import StatusRelay
+from .status_relay import MAX_REQUESTED_RECORDS, REPORTED_SLOTS, StatusRelay
 
 STATUS_INTERVAL_MS = 500.0
 USAGE_INTERVAL_MS = 200.0  # minimum interval per node while usage changes
 USAGE_STEP = 0.02  # of one second's rate; larger changes are sent early
-# Totals are sent at least twice, also over the relays, since datagrams may be lost.
-USAGE_REPEAT_MS = 1_500.0
-PROOF_REQUEST_AGE_MS = 1_200.0  # age of the own proof, from which others are asked
+ACTIVE_RELAY_MS = 1_500.0  # nodes that sent digests lately are relays to someone
+RECORD_REQUEST_INTERVAL_MS = 300.0
+# Age of the own proof, from which others are asked: first the relays, with the statuses
+# that they get anyway, then the nodes that verify it.
+RELAY_PROOF_REQUEST_AGE_MS = 800.0
+LATE_PROOF_REQUEST_AGE_MS = 2_400.0
+PROOF_GAIN_MS = 300.0  # a reply must have a proof newer by this
+PROOF_REQUEST_AGE_MS = 1_200.0  # the same for relays, which ask the nodes that verify
 PROOF_REQUEST_INTERVAL_MS = 250.0  # minimum interval between such requests
 N_PROOF_SOURCES = 2  # of the preferred nodes; one may be disconnected
-RECORD_REPEAT_SHARE = 0.05  # share of datagrams that repeat a known record
+RECORD_REPEAT_SHARE = 0.05  # share of statuses that repeat a known record
 MAX_PROOF_AGE_MS = 1e9  # sent if there is no proof
 
 
 class StatusExchange(asyncio.DatagramProtocol):
-    """Sends this node's status to the data centre, and its changes to all nodes.
+    """Sends this node's status to the relays of its data centre.
 
-    Other data centres receive unchanged statuses through :class:`StatusRelay`.
+    All nodes hear of it through :class:`StatusRelay`; those of its data centre are told
+    of changes directly.
 
     :param cold_ms: returns how much longer the upstream warms up.
     :param has_lost_store: returns whether this node cannot reach the store.
-    :param on_unknown: called when a digest contains an unknown node.
     """
 
     def __init__(
@@ -60,7 +67,6 @@
         log: DecisionLog,
         cold_ms: Callable[[], float],
         has_lost_store: Callable[[], bool],
-        on_unknown: Callable[[], None],
     ) -> None:
         self._fleet = fleet
         self._config = config
@@ -73,10 +79,20 @@
         self._cold_ms = cold_ms
         self._has_lost_store = has_lost_store
         self._relay = StatusRelay(
-            fleet, receiver, ranks, clock, self._send_digest, on_unknown
+            fleet,
+            receiver,
+            rates,
+            config,
+            ranks,
+            clock,
+            rng,
+            self._own_load,
+            self._send_digest,
         )
         self._transport: asyncio.DatagramTransport | None = None
-        self._sent_totals_by_organisation: dict[str, int] = {}
+        self._reported_slot = 0
+        self._n_reported_by_organisation: dict[str, int] = {}
+        self._records_requested_ms = 0.0
         self._sent_version = 0
         self._proof_requested_ms = 0.0
 
@@ -95,7 +111,9 @@
             self._log.write("datagram unreadable", sender=addr[0], detail=str(error))
             return
         if isinstance(message, Digest):
-            self._relay.receive(message)
+            self._request_records(message.node, self._relay.receive(message))
+        elif isinstance(message, RecordRequest):
+            self._relay.reply(message)
         else:
             self._receive(message, addr)
 
@@ -108,58 +126,94 @@
         own = self._fleet.own
         if own is None:
             return
-        changed = self._organisations_to_report(now_ms)
-        interval_ms = USAGE_INTERVAL_MS if changed else STATUS_INTERVAL_MS
-        if self._has_new_version():
-            interval_ms = 0.0
-        for peer in self._fleet.peers_by_id.values():
-            is_due = now_ms - peer.status_sent_ms >= interval_ms
-            if peer.distance.same_data_centre and is_due:
+        has_news = self._has_usage_news()
+        interval_ms = USAGE_INTERVAL_MS if has_news else STATUS_INTERVAL_MS
+        is_version_new = self._has_new_version()
+        targets = self._fleet.own_data_centre_peers()
+        if not is_version_new:
+            targets = self._status_targets(targets, now_ms)
+        for peer in targets:
+            if is_version_new or now_ms - peer.status_sent_ms >= interval_ms:
                 self._send(peer)
-        is_rate_low = any(self._rates.is_low(name) for name in changed)
-        self._relay.tick(self._relayed_status, is_rate_low)
+        self._relay.tick()
         self._request_proof(now_ms)
 
     def broadcast(self) -> None:
-        """Send this node's record to all other nodes immediately."""
-        for peer in self._fleet.peers_by_id.values():
+        """Send this node's record to its data centre; its relays pass it on."""
+        own = self._fleet.own
+        if own is None:
+            return
+        self._relay.record_changed(own.node)
+        for peer in self._fleet.own_data_centre_peers():
             self._send(peer, with_record=True)
 
+    def _status_targets(self, peers: list[Peer], now_ms: float) -> list[Peer]:
+        """Return the nodes of the data centre that this node reports to.
+
+        Besides its relays these are nodes that act as relays to others, and nodes of an
+        earlier version.
+        """
+        relays = self._ranks.relays
+        since_ms = now_ms - ACTIVE_RELAY_MS
+        others = [
+            peer
+            for peer in peers
+            if (peer.digest_ms > since_ms or peer.expects_statuses)
+            and peer not in relays
+        ]
+        return relays + others
+
     def _receive(self, message: Status, addr: tuple[str, int]) -> None:
         status = message.status
-        peer = self._receiver.apply(status, 0.0)
+        order = self._fleet.order_of(status.node)
+        peer = self._receiver.apply_status(status)
         own = self._fleet.own
         if peer is None:
             if own is not None and status.record is None and status.node != own.node:
                 self._write(addr, self._status(own, has_record=True))
             return
-        if peer.distance.same_data_centre:
-            self._relay.store(status)
+        if peer.record.order != order:
+            self._relay.record_changed(status.node)
         if message.echo:
             self._config.freshness.record_relayed(
                 status.version, message.echo, message.proof_age_ms
             )
         if message.nonce and own is not None:
-            address = (peer.record.node, peer.record.status_port)
-            self._write(address, self._status(own), echo=message.nonce)
+            gain_ms = message.proof_age_ms - self._config.proof_age_ms()
+            if gain_ms > PROOF_GAIN_MS or self._config.version > status.version:
+                address = (peer.record.node, peer.record.status_port)
+                self._write(address, self._status(own), echo=message.nonce)
 
-    def _organisations_to_report(self, now_ms: float) -> list[str]:
-        """Return the organisations whose totals changed much since they were sent."""
-        names = []
-        for usage in self._rates.totals(now_ms - USAGE_REPEAT_MS):
-            sent = self._sent_totals_by_organisation.get(usage.organisation, 0)
+    def _has_usage_news(self) -> bool:
+        """Return whether a count of the current slot grew much since it was sent."""
+        slot = self._rates.slot
+        for usage in self._rates.own_usages(slot):
             step = self._rates.rate(usage.organisation) * USAGE_STEP
-            if abs(usage.n_admitted - sent) >= max(2.0, step):
-                names.append(usage.organisation)
-        return names
+            n_reported = self._n_reported_by_organisation.get(usage.organisation, 0)
+            if slot != self._reported_slot:
+                n_reported = 0
+            if usage.n_admitted - n_reported >= max(2.0, step):
+                return True
+        return False
 
-    def _relayed_status(self) -> NodeStatus:
-        own = self._fleet.own
-        assert own is not None
-        return self._status(own, has_record=self._rng.random() < RECORD_REPEAT_SHARE)
+    def _request_records(self, relay: str, unknown: list[str]) -> None:
+        """Request the records of unknown nodes from the relay that named them."""
+        now_ms = self._clock.now_ms()
+        peer, own = self._fleet.peers_by_id.get(relay), self._fleet.own
+        if not unknown or peer is None or own is None or self._transport is None:
+            return
+        if now_ms - self._records_requested_ms < RECORD_REQUEST_INTERVAL_MS:
+            return
+        self._records_requested_ms = now_ms
+        request = RecordRequest(own.node, unknown[:MAX_REQUESTED_RECORDS])
+        address = (peer.record.node, peer.record.status_port)
+        self._transport.sendto(encode(request), address)
 
     def _has_new_version(self) -> bool:
-        """Return whether this node, as a watcher, has a new version to announce."""
+        """Return whether this node, as a watcher, has a new version to announce.
+
+        Relays announce it with their digests.
+        """
         is_new = self._config.version > self._sent_version
         self._sent_version = self._config.version
         return is_new and self._ranks.is_watcher
@@ -167,8 +221,9 @@
     def _request_proof(self, now_ms: float) -> None:
         """Request a proof from the preferred nodes and from a random other one."""
         own = self._fleet.own
-        age_ms = self._config.proof_age_ms()
-        if own is None or age_ms < PROOF_REQUEST_AGE_MS:
+        is_relay = self._relay.is_relay
+        bound_ms = PROOF_REQUEST_AGE_MS if is_relay else LATE_PROOF_REQUEST_AGE_MS
+        if own is None or self._config.proof_age_ms() < bound_ms:
             return
         if now_ms - self._proof_requested_ms < PROOF_REQUEST_INTERVAL_MS:
             return
@@ -178,8 +233,10 @@
             sources.append(self._rng.choice(others))
         for peer in sources:
             address = (peer.record.node, peer.record.status_port)
-            nonce = max(1, int(self._clock.boot_ms()))
-            self._write(address, self._status(own, has_usages=False), nonce=nonce)
+            self._write(address, self._status(own), nonce=self._nonce())
+
+    def _nonce(self) -> int:
+        return max(1, int(self._clock.boot_ms()))
 
     def _send(self, peer: Peer, with_record: bool = False) -> None:
         own = self._fleet.own
@@ -187,8 +244,11 @@
             return
         is_new = peer.last_seen_ms is None or self._rng.random() < RECORD_REPEAT_SHARE
         peer.status_sent_ms = self._clock.now_ms()
-        status = self._status(own, has_record=with_record or is_new)
-        self._write((peer.record.node, peer.record.status_port), status)
+        has_usages = not with_record or peer in self._ranks.relays
+        status = self._status(own, with_record or is_new, has_usages)
+        needs_proof = self._config.proof_age_ms() > RELAY_PROOF_REQUEST_AGE_MS
+        nonce = self._nonce() if needs_proof and not with_record else 0
+        self._write((peer.record.node, peer.record.status_port), status, nonce)
 
     def _send_digest(self, peer: Peer, digest: Digest) -> None:
         if self._transport is not None:
@@ -208,14 +268,18 @@
         self._transport.sendto(encode(Status(status, nonce, echo, age_ms)), address)
 
     def _status(
-        self, own: MemberRecord, has_record: bool = False, has_usages: bool = True
+        self, own: MemberRecord, has_record: bool = False, has_usages: bool = False
     ) -> NodeStatus:
         """Return the current status of this node."""
         usages = []
         if has_usages:
-            usages = self._rates.totals(self._clock.now_ms() - USAGE_REPEAT_MS)
-        for usage in usages:
-            self._sent_totals_by_organisation[usage.organisation] = usage.n_admitted
+            slot = self._reported_slot = self._rates.slot
+            usages = self._rates.own_usages(slot - REPORTED_SLOTS)
+            self._n_reported_by_organisation = {
+                usage.organisation: usage.n_admitted
+                for usage in usages
+                if usage.slot == slot
+            }
         return NodeStatus(
             own.node,
             own.incarnation,
@@ -223,7 +287,20 @@
             own if has_record else None,
             pack_load(self._fleet.own_load()),
             max(0, int(self._cold_ms())),
-            [pack_usage(usage) for usage in usages],
+            [],
             self._config.version,
             self._has_lost_store(),
+            pack_usages(usages),
+        )
+
+    def _own_load(self) -> NodeLoad:
+        own = self._fleet.own
+        assert own is not None
+        return NodeLoad(
+            own.node,
+            own.incarnation,
+            0,
+            pack_load(self._fleet.own_load()),
+            max(0, int(self._cold_ms())),
+            self._has_lost_store(),
         )
--- a/packages/mesh/ibisspoke_mesh/status_messages.py
+++ b/packages/mesh/ibisspoke_mesh/status_messages.py
@@ -1,6 +1,7 @@
 """Datagrams with node statuses, encoded as MessagePack."""
 
 import zlib
+from collections.abc import Iterable
 
 import msgspec
 
@@ -13,6 +14,8 @@
 
 
 PackedLoad = tuple[int, int, int, int, int, tuple[tuple[str, int], ...]]
+# A slot, and for each organisation the checksum of its name and three counts.
+PackedUsages = tuple[int, list[tuple[int, int, int, int]]]
 
 
 class NodeStatus(msgspec.Struct, array_like=True, frozen=True):
@@ -20,9 +23,11 @@
 
     :param record: left out if it has not changed recently.
     :param load: service time in milliseconds, shares in thousandths.
-    :param usages: totals of organisations, each with a checksum of its name.
+    :param totals: always empty; earlier versions report totals of organisations here.
     :param version: version of the configuration in force.
     :param has_lost_store: whether the node cannot reach the store to wait for changes.
+    :param usages: what the node has counted of organisations; None from an earlier
+        version, which expects statuses from each node of its data centre.
     """
 
     node: str
@@ -31,9 +36,10 @@
     record: MemberRecord | None
     load: PackedLoad
     cold_ms: int
-    usages: list[tuple[int, int, int]]
+    totals: list[tuple[int, int, int]]
     version: int
     has_lost_store: bool
+    usages: list[PackedUsages] | None = None
 
 
 class Status(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -42,7 +48,7 @@
     :param nonce: time of sending, to be echoed with the age of the receiver's proof; 0
         if no proof is requested.
     :param echo: nonce of the request that this replies to; 0 if there is none.
-    :param proof_age_ms: age of the proof for the version, in reply to ``nonce``.
+    :param proof_age_ms: age of the sender's proof for the version.
     """
 
     status: NodeStatus
@@ -51,27 +57,75 @@
     proof_age_ms: int
 
 
-class Digest(msgspec.Struct, array_like=True, frozen=True, tag=2):
-    """Statuses of a data centre, each with its age in milliseconds.
+class NodeLoad(msgspec.Struct, array_like=True, frozen=True):
+    """What a relay knows of a node's load.
 
-    :param passes_on: whether the receiver must forward them in its data centre.
+    :param age_ms: time since the node sent it.
     """
 
     node: str
-    passes_on: bool
-    statuses: list[tuple[int, NodeStatus]]
+    incarnation: int
+    age_ms: int
+    load: PackedLoad
+    cold_ms: int
+    has_lost_store: bool
+
+
+class LostNode(msgspec.Struct, array_like=True, frozen=True):
+    """A node of which its data centre's relays have heard nothing for a while."""
+
+    node: str
+    incarnation: int
+    silent_ms: int
+
+
+class Section(msgspec.Struct, array_like=True, frozen=True):
+    """What a relay tells of a data centre.
+
+    :param age_ms: time since the relays of the data centre computed the usages.
+    :param loads: of some of its nodes.
+    :param records: those that have changed recently, and some others.
+    :param usages: sums over its nodes.
+    """
+
+    data_centre: str
+    age_ms: int
+    loads: list[NodeLoad]
+    records: list[MemberRecord]
+    lost: list[LostNode]
+    usages: list[PackedUsages]
+
+
+class Digest(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """What a relay tells of data centres.
+
+    :param node: the relay.
+    :param version: version of the configuration in force at the relay.
+    """
+
+    node: str
+    version: int
+    sections: list[Section]
+
+
+class RecordRequest(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """Asks a relay for the records of nodes that the sender does not know."""
+
+    node: str
+    nodes: list[str]
 
 
+Message = Status | Digest | RecordRequest
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Status | Digest)
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
-def encode(message: Status | Digest) -> bytes:
+def encode(message: Message) -> bytes:
     """Encode a datagram."""
     return _encoder.encode(message)
 
 
-def decode(data: bytes) -> Status | Digest:
+def decode(data: bytes) -> Message:
     """Decode a datagram.
 
     :raises msgspec.MsgspecError: if it is not valid.
@@ -104,9 +158,25 @@
     )
 
 
-def pack_usage(usage: Usage) -> tuple[int, int, int]:
-    """Return a usage with a checksum instead of the organisation's name."""
-    return (name_checksum(usage.organisation), usage.n_asked, usage.n_admitted)
+def pack_usages(usages: Iterable[Usage]) -> list[PackedUsages]:
+    """Group usages by slot, with a checksum instead of the organisation's name."""
+    by_slot: dict[int, list[tuple[int, int, int, int]]] = {}
+    for usage in usages:
+        packed = (name_checksum(usage.organisation), *usage[2:])
+        by_slot.setdefault(usage.slot, []).append(packed)
+    return list(by_slot.items())
+
+
+def unpack_usages(
+    packed: Iterable[PackedUsages], names_by_checksum: dict[int, str]
+) -> list[Usage]:
+    """Return the usages of known organisations."""
+    return [
+        Usage(name, slot, *counts)
+        for slot, entries in packed
+        for checksum, *counts in entries
+        if (name := names_by_checksum.get(checksum)) is not None
+    ]
 
 
 def name_checksum(organisation: str) -> int:
--- a/packages/mesh/ibisspoke_mesh/status_receiver.py
+++ b/packages/mesh/ibisspoke_mesh/status_receiver.py
@@ -1,19 +1,32 @@
 """Processing of statuses received from other nodes."""
 
 from ibisspoke_policy.clock import Clock
-from ibisspoke_policy.shared_rate import SharedRates, Usage
+from ibisspoke_policy.shared_rate import SharedRates
+from ibisspoke_policy.usage_sums import UsageSums
 
 from .config_requester import ConfigRequester
 from .fleet import Fleet, Peer
-from .status_messages import NodeStatus, name_checksum, unpack_load
+from .status_messages import (
+    Digest,
+    LostNode,
+    NodeLoad,
+    NodeStatus,
+    Section,
+    unpack_load,
+    unpack_usages,
+)
+from .status_messages import name_checksum as checksum
 
-CLOCK_SKEW_MS = 3_000  # between VMs; a node that started earlier may report old totals
+# A node that was heard of later than its relays say is not lost.
+LOST_TOLERANCE_MS = 300.0
 
 
 class StatusReceiver:
     """Updates peers, rates and known configuration versions.
 
     Statuses may arrive late, more than once, and over different paths.
+
+    :ivar n_invalid_usages: counts of organisations that could not be applied.
     """
 
     def __init__(
@@ -23,10 +36,12 @@
         config_requester: ConfigRequester,
         clock: Clock,
     ) -> None:
+        self.n_invalid_usages = 0
         self._fleet = fleet
         self._rates = rates
         self._config_requester = config_requester
         self._clock = clock
+        self._sums = UsageSums()
         self._names_by_checksum: dict[int, str] = {}
 
     def __repr__(self) -> str:
@@ -34,28 +49,55 @@
 
     def set_organisations(self, names: list[str]) -> None:
         """Set the organisations whose usage nodes report."""
-        self._names_by_checksum = {name_checksum(name): name for name in names}
+        self._names_by_checksum = {checksum(name): name for name in names}
 
-    def apply(self, status: NodeStatus, age_ms: float) -> Peer | None:
-        """Apply a status.
+    def apply_status(self, status: NodeStatus) -> Peer | None:
+        """Apply a status that its node has sent.
 
-        :param age_ms: minimum time since the node sent it.
         :returns: the node, or None if its record is not known.
         """
         now_ms = self._clock.now_ms()
         peer = self._peer(status)
         if peer is None:
             return None
-        sent_ms = now_ms - age_ms
-        self._report(status, sent_ms)
-        if peer.last_seen_ms is not None and sent_ms < peer.last_seen_ms:
-            return peer
-        peer.update_load(unpack_load(status.load), sent_ms)
-        peer.cold_until_ms = sent_ms + status.cold_ms
+        peer.update_load(unpack_load(status.load), now_ms)
+        peer.cold_until_ms = now_ms + status.cold_ms
         peer.has_lost_store = status.has_lost_store
+        peer.expects_statuses = status.usages is None
+        if peer.distance.same_data_centre and status.usages:
+            self._add_usages(status, now_ms)
         self._config_requester.on_version_reported(peer, status.version)
         return peer
 
+    def apply_digest(self, digest: Digest) -> list[str]:
+        """Apply what a relay tells.
+
+        :returns: the nodes in it whose records are not known.
+        """
+        now_ms = self._clock.now_ms()
+        unknown: list[str] = []
+        for section in digest.sections:
+            for record in section.records:
+                self._fleet.update_record(record)
+            for load in section.loads:
+                if not self._apply_load(load, now_ms):
+                    unknown.append(load.node)
+            for lost in section.lost:
+                self._apply_lost(lost, now_ms)
+            self._apply_sums(section, now_ms)
+        relay = self._fleet.peers_by_id.get(digest.node)
+        if relay is not None:
+            relay.mark_seen(now_ms)
+            relay.digest_ms = now_ms
+            self._config_requester.on_version_reported(relay, digest.version)
+        return unknown
+
+    def extend_silent(self) -> None:
+        """Assume for the sums that silent nodes go on as before."""
+        now_ms = self._clock.now_ms()
+        changed = self._sums.extend_silent(self._rates.slot, now_ms)
+        self._rates.apply_report(self._rates.source, changed, False, now_ms)
+
     def _peer(self, status: NodeStatus) -> Peer | None:
         if status.record is not None:
             return self._fleet.update_record(status.record)
@@ -64,18 +106,46 @@
             return None
         return peer
 
-    def _report(self, status: NodeStatus, sent_ms: float) -> None:
-        own = self._fleet.own
-        is_baseline = (
-            own is not None and status.incarnation < own.incarnation - CLOCK_SKEW_MS
-        )
-        usages = [
-            Usage(name, n_asked, n_admitted)
-            for checksum, n_asked, n_admitted in status.usages
-            if (name := self._names_by_checksum.get(checksum)) is not None
-        ]
-        incarnation_key = f"{status.node}/{status.incarnation}"
-        self._rates.apply_report(
-            incarnation_key, usages, is_baseline, self._clock.now_ms()
+    def _add_usages(self, status: NodeStatus, now_ms: float) -> None:
+        """Add a node's usages to the sums of the data centre."""
+        usages = unpack_usages(status.usages or [], self._names_by_checksum)
+        node = f"{status.node}/{status.incarnation}"
+        sums = self._sums.add(node, usages, self._rates.slot, now_ms)
+        source = self._rates.source
+        self.n_invalid_usages += self._rates.apply_report(source, sums, False, now_ms)
+        self._rates.record_report_time(source, now_ms)
+
+    def _apply_load(self, load: NodeLoad, now_ms: float) -> bool:
+        """Apply a load, and return whether the node is known."""
+        peer = self._fleet.peers_by_id.get(load.node)
+        if peer is None:
+            own = self._fleet.own
+            return own is not None and load.node == own.node
+        if peer.record.incarnation != load.incarnation:
+            return load.incarnation < peer.record.incarnation
+        sent_ms = now_ms - load.age_ms
+        if peer.last_seen_ms is None or sent_ms > peer.last_seen_ms:
+            peer.update_load(unpack_load(load.load), sent_ms)
+            peer.cold_until_ms = sent_ms + load.cold_ms
+            peer.has_lost_store = load.has_lost_store
+        return True
+
+    def _apply_lost(self, lost: LostNode, now_ms: float) -> None:
+        peer = self._fleet.peers_by_id.get(lost.node)
+        if peer is None or peer.record.incarnation != lost.incarnation:
+            return
+        seen_ms = now_ms - lost.silent_ms
+        if (peer.last_seen_ms or 0.0) <= seen_ms + LOST_TOLERANCE_MS:
+            peer.mark_lost()
+
+    def _apply_sums(self, section: Section, now_ms: float) -> None:
+        source = section.data_centre
+        if source not in self._rates.sources:
+            self.n_invalid_usages += len(section.usages)
+            return
+        usages = unpack_usages(section.usages, self._names_by_checksum)
+        has_own = source == self._rates.source
+        self.n_invalid_usages += self._rates.apply_report(
+            source, usages, has_own, now_ms
         )
-        self._rates.record_report_time(incarnation_key, sent_ms)
+        self._rates.record_report_time(source, now_ms - section.age_ms)
--- a/packages/mesh/ibisspoke_mesh/status_relay.py
+++ b/packages/mesh/ibisspoke_mesh/status_relay.py
@@ -1,104 +1,347 @@
-"""Relay of node statuses between data centres, in digests."""
+"""Digests of statuses, which a few nodes of each data centre compose for the others."""
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, TypeVar
 
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.shared_rate import SharedRates, Usage
 
-from .fleet import Fleet, Peer
+from .config_state import ConfigState
+from .fleet import Fleet, MemberRecord, Peer
 from .node_ranks import N_RELAYS, NodeRanks
-from .status_messages import Digest, NodeStatus
+from .status_messages import (
+    Digest,
+    LostNode,
+    NodeLoad,
+    RecordRequest,
+    Section,
+    pack_load,
+    pack_usages,
+)
 from .status_receiver import StatusReceiver
+from .status_timeouts import (
+    DIGEST_INTERVAL_MS,
+    LOADS_PER_DIGEST,
+    REMOTE_LOADS_PER_DIGEST,
+)
 
-REGION_INTERVAL_MS = 500.0  # of each relay; with two, statuses arrive twice as often
 OTHER_REGION_INTERVAL_MS = 1_000.0  # traffic between regions is costly
-REGION_SHORT_INTERVAL_MS = 200.0  # while an organisation's rate is nearly used up
-OTHER_REGION_SHORT_INTERVAL_MS = 400.0
-MAX_STATUSES_PER_DIGEST = 16  # fit the usual packet of 1,500 bytes
-MAX_STATUS_AGE_MS = 2_500.0  # older statuses are dropped; the node has probably ended
+SHORT_INTERVAL_FACTOR = 0.4  # while an organisation's rate is nearly used up
+MIN_INTERVAL_MS = 60.0  # also for changed records, so that several share a datagram
+MAX_LOADS = 24  # per datagram, which fit the usual packet of 1,500 bytes
+MAX_RECORDS = 4
+MAX_USAGES = 80
+N_RANDOM_RECORDS = 1  # per section, for nodes that missed a change
+RECORD_REPEAT_MS = 1_100.0  # changed records are sent again, as datagrams may be lost
+REPORTED_SLOTS = 4  # each count is sent several times, as datagrams may be lost
+LOST_REPEAT_MS = 4_000.0  # time for which the loss of a node is told
+MAX_ENTERED_AGE_MS = 3_000.0  # of sections that came from another region
+MAX_SEARCH_PEERS = 32  # that a node asks which hears of no other node
+MAX_REQUESTED_RECORDS = 16
 
 Send = Callable[[Peer, Digest], None]
+_Entry = TypeVar("_Entry")
 
 
 class StatusRelay:
-    """Sends digests to a node of each other data centre, which forwards them there.
+    """Composes digests while this node is a relay of its data centre.
 
-    The highest-ranked nodes of a data centre are its relays. Each sends to a different
-    node, so that statuses still arrive if one of them fails.
+    The nodes of a data centre send their statuses to its relays. A relay tells every
+    node of its data centre about all data centres, and the relays of the other data
+    centres of the region about its own one. Of the other region it tells one data
+    centre, whose relays pass that on within their region, so that a sum crosses the
+    link between regions once for each relay. The relays of a data centre send to
+    different nodes, and each keeps all sums, so that one may fail.
 
     :param send: sends a digest to a node.
-    :param on_unknown: called when a digest contains an unknown node.
     """
 
     def __init__(
         self,
         fleet: Fleet,
         receiver: StatusReceiver,
+        rates: SharedRates,
+        config: ConfigState,
         ranks: NodeRanks,
         clock: Clock,
+        rng: random.Random,
+        own_load: Callable[[], NodeLoad],
         send: Send,
-        on_unknown: Callable[[], None],
     ) -> None:
         self._fleet = fleet
         self._receiver = receiver
+        self._rates = rates
+        self._config = config
         self._ranks = ranks
         self._clock = clock
+        self._rng = rng
+        self._own_load = own_load
         self._send = send
-        self._on_unknown = on_unknown
-        self._latest_by_node: dict[str, tuple[NodeStatus, float]] = {}
-        self._sent_ms_by_data_centre: dict[str, float] = {}
+        self._sent_ms_by_target: dict[str, float] = {}
+        self._sent_version_by_target: dict[str, int] = {}
+        self._changed_ms_by_node: dict[str, float] = {}
+        self._entered_ms_by_data_centre: dict[str, float] = {}
+        self._position_by_data_centre: dict[str, int] = {}
 
     def __repr__(self) -> str:
         return f"StatusRelay({self._ranks!r})"
 
-    def store(self, status: NodeStatus) -> None:
-        """Store the latest status of a node of this data centre."""
-        self._latest_by_node[status.node] = (status, self._clock.now_ms())
+    @property
+    def is_relay(self) -> bool:
+        """Whether this node is a relay of its data centre."""
+        return self._ranks.relay_rank < N_RELAYS
 
-    def tick(self, own_status: Callable[[], NodeStatus], is_rate_low: bool) -> None:
-        """Send the digests that are due, if this node is a relay.
+    def record_changed(self, node: str) -> None:
+        """Send a node's record with the next digests."""
+        self._changed_ms_by_node[node] = self._clock.now_ms()
 
-        :param own_status: returns the status of this node.
-        :param is_rate_low: whether an organisation's rate is nearly used up, so that
-            nodes need recent totals.
+    def receive(self, digest: Digest) -> list[str]:
+        """Apply a digest.
+
+        :returns: the nodes in it whose records are not known.
         """
-        rank = self._ranks.relay_rank
-        if rank >= N_RELAYS:
+        now_ms = self._clock.now_ms()
+        known = {
+            record.node: self._fleet.order_of(record.node)
+            for section in digest.sections
+            for record in section.records
+        }
+        unknown = self._receiver.apply_digest(digest)
+        for node, order in known.items():
+            if self._fleet.order_of(node) != order:
+                self._changed_ms_by_node[node] = now_ms
+        relay = self._fleet.peers_by_id.get(digest.node)
+        if relay is not None and not relay.distance.same_region:
+            for section in digest.sections:
+                self._entered_ms_by_data_centre[section.data_centre] = now_ms
+        return unknown
+
+    def reply(self, request: RecordRequest) -> None:
+        """Send the requested records that are known."""
+        peer = self._fleet.peers_by_id.get(request.node)
+        if peer is None:
+            return
+        by_data_centre: dict[str, list[MemberRecord]] = {}
+        for node in request.nodes[:MAX_REQUESTED_RECORDS]:
+            record = self._fleet.record_of(node)
+            if record is not None:
+                by_data_centre.setdefault(record.data_centre, []).append(record)
+        for data_centre, records in by_data_centre.items():
+            for part in _parts(records, MAX_RECORDS):
+                section = Section(
+                    data_centre, self._age_ms(data_centre), [], part, [], []
+                )
+                self._send_sections([peer], [section])
+
+    def tick(self) -> None:
+        """Send the digests that are due, if this node is a relay."""
+        if not self.is_relay or self._fleet.own is None:
             return
         now_ms = self._clock.now_ms()
-        for data_centre, peers in self._ranks.relays_by_data_centre.items():
-            sent_ms = self._sent_ms_by_data_centre.get(data_centre, float("-inf"))
-            if now_ms - sent_ms >= _interval_ms(peers[0], is_rate_low):
-                self._sent_ms_by_data_centre[data_centre] = now_ms
-                target = peers[min(rank, len(peers) - 1)]
-                self._send_digests(target, own_status(), now_ms)
-
-    def receive(self, digest: Digest) -> None:
-        """Apply a digest, and forward it if it came from another data centre."""
+        self._receiver.extend_silent()
+        self._drop_old(now_ms)
+        factor = SHORT_INTERVAL_FACTOR if self._rates.is_report_urgent() else 1.0
+        own = self._fleet.own.data_centre
+        interval_ms = DIGEST_INTERVAL_MS * factor
+        if self._is_due(own, self._fleet.data_centres, interval_ms, now_ms):
+            self._send_inside(now_ms)
+        entered = [own, *self._entered_ms_by_data_centre]
+        for data_centre, target in self._ranks.region_targets:
+            if self._is_due(data_centre, entered, interval_ms, now_ms):
+                self._send_outside(data_centre, target, entered, now_ms)
+        interval_ms = OTHER_REGION_INTERVAL_MS * factor
+        for data_centre, target in self._ranks.other_region_targets:
+            if self._is_due(data_centre, [own], interval_ms, now_ms):
+                self._send_outside(data_centre, target, [own], now_ms)
+
+    def _is_due(
+        self, target: str, sources: Iterable[str], interval_ms: float, now_ms: float
+    ) -> bool:
+        """Return whether to send to a data centre, which is then counted as sent."""
+        sent_ms = self._sent_ms_by_target.get(target, float("-inf"))
+        version = self._config.version
+        is_urgent = self._sent_version_by_target.get(target) != version or any(
+            changed_ms > sent_ms and self._is_of(node, sources)
+            for node, changed_ms in self._changed_ms_by_node.items()
+        )
+        return now_ms - sent_ms >= (MIN_INTERVAL_MS if is_urgent else interval_ms)
+
+    def _is_of(self, node: str, data_centres: Iterable[str]) -> bool:
+        record = self._fleet.record_of(node)
+        return record is not None and record.data_centre in data_centres
+
+    def _send_inside(self, now_ms: float) -> None:
+        """Send a digest of all data centres to the nodes of this one."""
+        peers = self._fleet.own_data_centre_peers()
+        if not any(peer.is_alive(now_ms) for peer in peers):
+            peers = self._rng.sample(peers, min(len(peers), MAX_SEARCH_PEERS))
+        own = self._rates.source
+        remote = [name for name in self._fleet.data_centres if name != own]
+        n_loads = -(-REMOTE_LOADS_PER_DIGEST // max(1, len(remote)))
+        sections = self._sections(own, own, LOADS_PER_DIGEST, now_ms)
+        for data_centre in remote:
+            sections += self._sections(own, data_centre, n_loads, now_ms)
+        self._mark_sent(own, now_ms)
+        self._send_sections(peers, sections)
+
+    def _send_outside(
+        self, target: str, peer: Peer, sources: Iterable[str], now_ms: float
+    ) -> None:
+        """Send a digest of some data centres to a relay of another one."""
+        sections = []
+        for source in sources:
+            if source != target:
+                n_loads = REMOTE_LOADS_PER_DIGEST
+                sections += self._sections(target, source, n_loads, now_ms)
+        self._mark_sent(target, now_ms)
+        self._send_sections([peer], sections)
+
+    def _mark_sent(self, target: str, now_ms: float) -> None:
+        self._sent_ms_by_target[target] = now_ms
+        self._sent_version_by_target[target] = self._config.version
+
+    def _send_sections(self, peers: Iterable[Peer], sections: list[Section]) -> None:
+        """Send sections in datagrams of limited size."""
         own = self._fleet.own
-        for age_ms, status in digest.statuses:
-            is_own = own is not None and status.node == own.node
-            if not is_own and self._receiver.apply(status, float(age_ms)) is None:
-                self._on_unknown()
-        if not digest.passes_on:
-            return
-        copy = Digest(digest.node, False, digest.statuses)
-        for peer in self._fleet.peers_by_id.values():
-            if peer.distance.same_data_centre:
-                self._send(peer, copy)
-
-    def _send_digests(self, peer: Peer, own: NodeStatus, now_ms: float) -> None:
-        statuses = [(0, own)]
-        for node, (status, received_ms) in list(self._latest_by_node.items()):
-            if now_ms - received_ms > MAX_STATUS_AGE_MS:
-                del self._latest_by_node[node]
-            else:
-                statuses.append((int(now_ms - received_ms), status))
-        for start in range(0, len(statuses), MAX_STATUSES_PER_DIGEST):
-            part = statuses[start : start + MAX_STATUSES_PER_DIGEST]
-            self._send(peer, Digest(own.node, True, part))
-
-
-def _interval_ms(peer: Peer, is_rate_low: bool) -> float:
-    if peer.distance.same_region:
-        return REGION_SHORT_INTERVAL_MS if is_rate_low else REGION_INTERVAL_MS
-    return OTHER_REGION_SHORT_INTERVAL_MS if is_rate_low else OTHER_REGION_INTERVAL_MS
+        assert own is not None
+        pending: list[Section] = []
+        size = 0.0
+        datagrams = []
+        for section in sections:
+            section_size = _size(section)
+            if pending and size + section_size > 1.0:
+                datagrams.append(pending)
+                pending, size = [], 0.0
+            pending.append(section)
+            size += section_size
+        if pending:
+            datagrams.append(pending)
+        for parts in datagrams:
+            digest = Digest(own.node, self._config.version, parts)
+            for peer in peers:
+                self._send(peer, digest)
+
+    def _sections(
+        self, target: str, source: str, n_loads: int, now_ms: float
+    ) -> list[Section]:
+        """Return what to tell a data centre about a data centre, in parts."""
+        age_ms = self._age_ms(source)
+        usages: list[Usage] = []
+        if age_ms < MAX_ENTERED_AGE_MS or source == self._rates.source:
+            min_slot = self._rates.slot - REPORTED_SLOTS
+            usages = self._rates.usages(source, min_slot, now_ms)
+        return [
+            Section(source, age_ms, loads, records, lost, pack_usages(part))
+            for loads, records, lost, part in zip(
+                *_padded(
+                    _parts(self._loads(source, n_loads, now_ms), MAX_LOADS),
+                    _parts(self._records(target, source, now_ms), MAX_RECORDS),
+                    _parts(self._lost(source, now_ms), MAX_LOADS),
+                    _parts(usages, MAX_USAGES),
+                ),
+                strict=True,
+            )
+        ]
+
+    def _age_ms(self, source: str) -> int:
+        """Return the age of the usages of a data centre."""
+        now_ms = self._clock.now_ms()
+        reported_ms = self._rates.report_time(source)
+        if source == self._rates.source:
+            peers = self._fleet.data_centre_peers(source)
+            if reported_ms is None or not any(p.is_alive(now_ms) for p in peers):
+                return 0  # this node is all that is left of it
+        elif reported_ms is None:
+            return int(MAX_ENTERED_AGE_MS)
+        return max(0, int(now_ms - reported_ms)) + 1
+
+    def _loads(self, source: str, n_wanted: int, now_ms: float) -> list[NodeLoad]:
+        """Return the next loads of a data centre in turn."""
+        peers = self._fleet.data_centre_peers(source)
+        position = self._position_by_data_centre.get(source, 0)
+        loads: list[NodeLoad] = []
+        if source == self._rates.source:
+            loads.append(self._own_load())
+        for offset in range(len(peers)):
+            peer = peers[(position + offset) % len(peers)]
+            self._position_by_data_centre[source] = (position + offset + 1) % len(peers)
+            if peer.last_seen_ms is not None and peer.is_alive(now_ms):
+                loads.append(_node_load(peer, now_ms))
+            if len(loads) >= n_wanted:
+                break
+        return loads
+
+    def _records(self, target: str, source: str, now_ms: float) -> list[MemberRecord]:
+        """Return the records of a data centre that changed, and a few others."""
+        sent_ms = self._sent_ms_by_target.get(target, float("-inf"))
+        since_ms = min(sent_ms, now_ms - RECORD_REPEAT_MS)
+        records = [
+            record
+            for node, changed_ms in self._changed_ms_by_node.items()
+            if changed_ms >= since_ms
+            and (record := self._fleet.record_of(node)) is not None
+            and record.data_centre == source
+        ]
+        peers = self._fleet.data_centre_peers(source)
+        for peer in self._rng.sample(peers, min(N_RANDOM_RECORDS, len(peers))):
+            if peer.is_alive(now_ms) and peer.record not in records:
+                records.append(peer.record)
+        return records
+
+    def _lost(self, source: str, now_ms: float) -> list[LostNode]:
+        """Return the nodes of the own data centre that were lost recently."""
+        lost: list[LostNode] = []
+        if source != self._rates.source:
+            return lost
+        timeout_ms = self._fleet.timeouts.data_centre_ms
+        for peer in self._fleet.data_centre_peers(source):
+            if peer.last_seen_ms is None or peer.is_alive(now_ms):
+                continue
+            silent_ms = now_ms - peer.last_seen_ms
+            if silent_ms < timeout_ms + LOST_REPEAT_MS:
+                record = peer.record
+                lost.append(LostNode(record.node, record.incarnation, int(silent_ms)))
+        return lost
+
+    def _drop_old(self, now_ms: float) -> None:
+        kept_ms = now_ms - RECORD_REPEAT_MS - OTHER_REGION_INTERVAL_MS
+        for node, changed_ms in list(self._changed_ms_by_node.items()):
+            if changed_ms < kept_ms:
+                del self._changed_ms_by_node[node]
+        entered = self._entered_ms_by_data_centre
+        for data_centre, entered_ms in list(entered.items()):
+            if now_ms - entered_ms > MAX_ENTERED_AGE_MS:
+                del entered[data_centre]
+
+
+def _node_load(peer: Peer, now_ms: float) -> NodeLoad:
+    assert peer.last_seen_ms is not None
+    return NodeLoad(
+        peer.record.node,
+        peer.record.incarnation,
+        max(0, int(now_ms - peer.last_seen_ms)) + 1,
+        pack_load(peer.load),
+        max(0, int(peer.cold_until_ms - peer.last_seen_ms)),
+        peer.has_lost_store,
+    )
+
+
+def _parts(entries: Sequence[_Entry], n: int) -> list[list[_Entry]]:
+    return [list(entries[start : start + n]) for start in range(0, len(entries), n)]
+
+
+def _padded(*columns: list[Any]) -> list[Any]:
+    """Return columns of equal length, at least one, padded with empty lists."""
+    n_rows = max(1, *(len(column) for column in columns))
+    return [column + [[]] * (n_rows - len(column)) for column in columns]
+
+
+def _size(section: Section) -> float:
+    """Return the approximate size as a fraction of a datagram."""
+    n_usages = sum(len(entries) for _, entries in section.usages)
+    return (
+        (len(section.loads) + len(section.lost)) / MAX_LOADS
+        + len(section.records) / MAX_RECORDS
+        + n_usages / MAX_USAGES
+    )
--- a/packages/policy/ibisspoke_policy/_rate_account.py
+++ b/packages/policy/ibisspoke_policy/_rate_account.py
@@ -17,19 +17,22 @@
 # a second time.
 INITIAL_FILL_FRACTION = 0.1
 DEMAND_HALF_LIFE_MS = 600.0
-# Usual longest time between two reports of a node; a longer one means that the node is
-# unreachable or has stopped.
+# Usual longest age of a data centre's report; beyond, it is unreachable.
 MAX_REPORT_INTERVAL_MS = 1_200.0
+# Slots whose counts are kept: enough for late reports and for clocks that differ.
+KEPT_SLOTS = 16
+# Fraction of its part of a rate up to which a data centre need not report.
+QUIET_FRACTION = 0.5
 # Capacity of a node's share bucket, in seconds of the share's rate.
 SHARE_BURST_S = 0.3
 # A node's share bucket holds at least this many requests, whatever its rate.
 NODE_SHARE_BURST_REQUESTS = 2.5
 # In a large fleet it holds at least one request and an equal part of these.
 FLEET_SHARE_BURST_REQUESTS = 24.0
-# Time between two computations of a share, whose cost grows with the number of nodes.
+# Time between two computations of a share.
 SHARE_INTERVAL_MS = 50.0
-# A node that is out of contact may admit its share until its keys expire.
-SILENT_NODE_TIMEOUT_MS = 6_000.0
+# Nodes that are out of contact may admit their share until their keys expire.
+SILENT_SOURCE_TIMEOUT_MS = 6_000.0
 # Least fraction of an equal share, for nodes without recent requests.
 MIN_SHARE_FRACTION = 0.1
 # Time over which a lowered limit is phased in: nodes learn of it one after another.
@@ -37,15 +40,22 @@
 
 
 class Usage(NamedTuple):
-    """Running totals of one organisation at one node.
+    """Requests of one organisation at one or more nodes, in one time slot.
 
+    Each count only grows while the slot lasts, so of two reports on a slot the larger
+    one is the later one, over whichever path it came.
+
+    :param slot: number of the slot; the nodes' clocks roughly agree on it.
     :param n_asked: requests received.
-    :param n_admitted: requests admitted, less those that did not run.
+    :param n_admitted: requests admitted.
+    :param n_refunded: requests admitted in this or an earlier slot that did not run.
     """
 
     organisation: str
+    slot: int
     n_asked: int
     n_admitted: int
+    n_refunded: int
 
 
 class Admission(Enum):
@@ -71,6 +81,10 @@
     burst: float
 
 
+Counts = tuple[int, int, int]  # asked, admitted and refunded
+NO_COUNTS: Counts = (0, 0, 0)
+
+
 class _DecayingRate:
     """Request rate as an exponentially decaying average."""
 
@@ -91,31 +105,30 @@
         return float(self._per_s * 0.5 ** (elapsed_ms / DEMAND_HALF_LIFE_MS))
 
 
-class _ReportedRates:
-    """Rates of received and admitted requests at another node, from its reports."""
+class _Source:
+    """What the nodes of one data centre, other than this node, have reported."""
 
-    __slots__ = ("admitted", "asked")
+    __slots__ = ("admitted", "asked", "counts_by_slot")
 
     def __init__(self, now_ms: float) -> None:
         self.asked = _DecayingRate(now_ms)
         self.admitted = _DecayingRate(now_ms)
+        self.counts_by_slot: dict[int, Counts] = {}
 
 
 class RateAccount:
     """One node's copy of an organisation's token bucket.
 
-    :param reported_ms_by_node: time of each other node's last report.
+    :param reported_ms_by_source: time of each data centre's last report.
     """
 
     def __init__(
-        self, limit: Limit, reported_ms_by_node: dict[str, float], now_ms: float
+        self, limit: Limit, reported_ms_by_source: dict[str, float], now_ms: float
     ) -> None:
         self.rate, self.burst = limit
-        self.n_asked = 0
-        self.n_admitted = 0
-        self.changed_ms = now_ms
+        self.slot = 0
         self.level = self.burst * INITIAL_FILL_FRACTION
-        self._reported_ms_by_node = reported_ms_by_node
+        self._reported_ms_by_source = reported_ms_by_source
         self._target = limit
         self._target_effective_ms = now_ms
         self._lowered_ms = float("-inf")
@@ -128,8 +141,8 @@
         self._filled_ms = now_ms
         self._share_filled_ms = now_ms
         self._demand = _DecayingRate(now_ms)
-        self._rates_by_node: dict[str, _ReportedRates] = {}
-        self._last_usage_by_node: dict[str, Usage] = {}
+        self._own_counts_by_slot: dict[int, Counts] = {}
+        self._sources_by_name: dict[str, _Source] = {}
 
     def __repr__(self) -> str:
         return f"RateAccount({self.level:.1f} of {self.burst:.1f})"
@@ -153,8 +166,7 @@
         """
         self.refill(is_starting, n_nodes, now_ms)
         self._demand.add(1, now_ms)
-        self.n_asked += 1
-        self.changed_ms = now_ms
+        self._count(n_asked=1)
         if not is_starting and self._has_surplus():
             self._spend_token()
             return Admission.ADMITTED
@@ -180,49 +192,103 @@
 
     def _spend_token(self) -> None:
         self.level -= 1.0
-        self.n_admitted += 1
+        self._count(n_admitted=1)
 
     def refund(self) -> None:
         """Return the token of a request that did not run."""
         self.level = min(self.burst, self.level + 1.0)
-        self.n_admitted -= 1
+        self._count(n_refunded=1)
 
-    def apply_report(
-        self, node: str, usage: Usage, is_baseline: bool, now_ms: float
+    def _count(
+        self, n_asked: int = 0, n_admitted: int = 0, n_refunded: int = 0
     ) -> None:
-        """Apply the totals of another node.
+        counts = self._own_counts_by_slot
+        if self.slot not in counts:
+            _drop_old_slots(counts, self.slot)
+        asked, admitted, refunded = counts.get(self.slot, NO_COUNTS)
+        counts[self.slot] = (
+            asked + n_asked,
+            admitted + n_admitted,
+            refunded + n_refunded,
+        )
+
+    def own_counts(self, min_slot: int) -> list[tuple[int, Counts]]:
+        """Return this node's counts of the slots from ``min_slot``."""
+        counts = self._own_counts_by_slot
+        return [(slot, counts[slot]) for slot in counts if slot >= min_slot]
+
+    def source_counts(self, source: str, slot: int) -> Counts:
+        """Return the counts of the other nodes of a data centre in a slot."""
+        known = self._sources_by_name.get(source)
+        return known.counts_by_slot.get(slot, NO_COUNTS) if known else NO_COUNTS
+
+    def reported_slots(self, source: str, min_slot: int) -> list[int]:
+        """Return the slots from ``min_slot`` on which a data centre has reported."""
+        known = self._sources_by_name.get(source)
+        counts = known.counts_by_slot if known is not None else {}
+        return [slot for slot in counts if slot >= min_slot]
+
+    def is_quiet(self, own_source: str, n_sources: int, now_ms: float) -> bool:
+        """Return whether the other data centres need no reports of this one.
+
+        That is so while this data centre uses little of its part of the rate and no
+        other one has reported anything. If all are quiet, all together use less than
+        :data:`QUIET_FRACTION` of the rate, so that the bucket is full.
+
+        :param own_source: this node's data centre.
+        """
+        asked_per_s = self._demand.rate_at(now_ms)
+        for name, source in self._sources_by_name.items():
+            if name == own_source:
+                asked_per_s += source.asked.rate_at(now_ms)
+            elif any(slot > self.slot - KEPT_SLOTS for slot in source.counts_by_slot):
+                return False
+        return asked_per_s < QUIET_FRACTION * self.rate / max(1, n_sources)
+
+    def apply_report(
+        self, source: str, usage: Usage, is_own_source: bool, now_ms: float
+    ) -> bool:
+        """Apply what the nodes of a data centre have counted in a slot.
 
         Requests admitted under an earlier, higher limit are not charged to the bucket
         of a lowered limit.
 
-        :param is_baseline: whether the node's first totals are only the starting point.
+        :param is_own_source: whether the counts include this node's own.
+        :returns: whether anything was new.
         """
-        last_usage = self._last_usage_by_node.get(node)
-        if last_usage == usage:  # most reports repeat what another one has brought
-            return
+        asked, admitted, refunded = usage[2:]
+        if is_own_source:
+            own = self._own_counts_by_slot.get(usage.slot, NO_COUNTS)
+            asked, admitted = asked - own[0], admitted - own[1]
+            refunded -= own[2]
+        known = self._sources_by_name.get(source)
+        counts = known.counts_by_slot if known is not None else {}
+        last = counts.get(usage.slot, NO_COUNTS)
+        latest = (
+            max(last[0], asked),
+            max(last[1], admitted),
+            max(last[2], refunded),
+        )
+        if latest == last:  # most reports repeat what another one has brought
+            return False
         self._fill(now_ms)
-        self._last_usage_by_node[node] = usage
-        rates = self._rates_by_node.get(node)
-        if rates is None:
-            rates = self._rates_by_node[node] = _ReportedRates(now_ms)
-        if last_usage is None:
-            if is_baseline:
-                return
-            last_usage = Usage(usage.organisation, 0, 0)
-        if usage.n_asked < last_usage.n_asked:
-            self._last_usage_by_node[node] = last_usage
-            return
-        n_admitted = usage.n_admitted - last_usage.n_admitted
-        rates.asked.add(usage.n_asked - last_usage.n_asked, now_ms)
+        if known is None:
+            known = self._sources_by_name[source] = _Source(now_ms)
+        if usage.slot not in known.counts_by_slot:
+            _drop_old_slots(known.counts_by_slot, self.slot)
+        known.counts_by_slot[usage.slot] = latest
+        known.asked.add(latest[0] - last[0], now_ms)
         if now_ms - self._lowered_ms < REPORT_LAG_S * 1000.0:
-            return
-        rates.admitted.add(max(0, n_admitted), now_ms)
+            return True
+        n_admitted = latest[1] - last[1]
+        known.admitted.add(n_admitted, now_ms)
         self.level -= n_admitted
+        self.level += latest[2] - last[2]
+        return True
 
-    def forget_node(self, node: str) -> None:
-        """Remove the data on a node that has stopped."""
-        self._rates_by_node.pop(node, None)
-        self._last_usage_by_node.pop(node, None)
+    def forget_source(self, source: str) -> None:
+        """Remove the data on a data centre that has no nodes any more."""
+        self._sources_by_name.pop(source, None)
 
     def refill(self, is_starting: bool, n_nodes: int, now_ms: float) -> None:
         """Refill the bucket and this node's share bucket."""
@@ -262,8 +328,8 @@
         elapsed_ms = min(elapsed_ms, LIMIT_TRANSITION_MS - left_ms)
         fraction = elapsed_ms / (elapsed_ms + left_ms) if left_ms > 0.0 else 1.0
         self._lowered_ms = now_ms
-        for rates in self._rates_by_node.values():
-            rates.admitted = _DecayingRate(now_ms)
+        for source in self._sources_by_name.values():
+            source.admitted = _DecayingRate(now_ms)
         self.rate += fraction * (self._target.rate - self.rate)
         self.burst += fraction * (self._target.burst - self.burst)
         self.level = min(self.level, self.burst)
@@ -286,21 +352,25 @@
         own_demand = self._demand.rate_at(now_ms)
         total_demand = own_demand
         unreported = 0.0
-        n_known = 1
-        for node, rates in self._rates_by_node.items():
-            reported_ms = self._reported_ms_by_node.get(node, now_ms)
+        for name, source in self._sources_by_name.items():
+            reported_ms = self._reported_ms_by_source.get(name, now_ms)
             silence_ms = max(0.0, now_ms - reported_ms)
-            if silence_ms >= SILENT_NODE_TIMEOUT_MS:
+            if silence_ms >= SILENT_SOURCE_TIMEOUT_MS:
                 continue
-            n_known += 1
-            # A node whose report is overdue may still admit at its last rate.
+            # A data centre whose report is overdue may still admit at its last rate.
             is_overdue = silence_ms > MAX_REPORT_INTERVAL_MS
             reference_ms = reported_ms if is_overdue else now_ms
-            total_demand += rates.asked.rate_at(reference_ms)
-            unreported += rates.admitted.rate_at(reference_ms) * silence_ms / 1000.0
+            total_demand += source.asked.rate_at(reference_ms)
+            unreported += source.admitted.rate_at(reference_ms) * silence_ms / 1000.0
         self._fleet_demand = total_demand
         min_rate = MIN_SHARE_FRACTION * self.rate / n_nodes
-        self._share = (own_demand + min_rate) / (total_demand + n_known * min_rate)
+        self._share = (own_demand + min_rate) / (total_demand + n_nodes * min_rate)
         if is_starting:
             self._share = min(self._share, 1.0 / n_nodes)
         self._unreported = unreported
+
+
+def _drop_old_slots(counts_by_slot: dict[int, Counts], slot: int) -> None:
+    """Remove the slots that are so old that nobody reports on them any more."""
+    for old in [known for known in counts_by_slot if known <= slot - KEPT_SLOTS]:
+        del counts_by_slot[old]
--- a/packages/policy/ibisspoke_policy/shared_rate.py
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -1,7 +1,10 @@
 """Rate and burst of an organisation over the whole fleet, without a central owner.
 
 Each node keeps a copy of every organisation's token bucket. It deducts its own
-admissions at once and those of other nodes when they report their running totals. While
+admissions at once and those of other nodes when it learns of them. Nodes count by time
+slot. Reports give the sum of a data centre in a slot. Of several reports the largest
+one counts, so that reports may be lost, repeated or come from any node that knows the
+sum, and nothing has to be agreed upon when one of these nodes is replaced. While
 a bucket holds more than all nodes may admit between two reports, every node admits on
 its own. Below that level the organisation's home decides, a node on which all nodes
 agree. If the home is unreachable, each node admits a share of the rate in proportion to
@@ -9,44 +12,54 @@
 are deducted from the following shares.
 """
 
+from collections.abc import Iterable
+
 from ._rate_account import (
-    SILENT_NODE_TIMEOUT_MS,
+    KEPT_SLOTS,
     Admission,
+    Counts,
     Home,
     Limit,
     RateAccount,
     Usage,
 )
 
+# Fraction of a second's rate; a data centre that admits more at once reports it early.
+URGENT_FRACTION = 0.02
+MIN_URGENT_REQUESTS = 2.0
 # Fraction of the burst below which nodes of other data centres need reports sooner.
 LOW_FILL_FRACTION = 0.85
-# Number of stopped nodes whose report times are kept.
-MAX_ENDED_NODES = 512
+# Length of the slots by which requests are counted.
+SLOT_MS = 500.0
 # Time until a starting node knows the other nodes and they know of it.
 MIN_STARTUP_MS = 500.0
 # Time after which every other node has reported, also one in a distant data centre.
 MAX_STARTUP_MS = 2_500.0
-# Fraction of the other nodes that must have reported; the rest may have stopped.
+# Fraction of the data centres that must have reported; the rest may be unreachable.
 MIN_REPORTED_FRACTION = 0.9
 
-__all__ = ["Admission", "Home", "SharedRates", "Usage"]
+__all__ = ["KEPT_SLOTS", "Admission", "Counts", "Home", "SharedRates", "Usage"]
 
 
 class SharedRates:
     """Admit requests of organisations within their rates over all nodes.
 
-    Until most other nodes have reported, a node admits at most an equal share of each
+    Until most data centres have reported, a node admits at most an equal share of each
     rate.
 
     :param started_ms: when the node started.
+    :param source: this node's data centre.
     """
 
-    def __init__(self, started_ms: float) -> None:
+    def __init__(self, started_ms: float, source: str = "") -> None:
         self._started_ms = started_ms
+        self.source = source
+        self.slot = 0
+        self._sources: frozenset[str] = frozenset()
         self._n_nodes = 1
         self._is_starting = True
         self._accounts_by_name: dict[str, RateAccount] = {}
-        self._reported_ms_by_node: dict[str, float] = {}
+        self._reported_ms_by_source: dict[str, float] = {}
 
     def __repr__(self) -> str:
         return f"SharedRates(n_organisations={len(self._accounts_by_name)})"
@@ -68,15 +81,43 @@
             limit = Limit(rate, burst)
             account = self._accounts_by_name.get(name)
             if account is None:
-                account = RateAccount(limit, self._reported_ms_by_node, now_ms)
+                account = RateAccount(limit, self._reported_ms_by_source, now_ms)
+                account.slot = self.slot
                 self._accounts_by_name[name] = account
                 continue
             self._refill(account, now_ms)
             account.set_limit(limit, now_ms + transition_ms)
 
-    def set_fleet_size(self, n_nodes: int) -> None:
-        """Set the number of nodes in the fleet, including this one."""
+    def set_fleet(self, n_nodes: int, sources: Iterable[str]) -> None:
+        """Set the size of the fleet.
+
+        :param n_nodes: number of nodes, including this one.
+        :param sources: data centres of the other nodes.
+        """
         self._n_nodes = n_nodes
+        latest = frozenset(sources)
+        for source in self._sources - latest:
+            self._reported_ms_by_source.pop(source, None)
+            for account in self._accounts_by_name.values():
+                account.forget_source(source)
+        self._sources = latest
+
+    @property
+    def sources(self) -> frozenset[str]:
+        """Data centres of which reports are accepted."""
+        return self._sources | {self.source}
+
+    def set_time(self, elapsed_ms: float) -> None:
+        """Set the time by which requests are counted.
+
+        :param elapsed_ms: time since an origin that all nodes share.
+        """
+        slot = int(elapsed_ms // SLOT_MS)
+        if slot <= self.slot:
+            return
+        self.slot = slot
+        for account in self._accounts_by_name.values():
+            account.slot = slot
 
     def admit(self, name: str, home: Home, now_ms: float) -> Admission:
         """Count one request and decide on it."""
@@ -102,7 +143,6 @@
         if account is None:
             return False
         self._refill(account, now_ms)
-        account.changed_ms = now_ms
         return account.grant()
 
     def rate(self, name: str) -> float:
@@ -121,40 +161,80 @@
         account = self._accounts_by_name.get(name)
         return account is not None and account.level < account.burst * LOW_FILL_FRACTION
 
-    def totals(self, since_ms: float) -> list[Usage]:
-        """Return the totals to report: those that changed after ``since_ms``."""
+    def is_report_urgent(self) -> bool:
+        """Return whether this data centre uses an organisation's last tokens."""
+        return any(
+            self.is_low(name) and self._is_much(account)
+            for name, account in self._accounts_by_name.items()
+        )
+
+    def _is_much(self, account: RateAccount) -> bool:
+        """Return whether the data centre admitted much in the current slot."""
+        n_admitted = account.source_counts(self.source, self.slot)[1]
+        n_admitted += sum(counts[1] for _, counts in account.own_counts(self.slot))
+        return n_admitted >= max(MIN_URGENT_REQUESTS, account.rate * URGENT_FRACTION)
+
+    def own_usages(self, min_slot: int) -> list[Usage]:
+        """Return what this node has counted in the slots from ``min_slot``."""
         return [
-            Usage(name, account.n_asked, account.n_admitted)
+            Usage(name, slot, *counts)
             for name, account in self._accounts_by_name.items()
-            if account.changed_ms > since_ms
+            for slot, counts in account.own_counts(min_slot)
         ]
 
+    def usages(self, source: str, min_slot: int, now_ms: float) -> list[Usage]:
+        """Return what the nodes of a data centre have counted from ``min_slot``.
+
+        Organisations that use little of their rate are left out, as
+        :meth:`RateAccount.is_quiet` explains.
+        """
+        is_own = source == self.source
+        n_sources = len(self.sources)
+        usages = []
+        for name, account in self._accounts_by_name.items():
+            slots = set(account.reported_slots(source, min_slot))
+            own = dict(account.own_counts(min_slot)) if is_own else {}
+            slots.update(own)
+            if not slots or (is_own and account.is_quiet(source, n_sources, now_ms)):
+                continue
+            for slot in slots:
+                counts = account.source_counts(source, slot)
+                if slot in own:
+                    counts = _sum(counts, own[slot])
+                usages.append(Usage(name, slot, *counts))
+        return usages
+
     def apply_report(
-        self, node: str, usages: list[Usage], is_baseline: bool, now_ms: float
-    ) -> None:
-        """Apply the totals of another node.
+        self, source: str, usages: Iterable[Usage], has_own: bool, now_ms: float
+    ) -> int:
+        """Apply what the nodes of a data centre have counted.
+
+        Slots that are far from this node's own, and negative or unknown counts, change
+        nothing.
 
-        :param is_baseline: whether the first totals of a node are only the starting
-            point of the count, since they may be old.
+        :param has_own: whether the counts include those of this node.
+        :returns: how many usages were not valid.
         """
+        n_invalid = 0
         for usage in usages:
             account = self._accounts_by_name.get(usage.organisation)
-            if account is not None:
-                account.apply_report(node, usage, is_baseline, now_ms)
-
-    def record_report_time(self, node: str, reported_ms: float) -> None:
-        """Record that a node reported all of its totals at ``reported_ms``."""
-        earlier_ms = self._reported_ms_by_node.get(node, reported_ms)
-        self._reported_ms_by_node[node] = max(earlier_ms, reported_ms)
-        if len(self._reported_ms_by_node) > self._n_nodes + MAX_ENDED_NODES:
-            self._forget_ended_nodes(reported_ms)
-
-    def _forget_ended_nodes(self, now_ms: float) -> None:
-        for node, reported_ms in list(self._reported_ms_by_node.items()):
-            if now_ms - reported_ms > SILENT_NODE_TIMEOUT_MS:
-                del self._reported_ms_by_node[node]
-                for account in self._accounts_by_name.values():
-                    account.forget_node(node)
+            if account is None or not self._is_valid(usage):
+                n_invalid += 1
+            else:
+                account.apply_report(source, usage, has_own, now_ms)
+        return n_invalid
+
+    def _is_valid(self, usage: Usage) -> bool:
+        return abs(usage.slot - self.slot) < KEPT_SLOTS and min(usage[2:]) >= 0
+
+    def record_report_time(self, source: str, reported_ms: float) -> None:
+        """Record that a data centre reported at ``reported_ms``."""
+        earlier_ms = self._reported_ms_by_source.get(source, reported_ms)
+        self._reported_ms_by_source[source] = max(earlier_ms, reported_ms)
+
+    def report_time(self, source: str) -> float | None:
+        """Return when a data centre last reported, or None."""
+        return self._reported_ms_by_source.get(source)
 
     def _refill(self, account: RateAccount, now_ms: float) -> None:
         account.refill(self._check_starting(now_ms), self._n_nodes, now_ms)
@@ -170,8 +250,13 @@
         min_reported_ms = self._started_ms + MIN_STARTUP_MS
         n_reported = sum(
             reported_ms >= min_reported_ms
-            for reported_ms in self._reported_ms_by_node.values()
+            for source, reported_ms in self._reported_ms_by_source.items()
+            if source in self._sources
         )
-        has_enough_reports = n_reported >= MIN_REPORTED_FRACTION * (self._n_nodes - 1)
+        has_enough_reports = n_reported >= MIN_REPORTED_FRACTION * len(self._sources)
         self._is_starting = not has_enough_reports and elapsed_ms < MAX_STARTUP_MS
         return self._is_starting
+
+
+def _sum(first: Counts, second: Counts) -> Counts:
+    return (first[0] + second[0], first[1] + second[1], first[2] + second[2])
