Read the store less often at a start

Cause: a starting node read the members twice and again within 30 s, read the configuration and kept a call open that waits for a change, and checked the version, until it knew the others and its rank among them: some 11 calls a start. Two watchers in each data centre were 16 of the 40 nodes of a small fleet.

Change: a node that a relay has named does not read the members a second time, and the periodic reading is a fallback every 60 s. Watchers are three of each region. A node that knows no other yet does not wait for changes. Nodes that would verify the version next ask the others at 1.2 s for their proof, as relays do, and the rest later.

The tests of watchers use seven nodes instead of five, since two sets of three watchers must find room.

--- a/packages/mesh/ibisspoke_mesh/member_rows.py
+++ b/packages/mesh/ibisspoke_mesh/member_rows.py
@@ -23,9 +23,10 @@
 MEMBER_TABLE = "members"
 MIN_PAUSE_MS = 200.0  # after a failed call; random, since all nodes may retry at once
 MAX_PAUSE_MS = 1_500.0
-READ_INTERVAL_MS = 30_000.0  # a fallback; nodes send each other their records
+READ_INTERVAL_MS = 60_000.0  # a fallback; nodes send each other their records
 FULL_RATE_NODES = 100  # larger fleets read less often, to limit calls
-MIN_READ_PAUSE_MS = 700.0  # a starting node reads twice; others contact it meanwhile
+MIN_SECOND_READ_MS = 700.0  # after the first; others may contact a starting node sooner
+MAX_SECOND_READ_MS = 1_500.0
 SAVE_WAIT_MS = 400.0  # upstreams wait 1 s for an acknowledgement
 
 _encoder = msgspec.json.Encoder()
@@ -35,9 +36,11 @@
 class MemberRows:
     """Keeps this node's row up to date, and reads the rows of other nodes.
 
-    Each node reads the table after it has written its row, and sends its record to all
-    nodes that it finds. Of two nodes, the one that reads later finds the other.
+    Each node reads the table after it has written its row, and sends its record to the
+    nodes that it finds. Of two nodes, the one that reads later finds the other. A node
+    that is already known to a relay by then need not read a second time.
 
+    :param is_introduced: returns whether a relay of the data centre knows this node.
     :param on_new_nodes: called after a read that found new nodes.
     :param on_previous_record: called once, with the record that an earlier process of
         this VM has written, or None if there is none.
@@ -48,19 +51,21 @@
         store: WatchedTables,
         fleet: Fleet,
         log: DecisionLog,
+        is_introduced: Callable[[], bool],
         on_new_nodes: Callable[[], None],
         on_previous_record: Callable[[MemberRecord | None], None],
     ) -> None:
         self._store = store
         self._fleet = fleet
         self._log = log
+        self._is_introduced = is_introduced
         self._on_new_nodes = on_new_nodes
         self._on_previous_record = on_previous_record
         self.previous_record_known = asyncio.Event()
         self._row_version = 0
         self._saved = asyncio.Event()
         self._write_wanted = asyncio.Event()
-        self._read_wanted = asyncio.Event()
+        self._first_written = asyncio.Event()
         self._written_order: tuple[int, int] | None = None
         self._is_leaving = False
 
@@ -73,10 +78,6 @@
             self._saved.clear()
             self._write_wanted.set()
 
-    def request_read(self) -> None:
-        """Read the table soon, because an unknown node was mentioned."""
-        self._read_wanted.set()
-
     async def wait_until_saved(self) -> None:
         """Wait for a short time until the row is written, to outlast a restart."""
         with suppress(TimeoutError):
@@ -103,8 +104,7 @@
                 self._write_wanted.set()
                 continue
             n_failed = 0
-            if self._written_order is None:
-                self._read_wanted.set()
+            self._first_written.set()
             self._written_order = own.order
             if not self._write_wanted.is_set():
                 self._saved.set()
@@ -132,22 +132,27 @@
 
     async def poll(self) -> None:
         """Read the table at the start and periodically, until cancelled."""
-        n_failed = 0
+        await self._read()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(READ_INTERVAL_MS / 1000.0):
+                await self._first_written.wait()
+        pause_ms = random.uniform(MIN_SECOND_READ_MS, MAX_SECOND_READ_MS)
+        await asyncio.sleep(pause_ms / 1000.0)
+        if not self._is_introduced():
+            await self._read()
         while True:
-            result = await self._store.snapshot(MEMBER_TABLE)
-            if isinstance(result, Err):
-                n_failed += 1
-                await asyncio.sleep(_pause_s(n_failed))
-                continue
-            n_failed = 0
-            self._apply_rows(result.ok_value.rows)
             n_known = len(self._fleet.peers_by_id)
             pause_ms = READ_INTERVAL_MS * max(1.0, n_known / FULL_RATE_NODES)
-            await asyncio.sleep(MIN_READ_PAUSE_MS / 1000.0)
-            with suppress(TimeoutError):
-                async with asyncio.timeout(random.uniform(0.8, 1.2) * pause_ms / 1e3):
-                    await self._read_wanted.wait()
-            self._read_wanted.clear()
+            await asyncio.sleep(random.uniform(0.8, 1.2) * pause_ms / 1000.0)
+            await self._read()
+
+    async def _read(self) -> None:
+        """Read the table; repeat it until it succeeds."""
+        n_failed = 0
+        while isinstance(result := await self._store.snapshot(MEMBER_TABLE), Err):
+            n_failed += 1
+            await asyncio.sleep(_pause_s(n_failed))
+        self._apply_rows(result.ok_value.rows)
 
     async def remove(self) -> None:
         """Remove the row in a planned stop; other nodes keep the record in memory.
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -50,6 +50,7 @@
 MEMBER_ROWS_WAIT_MS = 300.0  # for other nodes' rows, before the configuration is read
 N_STARTUP_SOURCES = 2  # nodes that a starting node asks for the configuration
 STARTUP_WAIT_MS = 400.0  # some round trips; then a starting node reads the store
+SETTLING_MS = 2_000.0  # until a starting node knows the others and its rank among them
 STOP_MIN_MS = 3_000.0  # callers must see the lost readiness before the listener closes
 STOP_CLOSING_SHARE = 0.6  # of the stop time; later requests are refused
 STOP_END_SHARE = 0.9  # of the stop time; requests still running then are dropped
@@ -158,6 +159,7 @@
             adapter.store,
             self.fleet,
             self.log,
+            lambda: self.status_receiver.is_introduced,
             lambda: self.status.broadcast(),
             self._restore_departure,
         )
@@ -248,11 +250,16 @@
         await self.watch.run()
 
     def _is_watch_wanted(self) -> bool:
-        """Whether this node is a watcher, or got no configuration from other nodes."""
-        if self.ranks.is_watcher:
-            return True
+        """Whether this node is a watcher, or got no configuration from other nodes.
+
+        A node that knows no other yet reads the configuration, but does not watch it:
+        of the first nodes to start each would take itself for a watcher.
+        """
         waited_ms = self.clock.now_ms() - self._config_requested_ms
-        return self.config.table is None and waited_ms > STARTUP_WAIT_MS
+        if self.config.table is None:
+            return self.ranks.is_watcher or waited_ms > STARTUP_WAIT_MS
+        is_settled = bool(self.fleet.peers_by_id) or waited_ms > SETTLING_MS
+        return is_settled and self.ranks.is_watcher
 
     def _run_slow_checks(self) -> None:
         """Run the checks that are not needed on every tick."""
--- a/packages/mesh/ibisspoke_mesh/node_ranks.py
+++ b/packages/mesh/ibisspoke_mesh/node_ranks.py
@@ -11,7 +11,7 @@
 
 WATCH_TOPIC = "configuration"
 RELAY_TOPIC = "status"
-N_WATCHERS = 2  # per data centre; one may lose its connection to the store
+N_WATCHERS = 3  # per region; some may fail or lose their connection to the store
 GATEWAY_TOPIC = "gateway"
 N_RELAYS = 2  # per data centre, to different nodes; one may be disconnected
 RELAY_TIMEOUT_MS = (
@@ -29,10 +29,10 @@
 class NodeRanks:
     """Ranks the nodes that are alive.
 
-    A few nodes of each data centre watch the configuration in the store, a few of each
-    region verify that it is current, and a few relay statuses between data centres. The
-    others rely on these, so that neither calls to the store nor traffic between data
-    centres and regions grow with the square of the fleet size.
+    A few nodes of each region watch the configuration in the store and verify that it
+    is current, and a few of each data centre relay statuses. The others rely on these,
+    so that neither calls to the store nor traffic grow with the square of the fleet
+    size.
     """
 
     def __init__(self, fleet: Fleet, clock: Clock, rng: random.Random) -> None:
@@ -40,7 +40,6 @@
         self._clock = clock
         self._rng = rng
         self._refreshed_ms = float("-inf")
-        self._watch_rank = 0
         self._verify_rank = 0
         self._relay_rank = 0
         self._sources: list[Peer] = []
@@ -50,13 +49,12 @@
         self._other_region_targets: list[tuple[str, Peer]] = []
 
     def __repr__(self) -> str:
-        return f"NodeRanks(watch={self._watch_rank}, relay={self._relay_rank})"
+        return f"NodeRanks(verify={self._verify_rank}, relay={self._relay_rank})"
 
     @property
     def is_watcher(self) -> bool:
         """Whether this node watches the configuration in the store."""
-        self._refresh()
-        return self._watch_rank < N_WATCHERS
+        return self.verify_rank < N_WATCHERS
 
     @property
     def verify_rank(self) -> int:
@@ -120,7 +118,6 @@
             if in_region and entry.score > _score(WATCH_TOPIC, own)
         ]
         self._verify_rank = len(preceding)
-        self._watch_rank = sum(peer.distance.same_data_centre for peer in preceding)
 
     def _rank_relays(self, own: str, now_ms: float) -> None:
         """Find the relays of the own data centre, and this node's rank among them.
--- a/packages/mesh/ibisspoke_mesh/status_exchange.py
+++ b/packages/mesh/ibisspoke_mesh/status_exchange.py
@@ -38,7 +38,9 @@
 RELAY_PROOF_REQUEST_AGE_MS = 800.0
 LATE_PROOF_REQUEST_AGE_MS = 2_400.0
 PROOF_GAIN_MS = 300.0  # a reply must have a proof newer by this
-PROOF_REQUEST_AGE_MS = 1_200.0  # the same for relays, which ask the nodes that verify
+# The same for relays and for nodes that would verify it next; these ask the others.
+PROOF_REQUEST_AGE_MS = 1_200.0
+N_STANDBY_VERIFIERS = 6  # of a region; later ones need the proof less urgently
 PROOF_REQUEST_INTERVAL_MS = 250.0  # minimum interval between such requests
 N_PROOF_SOURCES = 2  # of the preferred nodes; one may be disconnected
 RECORD_REPEAT_SHARE = 0.05  # share of statuses that repeat a known record
@@ -221,8 +223,9 @@
     def _request_proof(self, now_ms: float) -> None:
         """Request a proof from the preferred nodes and from a random other one."""
         own = self._fleet.own
-        is_relay = self._relay.is_relay
-        bound_ms = PROOF_REQUEST_AGE_MS if is_relay else LATE_PROOF_REQUEST_AGE_MS
+        is_standby = self._ranks.verify_rank < N_STANDBY_VERIFIERS
+        is_early = self._relay.is_relay or is_standby
+        bound_ms = PROOF_REQUEST_AGE_MS if is_early else LATE_PROOF_REQUEST_AGE_MS
         if own is None or self._config.proof_age_ms() < bound_ms:
             return
         if now_ms - self._proof_requested_ms < PROOF_REQUEST_INTERVAL_MS:
--- a/packages/mesh/ibisspoke_mesh/status_receiver.py
+++ b/packages/mesh/ibisspoke_mesh/status_receiver.py
@@ -27,6 +27,8 @@
     Statuses may arrive late, more than once, and over different paths.
 
     :ivar n_invalid_usages: counts of organisations that could not be applied.
+    :ivar is_introduced: whether a relay of the data centre has named this node, which
+        then learns of all nodes from the relays.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         clock: Clock,
     ) -> None:
         self.n_invalid_usages = 0
+        self.is_introduced = False
         self._fleet = fleet
         self._rates = rates
         self._config_requester = config_requester
@@ -120,7 +123,9 @@
         peer = self._fleet.peers_by_id.get(load.node)
         if peer is None:
             own = self._fleet.own
-            return own is not None and load.node == own.node
+            is_own = own is not None and load.node == own.node
+            self.is_introduced |= is_own
+            return is_own
         if peer.record.incarnation != load.incarnation:
             return load.incarnation < peer.record.incarnation
         sent_ms = now_ms - load.age_ms
--- a/tests/fleet/test_watchers.py
+++ b/tests/fleet/test_watchers.py
@@ -10,12 +10,12 @@
 from ibisspoke_mesh.node_ranks import N_WATCHERS, REFRESH_MS
 from ibisspoke_storage.store import StoreError, StoreErrorKind
 
-N_VMS = 5
+N_VMS = 2 * N_WATCHERS + 1
 AGREED_S = 1.0  # after all know each other; ranks may be as old as a refresh interval
 
 
 @pytest.fixture
-async def five():
+async def seven():
     async with running_fleet(N_VMS) as fleet:
         await until(lambda: agree_on_watchers(fleet), AGREED_S)
         yield fleet
@@ -59,38 +59,38 @@
     )
 
 
-async def test_all_nodes_agree_on_the_watchers(five):
+async def test_all_nodes_agree_on_the_watchers(seven):
     for _ in range(5):
-        assert agree_on_watchers(five)
+        assert agree_on_watchers(seven)
         await asyncio.sleep(REFRESH_MS / 2_000.0)
 
 
-async def test_a_change_reaches_all_through_the_watchers(five):
-    n_calls = five.store.n_calls
-    await five.configure(2)
-    await until_in_force(five, 2, timeout_s=1.0)
-    n_new_calls = five.store.n_calls - n_calls
+async def test_a_change_reaches_all_through_the_watchers(seven):
+    n_calls = seven.store.n_calls
+    await seven.configure(2)
+    await until_in_force(seven, 2, timeout_s=1.0)
+    n_new_calls = seven.store.n_calls - n_calls
     assert n_new_calls <= N_WATCHERS + 3  # and some proofs, whatever the fleet size
 
 
-async def test_a_large_configuration_reaches_all(five):
+async def test_a_large_configuration_reaches_all(seven):
     routes = [route(f"r{number}", "safe") for number in range(1_500)]
-    await five.configure(2, routes=routes)
-    await until_in_force(five, 2, timeout_s=2.5)
-    assert (await five.vms[-1].call("/r7/1")).status == 200
+    await seven.configure(2, routes=routes)
+    await until_in_force(seven, 2, timeout_s=2.5)
+    assert (await seven.vms[-1].call("/r7/1")).status == 200
 
 
-async def test_other_nodes_replace_watchers_that_the_store_refuses(five):
-    before = watchers(five)
-    await refuse_store_calls(five, before)
-    await until(lambda: len(watchers(five)) == 2 * N_WATCHERS, timeout_s=3.0)
-    await five.configure(2)
-    await until_in_force(five, 2, timeout_s=2.5)
-    assert {vm.node.config.proof_age_ms() < 4_100.0 for vm in five.vms} == {True}
+async def test_other_nodes_replace_watchers_that_the_store_refuses(seven):
+    before = watchers(seven)
+    await refuse_store_calls(seven, before)
+    await until(lambda: len(watchers(seven)) == 2 * N_WATCHERS, timeout_s=3.0)
+    await seven.configure(2)
+    await until_in_force(seven, 2, timeout_s=2.5)
+    assert {vm.node.config.proof_age_ms() < 4_100.0 for vm in seven.vms} == {True}
 
 
-async def test_a_node_takes_its_first_configuration_from_others(five):
-    late = next(vm for vm in five.vms if not vm.node.ranks.is_watcher)
+async def test_a_node_takes_its_first_configuration_from_others(seven):
+    late = next(vm for vm in seven.vms if not vm.node.ranks.is_watcher)
     late.node.config.table = None
     late.node.config_requester.request(late.node.ranks.sources[0])
     await until(lambda: late.node.config.version == 1, timeout_s=1.0)
