Send only counts that changed, and forward digests that reach the wrong node

Cause: statuses and digests repeated the counts of the last four time slots, changed or not, and records of random nodes of all data centres. After a partition a data centre that does not know the relays of another one sent digests to a node that dropped them.

Change: counts carry the time of their last change; they are sent while newer than a bit more than two intervals of the receiver. A node that is no relay passes a digest of another data centre on to its relays. Ages that are negative count as zero.

--- a/packages/mesh/ibisspoke_mesh/request_admission.py
+++ b/packages/mesh/ibisspoke_mesh/request_admission.py
@@ -113,7 +113,8 @@
     def refund_if_not_run(self, admitted: AdmittedRequest, may_have_run: bool) -> None:
         """Refund the rate token of a request that did not run."""
         if admitted.owner is not None and not may_have_run:
-            self._rates.refund(admitted.owner.organisation)
+            organisation = admitted.owner.organisation
+            self._rates.refund(organisation, self._clock.now_ms())
 
     def admit(
         self,
@@ -188,7 +189,7 @@
             pressure = self._fleet.pressure(service, route.name)
             if not self._shedder.admits(route.name, route.priority, pressure, now_ms):
                 if owner is not None:
-                    self._rates.refund(owner.organisation)
+                    self._rates.refund(owner.organisation, now_ms)
                 wait_ms = caller_ms * MAX_RETRY_SHARE * self._rng.uniform(0.5, 1.0)
                 return Refusal(503, "dependency_overloaded", wait_ms, route=route.name)
         arrived_ms = request.arrived_ms
--- a/packages/mesh/ibisspoke_mesh/status_exchange.py
+++ b/packages/mesh/ibisspoke_mesh/status_exchange.py
@@ -26,10 +26,11 @@
     pack_usages,
 )
 from .status_receiver import StatusReceiver
-from .status_relay import MAX_REQUESTED_RECORDS, REPORTED_SLOTS, StatusRelay
+from .status_relay import MAX_REQUESTED_RECORDS, StatusRelay
 
 STATUS_INTERVAL_MS = 500.0
 USAGE_INTERVAL_MS = 200.0  # minimum interval per node while usage changes
+USAGE_REPEAT_MS = 1_100.0  # counts are sent again, as datagrams may be lost
 USAGE_STEP = 0.02  # of one second's rate; larger changes are sent early
 ACTIVE_RELAY_MS = 1_500.0  # nodes that sent digests lately are relays to someone
 RECORD_REQUEST_INTERVAL_MS = 300.0
@@ -93,6 +94,7 @@
         )
         self._transport: asyncio.DatagramTransport | None = None
         self._reported_slot = 0
+        self._usages_sent_ms = 0.0
         self._n_reported_by_organisation: dict[str, int] = {}
         self._records_requested_ms = 0.0
         self._sent_version = 0
@@ -114,6 +116,7 @@
             return
         if isinstance(message, Digest):
             self._request_records(message.node, self._relay.receive(message))
+            self._forward(message, data)
         elif isinstance(message, RecordRequest):
             self._relay.reply(message)
         else:
@@ -188,16 +191,31 @@
 
     def _has_usage_news(self) -> bool:
         """Return whether a count of the current slot grew much since it was sent."""
-        slot = self._rates.slot
-        for usage in self._rates.own_usages(slot):
-            step = self._rates.rate(usage.organisation) * USAGE_STEP
-            n_reported = self._n_reported_by_organisation.get(usage.organisation, 0)
-            if slot != self._reported_slot:
-                n_reported = 0
-            if usage.n_admitted - n_reported >= max(2.0, step):
+        if self._reported_slot != self._rates.slot:
+            self._reported_slot = self._rates.slot
+            self._n_reported_by_organisation = {}
+        for usage in self._rates.own_usages(self._usages_sent_ms):
+            name = usage.organisation
+            n_new = self._rates.n_admitted(name) - (
+                self._n_reported_by_organisation.get(name, 0)
+            )
+            if n_new >= max(2.0, self._rates.rate(name) * USAGE_STEP):
                 return True
         return False
 
+    def _forward(self, digest: Digest, data: bytes) -> None:
+        """Pass on a digest that another data centre sent to this node by mistake.
+
+        It does not know the relays here, for instance after a partition.
+        """
+        sender = self._fleet.peers_by_id.get(digest.node)
+        if self._relay.is_relay or self._transport is None or sender is None:
+            return
+        if sender.distance.same_data_centre:
+            return
+        for peer in self._ranks.relays:
+            self._transport.sendto(data, (peer.record.node, peer.record.status_port))
+
     def _request_records(self, relay: str, unknown: list[str]) -> None:
         """Request the records of unknown nodes from the relay that named them."""
         now_ms = self._clock.now_ms()
@@ -276,13 +294,11 @@
         """Return the current status of this node."""
         usages = []
         if has_usages:
-            slot = self._reported_slot = self._rates.slot
-            usages = self._rates.own_usages(slot - REPORTED_SLOTS)
-            self._n_reported_by_organisation = {
-                usage.organisation: usage.n_admitted
-                for usage in usages
-                if usage.slot == slot
-            }
+            now_ms = self._usages_sent_ms = self._clock.now_ms()
+            usages = self._rates.own_usages(now_ms - USAGE_REPEAT_MS)
+            for usage in usages:
+                n_admitted = self._rates.n_admitted(usage.organisation)
+                self._n_reported_by_organisation[usage.organisation] = n_admitted
         return NodeStatus(
             own.node,
             own.incarnation,
--- a/packages/mesh/ibisspoke_mesh/status_receiver.py
+++ b/packages/mesh/ibisspoke_mesh/status_receiver.py
@@ -67,7 +67,7 @@
         peer.cold_until_ms = now_ms + status.cold_ms
         peer.has_lost_store = status.has_lost_store
         peer.expects_statuses = status.usages is None
-        if peer.distance.same_data_centre and status.usages:
+        if peer.distance.same_data_centre and status.usages is not None:
             self._add_usages(status, now_ms)
         self._config_requester.on_version_reported(peer, status.version)
         return peer
@@ -128,7 +128,7 @@
             return is_own
         if peer.record.incarnation != load.incarnation:
             return load.incarnation < peer.record.incarnation
-        sent_ms = now_ms - load.age_ms
+        sent_ms = now_ms - max(0, load.age_ms)
         if peer.last_seen_ms is None or sent_ms > peer.last_seen_ms:
             peer.update_load(unpack_load(load.load), sent_ms)
             peer.cold_until_ms = sent_ms + load.cold_ms
@@ -153,4 +153,4 @@
         self.n_invalid_usages += self._rates.apply_report(
             source, usages, has_own, now_ms
         )
-        self._rates.record_report_time(source, now_ms - section.age_ms)
+        self._rates.record_report_time(source, now_ms - max(0, section.age_ms))
--- a/packages/mesh/ibisspoke_mesh/status_relay.py
+++ b/packages/mesh/ibisspoke_mesh/status_relay.py
@@ -32,9 +32,8 @@
 MAX_LOADS = 24  # per datagram, which fit the usual packet of 1,500 bytes
 MAX_RECORDS = 4
 MAX_USAGES = 80
-N_RANDOM_RECORDS = 1  # per section, for nodes that missed a change
-RECORD_REPEAT_MS = 1_100.0  # changed records are sent again, as datagrams may be lost
-REPORTED_SLOTS = 4  # each count is sent several times, as datagrams may be lost
+N_RANDOM_RECORDS = 1  # of the own data centre, for nodes that missed a change
+REPEATED_INTERVALS = 2.2  # in which changes are sent again, as datagrams may be lost
 LOST_REPEAT_MS = 4_000.0  # time for which the loss of a node is told
 MAX_ENTERED_AGE_MS = 3_000.0  # of sections that came from another region
 MAX_SEARCH_PEERS = 32  # that a node asks which hears of no other node
@@ -149,11 +148,15 @@
         entered = [own, *self._entered_ms_by_data_centre]
         for data_centre, target in self._ranks.region_targets:
             if self._is_due(data_centre, entered, interval_ms, now_ms):
-                self._send_outside(data_centre, target, entered, now_ms)
+                self._send_outside(
+                    data_centre, target, entered, DIGEST_INTERVAL_MS, now_ms
+                )
         interval_ms = OTHER_REGION_INTERVAL_MS * factor
         for data_centre, target in self._ranks.other_region_targets:
             if self._is_due(data_centre, [own], interval_ms, now_ms):
-                self._send_outside(data_centre, target, [own], now_ms)
+                self._send_outside(
+                    data_centre, target, [own], OTHER_REGION_INTERVAL_MS, now_ms
+                )
 
     def _is_due(
         self, target: str, sources: Iterable[str], interval_ms: float, now_ms: float
@@ -179,24 +182,38 @@
         own = self._rates.source
         remote = [name for name in self._fleet.data_centres if name != own]
         n_loads = -(-REMOTE_LOADS_PER_DIGEST // max(1, len(remote)))
-        sections = self._sections(own, own, LOADS_PER_DIGEST, now_ms)
+        since_ms = self._changes_since_ms(own, DIGEST_INTERVAL_MS, now_ms)
+        sections = self._sections(own, LOADS_PER_DIGEST, since_ms, now_ms)
         for data_centre in remote:
-            sections += self._sections(own, data_centre, n_loads, now_ms)
+            sections += self._sections(data_centre, n_loads, since_ms, now_ms)
         self._mark_sent(own, now_ms)
         self._send_sections(peers, sections)
 
     def _send_outside(
-        self, target: str, peer: Peer, sources: Iterable[str], now_ms: float
+        self,
+        target: str,
+        peer: Peer,
+        sources: Iterable[str],
+        interval_ms: float,
+        now_ms: float,
     ) -> None:
         """Send a digest of some data centres to a relay of another one."""
+        since_ms = self._changes_since_ms(target, interval_ms, now_ms)
         sections = []
         for source in sources:
             if source != target:
                 n_loads = REMOTE_LOADS_PER_DIGEST
-                sections += self._sections(target, source, n_loads, now_ms)
+                sections += self._sections(source, n_loads, since_ms, now_ms)
         self._mark_sent(target, now_ms)
         self._send_sections([peer], sections)
 
+    def _changes_since_ms(
+        self, target: str, interval_ms: float, now_ms: float
+    ) -> float:
+        """Return the time from which on changes are sent to a data centre."""
+        sent_ms = self._sent_ms_by_target.get(target, float("-inf"))
+        return min(sent_ms, now_ms - REPEATED_INTERVALS * interval_ms)
+
     def _mark_sent(self, target: str, now_ms: float) -> None:
         self._sent_ms_by_target[target] = now_ms
         self._sent_version_by_target[target] = self._config.version
@@ -223,20 +240,22 @@
                 self._send(peer, digest)
 
     def _sections(
-        self, target: str, source: str, n_loads: int, now_ms: float
+        self, source: str, n_loads: int, since_ms: float, now_ms: float
     ) -> list[Section]:
-        """Return what to tell a data centre about a data centre, in parts."""
+        """Return what to tell about a data centre, in parts.
+
+        :param since_ms: changes of records and usages from then on are included.
+        """
         age_ms = self._age_ms(source)
         usages: list[Usage] = []
         if age_ms < MAX_ENTERED_AGE_MS or source == self._rates.source:
-            min_slot = self._rates.slot - REPORTED_SLOTS
-            usages = self._rates.usages(source, min_slot, now_ms)
+            usages = self._rates.usages(source, since_ms, now_ms)
         return [
             Section(source, age_ms, loads, records, lost, pack_usages(part))
             for loads, records, lost, part in zip(
                 *_padded(
                     _parts(self._loads(source, n_loads, now_ms), MAX_LOADS),
-                    _parts(self._records(target, source, now_ms), MAX_RECORDS),
+                    _parts(self._records(source, since_ms, now_ms), MAX_RECORDS),
                     _parts(self._lost(source, now_ms), MAX_LOADS),
                     _parts(usages, MAX_USAGES),
                 ),
@@ -272,10 +291,10 @@
                 break
         return loads
 
-    def _records(self, target: str, source: str, now_ms: float) -> list[MemberRecord]:
+    def _records(
+        self, source: str, since_ms: float, now_ms: float
+    ) -> list[MemberRecord]:
         """Return the records of a data centre that changed, and a few others."""
-        sent_ms = self._sent_ms_by_target.get(target, float("-inf"))
-        since_ms = min(sent_ms, now_ms - RECORD_REPEAT_MS)
         records = [
             record
             for node, changed_ms in self._changed_ms_by_node.items()
@@ -283,6 +302,8 @@
             and (record := self._fleet.record_of(node)) is not None
             and record.data_centre == source
         ]
+        if source != self._rates.source:
+            return records
         peers = self._fleet.data_centre_peers(source)
         for peer in self._rng.sample(peers, min(N_RANDOM_RECORDS, len(peers))):
             if peer.is_alive(now_ms) and peer.record not in records:
@@ -305,7 +326,7 @@
         return lost
 
     def _drop_old(self, now_ms: float) -> None:
-        kept_ms = now_ms - RECORD_REPEAT_MS - OTHER_REGION_INTERVAL_MS
+        kept_ms = now_ms - (REPEATED_INTERVALS + 1.0) * OTHER_REGION_INTERVAL_MS
         for node, changed_ms in list(self._changed_ms_by_node.items()):
             if changed_ms < kept_ms:
                 del self._changed_ms_by_node[node]
--- a/packages/policy/ibisspoke_policy/_rate_account.py
+++ b/packages/policy/ibisspoke_policy/_rate_account.py
@@ -105,15 +105,44 @@
         return float(self._per_s * 0.5 ** (elapsed_ms / DEMAND_HALF_LIFE_MS))
 
 
+class _SlotCounts:
+    """Counts by slot, each with the time of its last change."""
+
+    __slots__ = ("_by_slot",)
+
+    def __init__(self) -> None:
+        self._by_slot: dict[int, tuple[Counts, float]] = {}
+
+    def get(self, slot: int) -> Counts:
+        """Return the counts of a slot."""
+        counts, _ = self._by_slot.get(slot, (NO_COUNTS, 0.0))
+        return counts
+
+    def set(self, slot: int, counts: Counts, oldest_slot: int, now_ms: float) -> None:
+        """Set the counts of a slot, and drop those before ``oldest_slot``."""
+        if slot not in self._by_slot:
+            for old in [known for known in self._by_slot if known < oldest_slot]:
+                del self._by_slot[old]
+        self._by_slot[slot] = (counts, now_ms)
+
+    def changed_slots(self, since_ms: float) -> list[int]:
+        """Return the slots whose counts changed after ``since_ms``."""
+        return [slot for slot, (_, at_ms) in self._by_slot.items() if at_ms > since_ms]
+
+    def has_recent(self, oldest_slot: int) -> bool:
+        """Return whether there are counts from ``oldest_slot`` on."""
+        return any(slot >= oldest_slot for slot in self._by_slot)
+
+
 class _Source:
     """What the nodes of one data centre, other than this node, have reported."""
 
-    __slots__ = ("admitted", "asked", "counts_by_slot")
+    __slots__ = ("admitted", "asked", "counts")
 
     def __init__(self, now_ms: float) -> None:
         self.asked = _DecayingRate(now_ms)
         self.admitted = _DecayingRate(now_ms)
-        self.counts_by_slot: dict[int, Counts] = {}
+        self.counts = _SlotCounts()
 
 
 class RateAccount:
@@ -141,7 +170,7 @@
         self._filled_ms = now_ms
         self._share_filled_ms = now_ms
         self._demand = _DecayingRate(now_ms)
-        self._own_counts_by_slot: dict[int, Counts] = {}
+        self._own_counts = _SlotCounts()
         self._sources_by_name: dict[str, _Source] = {}
 
     def __repr__(self) -> str:
@@ -166,67 +195,67 @@
         """
         self.refill(is_starting, n_nodes, now_ms)
         self._demand.add(1, now_ms)
-        self._count(n_asked=1)
+        self._count((1, 0, 0), now_ms)
         if not is_starting and self._has_surplus():
-            self._spend_token()
+            self._spend_token(now_ms)
             return Admission.ADMITTED
         if home is Home.OTHER:
             return Admission.ASK
-        is_admitted = self.grant() if home is Home.OWN else self.admit_by_share()
+        if home is Home.OWN:
+            is_admitted = self.grant(now_ms)
+        else:
+            is_admitted = self.admit_by_share(now_ms)
         return Admission.ADMITTED if is_admitted else Admission.REFUSED
 
-    def admit_by_share(self) -> bool:
+    def admit_by_share(self, now_ms: float) -> bool:
         """Return whether this node's share admits a request now."""
         if self._share_level < 1.0:
             return False
         self._share_level -= 1.0
-        self._spend_token()
+        self._spend_token(now_ms)
         return True
 
-    def grant(self) -> bool:
+    def grant(self, now_ms: float) -> bool:
         """Return whether this node, as the home, admits a request of any node now."""
         if self.level - self._unreported < 1.0:
             return False
-        self._spend_token()
+        self._spend_token(now_ms)
         return True
 
-    def _spend_token(self) -> None:
+    def _spend_token(self, now_ms: float) -> None:
         self.level -= 1.0
-        self._count(n_admitted=1)
+        self._count((0, 1, 0), now_ms)
 
-    def refund(self) -> None:
+    def refund(self, now_ms: float) -> None:
         """Return the token of a request that did not run."""
         self.level = min(self.burst, self.level + 1.0)
-        self._count(n_refunded=1)
+        self._count((0, 0, 1), now_ms)
 
-    def _count(
-        self, n_asked: int = 0, n_admitted: int = 0, n_refunded: int = 0
-    ) -> None:
-        counts = self._own_counts_by_slot
-        if self.slot not in counts:
-            _drop_old_slots(counts, self.slot)
-        asked, admitted, refunded = counts.get(self.slot, NO_COUNTS)
-        counts[self.slot] = (
-            asked + n_asked,
-            admitted + n_admitted,
-            refunded + n_refunded,
-        )
+    def _count(self, more: Counts, now_ms: float) -> None:
+        counts = sum_counts(self._own_counts.get(self.slot), more)
+        self._own_counts.set(self.slot, counts, self._oldest_slot, now_ms)
+
+    @property
+    def _oldest_slot(self) -> int:
+        return self.slot - KEPT_SLOTS + 1
 
-    def own_counts(self, min_slot: int) -> list[tuple[int, Counts]]:
-        """Return this node's counts of the slots from ``min_slot``."""
-        counts = self._own_counts_by_slot
-        return [(slot, counts[slot]) for slot in counts if slot >= min_slot]
+    def own_counts(self, slot: int) -> Counts:
+        """Return this node's counts of a slot."""
+        return self._own_counts.get(slot)
+
+    def own_slots(self, since_ms: float) -> list[int]:
+        """Return the slots whose own counts changed after ``since_ms``."""
+        return self._own_counts.changed_slots(since_ms)
 
     def source_counts(self, source: str, slot: int) -> Counts:
         """Return the counts of the other nodes of a data centre in a slot."""
         known = self._sources_by_name.get(source)
-        return known.counts_by_slot.get(slot, NO_COUNTS) if known else NO_COUNTS
+        return known.counts.get(slot) if known is not None else NO_COUNTS
 
-    def reported_slots(self, source: str, min_slot: int) -> list[int]:
-        """Return the slots from ``min_slot`` on which a data centre has reported."""
+    def source_slots(self, source: str, since_ms: float) -> list[int]:
+        """Return the slots on which a data centre reported news after ``since_ms``."""
         known = self._sources_by_name.get(source)
-        counts = known.counts_by_slot if known is not None else {}
-        return [slot for slot in counts if slot >= min_slot]
+        return known.counts.changed_slots(since_ms) if known is not None else []
 
     def is_quiet(self, own_source: str, n_sources: int, now_ms: float) -> bool:
         """Return whether the other data centres need no reports of this one.
@@ -241,7 +270,7 @@
         for name, source in self._sources_by_name.items():
             if name == own_source:
                 asked_per_s += source.asked.rate_at(now_ms)
-            elif any(slot > self.slot - KEPT_SLOTS for slot in source.counts_by_slot):
+            elif source.counts.has_recent(self._oldest_slot):
                 return False
         return asked_per_s < QUIET_FRACTION * self.rate / max(1, n_sources)
 
@@ -256,27 +285,23 @@
         :param is_own_source: whether the counts include this node's own.
         :returns: whether anything was new.
         """
-        asked, admitted, refunded = usage[2:]
+        reported: Counts = usage[2:]
         if is_own_source:
-            own = self._own_counts_by_slot.get(usage.slot, NO_COUNTS)
-            asked, admitted = asked - own[0], admitted - own[1]
-            refunded -= own[2]
+            own = self._own_counts.get(usage.slot)
+            reported = (
+                reported[0] - own[0],
+                reported[1] - own[1],
+                reported[2] - own[2],
+            )
         known = self._sources_by_name.get(source)
-        counts = known.counts_by_slot if known is not None else {}
-        last = counts.get(usage.slot, NO_COUNTS)
-        latest = (
-            max(last[0], asked),
-            max(last[1], admitted),
-            max(last[2], refunded),
-        )
+        last = known.counts.get(usage.slot) if known is not None else NO_COUNTS
+        latest = latest_counts(last, reported)
         if latest == last:  # most reports repeat what another one has brought
             return False
         self._fill(now_ms)
         if known is None:
             known = self._sources_by_name[source] = _Source(now_ms)
-        if usage.slot not in known.counts_by_slot:
-            _drop_old_slots(known.counts_by_slot, self.slot)
-        known.counts_by_slot[usage.slot] = latest
+        known.counts.set(usage.slot, latest, self._oldest_slot, now_ms)
         known.asked.add(latest[0] - last[0], now_ms)
         if now_ms - self._lowered_ms < REPORT_LAG_S * 1000.0:
             return True
@@ -370,7 +395,15 @@
         self._unreported = unreported
 
 
-def _drop_old_slots(counts_by_slot: dict[int, Counts], slot: int) -> None:
-    """Remove the slots that are so old that nobody reports on them any more."""
-    for old in [known for known in counts_by_slot if known <= slot - KEPT_SLOTS]:
-        del counts_by_slot[old]
+def latest_counts(first: Counts, second: Counts) -> Counts:
+    """Return the latest of two reports on a slot, whichever came first."""
+    return (
+        max(first[0], second[0]),
+        max(first[1], second[1]),
+        max(first[2], second[2]),
+    )
+
+
+def sum_counts(first: Counts, second: Counts) -> Counts:
+    """Return the counts of two nodes together."""
+    return (first[0] + second[0], first[1] + second[1], first[2] + second[2])
--- a/packages/policy/ibisspoke_policy/shared_rate.py
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -22,6 +22,7 @@
     Limit,
     RateAccount,
     Usage,
+    sum_counts,
 )
 
 # Fraction of a second's rate; a data centre that admits more at once reports it early.
@@ -135,7 +136,7 @@
         if account is None:
             return True
         self._refill(account, now_ms)
-        return account.admit_by_share()
+        return account.admit_by_share(now_ms)
 
     def grant(self, name: str, now_ms: float) -> bool:
         """Return whether this node, as the home, admits a request of another node."""
@@ -143,18 +144,18 @@
         if account is None:
             return False
         self._refill(account, now_ms)
-        return account.grant()
+        return account.grant(now_ms)
 
     def rate(self, name: str) -> float:
         """Return an organisation's requests per second; 0 if it has no limit."""
         account = self._accounts_by_name.get(name)
         return account.rate if account is not None else 0.0
 
-    def refund(self, name: str) -> None:
+    def refund(self, name: str, now_ms: float) -> None:
         """Return the token of a request that did not run."""
         account = self._accounts_by_name.get(name)
         if account is not None:
-            account.refund()
+            account.refund(now_ms)
 
     def is_low(self, name: str) -> bool:
         """Return whether an organisation's bucket is so low that reports are urgent."""
@@ -171,19 +172,24 @@
     def _is_much(self, account: RateAccount) -> bool:
         """Return whether the data centre admitted much in the current slot."""
         n_admitted = account.source_counts(self.source, self.slot)[1]
-        n_admitted += sum(counts[1] for _, counts in account.own_counts(self.slot))
+        n_admitted += account.own_counts(self.slot)[1]
         return n_admitted >= max(MIN_URGENT_REQUESTS, account.rate * URGENT_FRACTION)
 
-    def own_usages(self, min_slot: int) -> list[Usage]:
-        """Return what this node has counted in the slots from ``min_slot``."""
+    def n_admitted(self, name: str) -> int:
+        """Return how many requests this node admitted in the current slot."""
+        account = self._accounts_by_name.get(name)
+        return account.own_counts(self.slot)[1] if account is not None else 0
+
+    def own_usages(self, since_ms: float) -> list[Usage]:
+        """Return this node's counts that changed after ``since_ms``."""
         return [
-            Usage(name, slot, *counts)
+            Usage(name, slot, *account.own_counts(slot))
             for name, account in self._accounts_by_name.items()
-            for slot, counts in account.own_counts(min_slot)
+            for slot in account.own_slots(since_ms)
         ]
 
-    def usages(self, source: str, min_slot: int, now_ms: float) -> list[Usage]:
-        """Return what the nodes of a data centre have counted from ``min_slot``.
+    def usages(self, source: str, since_ms: float, now_ms: float) -> list[Usage]:
+        """Return the counts of a data centre's nodes that changed after ``since_ms``.
 
         Organisations that use little of their rate are left out, as
         :meth:`RateAccount.is_quiet` explains.
@@ -192,15 +198,15 @@
         n_sources = len(self.sources)
         usages = []
         for name, account in self._accounts_by_name.items():
-            slots = set(account.reported_slots(source, min_slot))
-            own = dict(account.own_counts(min_slot)) if is_own else {}
-            slots.update(own)
+            slots = set(account.source_slots(source, since_ms))
+            if is_own:
+                slots.update(account.own_slots(since_ms))
             if not slots or (is_own and account.is_quiet(source, n_sources, now_ms)):
                 continue
             for slot in slots:
                 counts = account.source_counts(source, slot)
-                if slot in own:
-                    counts = _sum(counts, own[slot])
+                if is_own:
+                    counts = sum_counts(counts, account.own_counts(slot))
                 usages.append(Usage(name, slot, *counts))
         return usages
 
@@ -236,6 +242,11 @@
         """Return when a data centre last reported, or None."""
         return self._reported_ms_by_source.get(source)
 
+    def oldest_report_ms(self, now_ms: float) -> float:
+        """Return the age of the oldest of the data centres' last reports; 0 if none."""
+        times = [self._reported_ms_by_source.get(s, now_ms) for s in self._sources]
+        return now_ms - min(times, default=now_ms)
+
     def _refill(self, account: RateAccount, now_ms: float) -> None:
         account.refill(self._check_starting(now_ms), self._n_nodes, now_ms)
 
@@ -256,7 +267,3 @@
         has_enough_reports = n_reported >= MIN_REPORTED_FRACTION * len(self._sources)
         self._is_starting = not has_enough_reports and elapsed_ms < MAX_STARTUP_MS
         return self._is_starting
-
-
-def _sum(first: Counts, second: Counts) -> Counts:
-    return (first[0] + second[0], first[1] + second[1], first[2] + second[2])
--- a/packages/policy/ibisspoke_policy/usage_sums.py
+++ b/packages/policy/ibisspoke_policy/usage_sums.py
@@ -9,6 +9,7 @@
     SILENT_SOURCE_TIMEOUT_MS,
     Counts,
     Usage,
+    latest_counts,
 )
 
 # Slots whose counts a silent node is assumed to repeat.
@@ -75,11 +76,7 @@
             by_organisation = self._counts_by_slot.setdefault(usage.slot, {})
             by_node = by_organisation.setdefault(usage.organisation, {})
             last = by_node.get(node, NO_COUNTS)
-            latest = (
-                max(last[0], usage.n_asked),
-                max(last[1], usage.n_admitted),
-                max(last[2], usage.n_refunded),
-            )
+            latest = latest_counts(last, usage[2:])
             if latest == last:
                 continue
             by_node[node] = latest
