Take no nameless refusal of a used connection, and no interim response, for the answer

Callers were told 'not run' for an order that then ran: a faulty upstream wrote an earlier refusal once more, without the request's id, on a connection that was in use again, and any failure that names no request counted as the answer. And callers got a final status 103 with an empty body where the upstream sent an interim response with the request's id and closed the connection before its answer.

Change: a failure that names no request belongs to the current one only on a connection that has answered nothing yet. An interim response ends without a body, so that the end of the connection after it is no whole answer.

--- a/packages/mesh/ibisspoke_mesh/upstream_pool.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pool.py
@@ -76,6 +76,7 @@
         self._answered_id: bytes | None = None
         self._closes = False
         self._is_reusable = False
+        self._has_answered = False
         self._size = AnswerSize()
         self.n_buffered_bytes = 0
         self.idle_until_ms = 0.0
@@ -208,19 +209,22 @@
 
     def on_message_complete(self) -> None:
         """Complete the response if it belongs to the current request."""
-        if self._answer is not None or self._status < 200:
+        if self._answer is not None:
             return
-        if self._matches_request():
+        self._in_body = False
+        if self._status >= 200 and self._matches_request():
             self._complete(reusable=not self._closes)
-        else:
-            self._in_body = False
 
     def _matches_request(self) -> bool:
-        """Return whether the response belongs to the current request."""
+        """Return whether the response belongs to the current request.
+
+        A failure that names no request may be that of an earlier one on a connection
+        that has been used before.
+        """
         assert self._request is not None
         if self._answered_id is not None:
             return self._answered_id == self._request.id
-        return self._status >= 400
+        return self._status >= 400 and not self._has_answered
 
     def _drop_body(self) -> None:
         self._body: list[bytes] = []
@@ -252,6 +256,7 @@
     def _deliver(self, reusable: bool) -> None:
         request, self._request = self._request, None
         answer, self._answer = self._answer, None
+        self._has_answered = True
         assert self._transport is not None
         if not reusable or self._transport.get_write_buffer_size():
             self._transport.close()  # once the rest of the request has been written
--- a/packages/standins/ibisspoke_standins/fleet_upstream.py
+++ b/packages/standins/ibisspoke_standins/fleet_upstream.py
@@ -90,6 +90,57 @@
     return True
 
 
+def repeat_refusal(is_named: bool) -> Behaviour:
+    """Return a behaviour that refuses first, and then repeats that before an answer.
+
+    :param is_named: whether the refusals name the request that was refused.
+    """
+    refusals: list[bytes] = []
+
+    async def respond(
+        upstream: "FleetUpstream",
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        if refusals:
+            writer.write(refusals[0])
+            await writer.drain()
+            await asyncio.sleep(0.03)
+            return await answer(upstream, request, writer)
+        name = b"X-Request-Id: %b\r\n" % request.id.encode() if is_named else b""
+        refusals.append(
+            b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+            b"%bContent-Length: 0\r\n\r\n" % name
+        )
+        writer.write(refusals[0])
+        return True
+
+    return respond
+
+
+def cut_head(n_bytes: int | None = None, interim: bytes = b"") -> Behaviour:
+    """Return a behaviour that closes the connection within the head of its answer.
+
+    :param n_bytes: how many bytes of the answer to send; None for all but the end of
+        its head.
+    :param interim: sent before the answer, for instance an interim response.
+    """
+
+    async def respond(
+        upstream: "FleetUpstream",
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        upstream.executed_requests.append(request)
+        data = stamped_answer(request, upstream.instance)
+        end = data.index(b"\r\n\r\n") + 2 if n_bytes is None else n_bytes
+        writer.write(interim.replace(b"REQUEST_ID", request.id.encode()))
+        writer.write(data[:end])
+        return False
+
+    return respond
+
+
 async def answer_without_length(
     upstream: "FleetUpstream", request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> bool:
@@ -281,7 +332,8 @@
         if expected != self.instance:
             writer.write(
                 b"HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %b\r\n"
-                b"Content-Length: 0\r\n\r\n" % self.instance.encode()
+                b"X-Request-Id: %b\r\nContent-Length: 0\r\n\r\n"
+                % (self.instance.encode(), request.id.encode())
             )
             return True
         execution = asyncio.ensure_future(self.behaviour(self, request, writer))
--- a/tests/fleet/test_upstream_faults.py
+++ b/tests/fleet/test_upstream_faults.py
@@ -55,6 +55,48 @@
         assert response.body.startswith(name.encode())
 
 
+@pytest.mark.parametrize("is_named", [True, False])
+async def test_a_repeated_refusal_belongs_to_no_request(single, is_named):
+    # Guards against "not run" for an order that runs, and may then run twice.
+    vm = single.vms[0]
+    vm.upstream.behaviour = upstreams.repeat_refusal(is_named)
+    response = await vm.call("/order/1", method="POST", body=b"x")
+    assert response.status == 503
+    response = await vm.call("/order/2", method="POST", body=b"x", request_id="two")
+    assert response.status == 200
+    assert response.body == f"two@{vm.upstream.instance}:1".encode()
+    assert [request.id for request in vm.upstream.executed_requests] == ["two"]
+    assert vm.upstream.n_connections == 1
+
+
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nX-Request-Id: REQUEST_ID\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        upstreams.cut_head(),
+        upstreams.cut_head(4),
+        upstreams.cut_head(20),
+        upstreams.cut_head(60),
+        upstreams.cut_head(0, INTERIM),
+        upstreams.cut_head(30, INTERIM),
+    ],
+)
+@pytest.mark.parametrize("n_before", [0, 1])
+async def test_an_answer_that_ends_within_its_head_is_no_success(
+    single, behaviour, n_before
+):
+    # Guards against an empty body that is framed as whole.
+    vm = single.vms[0]
+    for _ in range(n_before):
+        assert (await vm.call()).status == 200
+    vm.upstream.behaviour = behaviour
+    response = await vm.call("/order/1", method="POST", body=b"x")
+    assert response.status == 502
+    assert len(vm.upstream.executed_requests) == n_before + 1
+
+
 async def test_an_answer_may_end_with_its_connection(single):
     vm = single.vms[0]
     vm.upstream.behaviour = upstreams.answer_without_length
