Hold the body of a request once in each node

Cause: a node kept the parts in which a body arrived until the next request on the connection, beside the whole body, and the node beside the upstream kept a copy with the head in front as long as the upstream worked. Frames were copied twice before they were decoded.

Change: the parts are dropped when they are joined, head and body are written one after the other, and frames are decoded where they arrived.

Result: tests/fleet/test_uploads.py: large bodies of the kind 'upload' and of kinds that are not known reach their upstream whole, are not run again without an answer, and are held once in each node (2.0 and 3.0 MiB for one and two nodes without the first part of the change).

--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -201,12 +201,10 @@
     def on_message_complete(self) -> None:
         """Queue the request, and handle it if no other is being handled."""
         now_ms = self._state.clock.now_ms()
+        body = b"".join(self._body)
+        self._body.clear()
         request = CallerRequest(
-            self._parser.get_method(),
-            self._target,
-            self._headers,
-            b"".join(self._body),
-            now_ms,
+            self._parser.get_method(), self._target, self._headers, body, now_ms
         )
         self._reading_since_ms = None
         self._in_body = False
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -184,18 +184,26 @@
         :raises ValueError: if they are not valid frames, which includes ``msgspec``
             errors.
         """
-        buffer = self._buffer
-        buffer += data
+        if not self._buffer:  # mostly, data holds whole frames
+            n_read = self._read_frames(data)
+            self._buffer += data[n_read:]
+            return
+        self._buffer += data
+        n_read = self._read_frames(self._buffer)
+        del self._buffer[:n_read]
+
+    def _read_frames(self, data: bytes | bytearray) -> int:
+        """Process whole frames, and return how many bytes they take."""
         start = 0
-        while len(buffer) - start >= LENGTH.size:
-            (n_bytes,) = LENGTH.unpack_from(buffer, start)
+        while len(data) - start >= LENGTH.size:
+            (n_bytes,) = LENGTH.unpack_from(data, start)
             if n_bytes > MAX_FRAME_BYTES:
                 raise ValueError(f"frame of {n_bytes} bytes exceeds the maximum size")
             end = start + LENGTH.size + n_bytes
-            if len(buffer) < end:
+            if len(data) < end:
                 break
-            frame = _decoder.decode(bytes(buffer[start + LENGTH.size : end]))
+            with memoryview(data) as view, view[start + LENGTH.size : end] as payload:
+                frame = _decoder.decode(payload)
             start = end
             self._on_frame(frame)
-        if start:
-            del buffer[:start]
+        return start
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -327,7 +327,7 @@
             self._finish(number, queue, result)
 
         request = UpstreamRequest(
-            attempt.request_id, head + attempt.body, attempt.is_head_request, on_result
+            attempt.request_id, head, attempt.body, attempt.is_head_request, on_result
         )
         self._pool.send(number, request)
 
--- a/packages/mesh/ibisspoke_mesh/upstream_pool.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pool.py
@@ -55,10 +55,14 @@
 
 
 class UpstreamRequest(NamedTuple):
-    """A request to the upstream, encoded."""
+    """A request to the upstream, encoded.
+
+    :param body: apart from the head, since it may be large and is held elsewhere too.
+    """
 
     id: bytes
-    data: bytes
+    head: bytes
+    body: bytes
     is_head_request: bool
     on_result: OnResult
 
@@ -100,7 +104,10 @@
         assert self._transport is not None
         self._request = request
         self._size = AnswerSize()
-        self._transport.write(request.data)
+        if request.body:
+            self._transport.writelines((request.head, request.body))
+        else:
+            self._transport.write(request.head)
 
     def abort(self) -> None:
         """Close immediately, and drop the request without a result."""
--- /dev/null
+++ b/tests/fleet/test_uploads.py
@@ -0,0 +1,83 @@
+"""Requests with large bodies, of a kind that says nothing about repetition.
+
+The pattern is that of cutting patterns which workshops upload: one that runs twice is
+booked twice, and bodies of a megabyte fill the memory of a node.
+"""
+
+import asyncio
+import tracemalloc
+from collections.abc import AsyncIterator, Iterator
+
+import pytest
+from fleet_harness import Fleet, document, route, running_fleet, until
+
+from ibisspoke_adapter.configuration import decode_configuration
+from ibisspoke_standins import fleet_upstream as upstreams
+
+KINDS = ["upload", "batch", "Safe", "safe ", ""]  # all but "safe" may run only once
+BODY = bytes(range(256)) * 4_096  # 1 MiB
+ROUTES = [route(f"up{number}", kind) for number, kind in enumerate(KINDS)]
+LIMITS = {"maxHeaderBytes": 4_096, "maxBodyBytes": 2 * len(BODY)}
+BROKEN = [upstreams.lose_answer, upstreams.truncate_answer, upstreams.answer_garbage]
+
+
+@pytest.fixture(params=[1, 2], ids=["one-node", "two-nodes"])
+async def fleet(request) -> AsyncIterator[Fleet]:
+    """One or two VMs; the upstream of the first one takes nothing if there are two."""
+    async with running_fleet(request.param) as fleet:
+        await fleet.configure(2, routes=ROUTES, limits=LIMITS)
+        await until(lambda: all(vm.node.config.version == 2 for vm in fleet.vms))
+        if request.param == 2:
+            await fleet.vms[0].upstream.announce("draining")
+            await until(
+                lambda: fleet.vms[0].node.dispatcher.upstream.state == "draining"
+            )
+        yield fleet
+
+
+def test_only_kinds_that_are_known_to_be_safe_are_idempotent():
+    table = decode_configuration(document(routes=ROUTES)).ok_value
+    assert [entry.idempotent for entry in table.routes] == [False] * len(KINDS)
+    (safe,) = decode_configuration(
+        document(routes=[route("up", "safe")])
+    ).ok_value.routes
+    assert safe.idempotent
+
+
+@pytest.mark.parametrize("number", range(len(KINDS)))
+async def test_an_upload_reaches_its_upstream_whole(fleet, number):
+    response = await fleet.vms[0].call(f"/up{number}/x", method="PUT", body=BODY)
+    assert response.status == 200
+    (ran,) = fleet.executed_requests
+    assert ran.body == BODY
+
+
+@pytest.mark.parametrize("behaviour", BROKEN)
+@pytest.mark.parametrize("number", range(len(KINDS)))
+async def test_an_upload_without_an_answer_is_not_run_again(pair, number, behaviour):
+    await pair.configure(2, routes=ROUTES, limits=LIMITS)
+    await until(lambda: all(vm.node.config.version == 2 for vm in pair.vms))
+    for vm in pair.vms:
+        vm.upstream.behaviour = behaviour
+    response = await pair.vms[0].call(f"/up{number}/x", method="PUT", body=BODY)
+    assert response.status == 502
+    assert len(pair.executed_requests) == 1
+
+
+@pytest.fixture
+def allocations() -> Iterator[None]:
+    tracemalloc.start()
+    yield
+    tracemalloc.stop()
+
+
+async def test_a_node_holds_the_body_of_an_upload_once(fleet, allocations):
+    for vm in fleet.vms:
+        vm.upstream.behaviour = upstreams.hang
+    upload = asyncio.ensure_future(fleet.vms[0].call("/up0/x", method="PUT", body=BODY))
+    await until(lambda: len(fleet.executed_requests) == 1)
+    nodes = [tracemalloc.Filter(True, "*/ibisspoke_mesh/*")]
+    held = tracemalloc.take_snapshot().filter_traces(nodes).statistics("lineno")
+    n_bytes = sum(entry.size for entry in held)
+    assert n_bytes < (len(fleet.vms) + 0.3) * len(BODY)
+    assert (await upload).status == 504
