Apply repeated sums once, and tell early only of organisations that are low

Each change was repeated for 1.1 s, every 200 ms while any organisation was low, over two relays, and each repeat was unpacked, checked and compared with three counts; whole digests were sent in the short interval.

Change: sums that are the same as the last ones of their data centre and slot are passed over as they arrive. In the short interval only the organisations are told that are low. Counts are repeated for a bit more than one interval instead of two; records as before. Averages of requests are computed when they are read, and a bucket is filled once for each digest.

--- a/packages/mesh/ibisspoke_mesh/status_receiver.py
+++ b/packages/mesh/ibisspoke_mesh/status_receiver.py
@@ -4,6 +4,7 @@
 from ibisspoke_policy.shared_rate import SharedRates
 from ibisspoke_policy.usage_sums import UsageSums
 
+from ._known_sums import KnownSums
 from .config_requester import ConfigRequester
 from .fleet import Fleet, Peer
 from .status_messages import (
@@ -45,6 +46,7 @@
         self._config_requester = config_requester
         self._clock = clock
         self._sums = UsageSums()
+        self._known_sums = KnownSums()
         self._names_by_checksum: dict[int, str] = {}
 
     def __repr__(self) -> str:
@@ -53,6 +55,7 @@
     def set_organisations(self, names: list[str]) -> None:
         """Set the organisations whose usage nodes report."""
         self._names_by_checksum = {checksum(name): name for name in names}
+        self._known_sums.clear()
 
     def apply_status(self, status: NodeStatus) -> Peer | None:
         """Apply a status that its node has sent.
@@ -147,9 +150,13 @@
         if source not in self._rates.sources:
             self.n_invalid_usages += len(section.usages)
             return
-        usages = unpack_usages(section.usages, self._names_by_checksum)
-        has_own = source == self._rates.source
-        self.n_invalid_usages += self._rates.apply_report(
-            source, usages, has_own, now_ms
-        )
+        packed = self._known_sums.unknown(source, section.usages)
+        if packed:
+            usages = unpack_usages(packed, self._names_by_checksum)
+            n_invalid = sum(len(entries) for _, entries in packed) - len(usages)
+            has_own = source == self._rates.source
+            n_invalid += self._rates.apply_report(source, usages, has_own, now_ms)
+            self.n_invalid_usages += n_invalid
+            if not n_invalid:
+                self._known_sums.add(source, packed, self._rates.slot)
         self._rates.record_report_time(source, now_ms - max(0, section.age_ms))
--- a/packages/mesh/ibisspoke_mesh/status_relay.py
+++ b/packages/mesh/ibisspoke_mesh/status_relay.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.shared_rate import SharedRates, Usage
@@ -25,10 +26,11 @@
 )
 
 OTHER_REGION_INTERVAL_MS = 1_000.0  # traffic between regions is costly
-SHORT_INTERVAL_FACTOR = 0.4  # while an organisation's rate is nearly used up
+SHORT_INTERVAL_FACTOR = 0.4  # for organisations whose rate is nearly used up
 MIN_INTERVAL_MS = 60.0  # also for changed records, so that several share a datagram
 N_RANDOM_RECORDS = 1  # of the own data centre, for nodes that missed a change
-REPEATED_INTERVALS = 2.2  # in which changes are sent again, as datagrams may be lost
+REPEATED_INTERVALS = 2.2  # in which records are sent again, as datagrams may be lost
+REPEATED_USAGE_INTERVALS = 1.2  # fewer, as these are most of the bytes
 LOST_REPEAT_MS = 4_000.0  # time for which the loss of a node is told
 MAX_ENTERED_AGE_MS = 3_000.0  # of sections that came from another region
 MAX_SEARCH_PEERS = 32  # that a node asks which hears of no other node
@@ -37,6 +39,25 @@
 Send = Callable[[Sequence[Peer], Digest], None]
 
 
+class _Since(NamedTuple):
+    """The times of the earliest changes that are sent."""
+
+    records_ms: float
+    usages_ms: float
+
+
+class _Target(NamedTuple):
+    """A data centre that gets digests.
+
+    :param sources: the data centres that it is told of.
+    """
+
+    name: str
+    peers: Sequence[Peer]
+    sources: list[str]
+    interval_ms: float
+
+
 class StatusRelay:
     """Composes digests while this node is a relay of its data centre.
 
@@ -72,6 +93,7 @@
         self._own_load = own_load
         self._send = send
         self._sent_ms_by_target: dict[str, float] = {}
+        self._usages_sent_ms_by_target: dict[str, float] = {}
         self._sent_version_by_target: dict[str, int] = {}
         self._changed_ms_by_node: dict[str, float] = {}
         self._entered_ms_by_data_centre: dict[str, float] = {}
@@ -132,85 +154,96 @@
         now_ms = self._clock.now_ms()
         self._receiver.extend_silent()
         self._drop_old(now_ms)
-        factor = SHORT_INTERVAL_FACTOR if self._rates.is_report_urgent() else 1.0
-        own = self._fleet.own.data_centre
-        interval_ms = self._fleet.timeouts.digest_interval_ms * factor
-        if self._is_due(own, self._fleet.data_centres, interval_ms, now_ms):
-            self._send_inside(now_ms)
-        interval_ms = DIGEST_INTERVAL_MS * factor
+        urgent = self._rates.urgent_organisations()
+        for target in self._targets(now_ms):
+            if self._is_due(target, now_ms):
+                self._send_digest(target, now_ms)
+            elif urgent and self._is_urgent_due(target, now_ms):
+                self._send_usages(target, urgent, now_ms)
+
+    def _targets(self, now_ms: float) -> list[_Target]:
+        """Return where this relay sends digests, and of which data centres."""
+        peers = self._fleet.own_data_centre_peers()
+        if not any(peer.is_alive(now_ms) for peer in peers):
+            peers = self._rng.sample(peers, min(len(peers), MAX_SEARCH_PEERS))
+        own = self._rates.source
+        remote = [name for name in self._fleet.data_centres if name != own]
+        interval_ms = self._fleet.timeouts.digest_interval_ms
         entered = [own, *self._entered_ms_by_data_centre]
-        for data_centre, target in self._ranks.region_targets:
-            if self._is_due(data_centre, entered, interval_ms, now_ms):
-                self._send_outside(
-                    data_centre, target, entered, DIGEST_INTERVAL_MS, now_ms
-                )
-        interval_ms = OTHER_REGION_INTERVAL_MS * factor
-        for data_centre, target in self._ranks.other_region_targets:
-            if self._is_due(data_centre, [own], interval_ms, now_ms):
-                self._send_outside(
-                    data_centre, target, [own], OTHER_REGION_INTERVAL_MS, now_ms
-                )
-
-    def _is_due(
-        self, target: str, sources: Iterable[str], interval_ms: float, now_ms: float
-    ) -> bool:
-        """Return whether to send to a data centre, which is then counted as sent."""
-        sent_ms = self._sent_ms_by_target.get(target, float("-inf"))
+        return [
+            _Target(own, peers, [own, *remote], interval_ms),
+            *(
+                _Target(name, [peer], entered, DIGEST_INTERVAL_MS)
+                for name, peer in self._ranks.region_targets
+            ),
+            *(
+                _Target(name, [peer], [own], OTHER_REGION_INTERVAL_MS)
+                for name, peer in self._ranks.other_region_targets
+            ),
+        ]
+
+    def _is_due(self, target: _Target, now_ms: float) -> bool:
+        """Return whether a digest is due, which may be before its time."""
+        sent_ms = self._sent_ms_by_target.get(target.name, float("-inf"))
         version = self._config.version
-        is_urgent = self._sent_version_by_target.get(target) != version or any(
-            changed_ms > sent_ms and self._is_of(node, sources)
+        has_changed = self._sent_version_by_target.get(target.name) != version or any(
+            changed_ms > sent_ms and self._is_of(node, target.sources)
             for node, changed_ms in self._changed_ms_by_node.items()
         )
-        return now_ms - sent_ms >= (MIN_INTERVAL_MS if is_urgent else interval_ms)
+        interval_ms = MIN_INTERVAL_MS if has_changed else target.interval_ms
+        return now_ms - sent_ms >= interval_ms
+
+    def _is_urgent_due(self, target: _Target, now_ms: float) -> bool:
+        """Return whether usages of organisations are due that are nearly used up."""
+        sent_ms = max(
+            self._sent_ms_by_target.get(target.name, float("-inf")),
+            self._usages_sent_ms_by_target.get(target.name, float("-inf")),
+        )
+        return now_ms - sent_ms >= target.interval_ms * SHORT_INTERVAL_FACTOR
 
     def _is_of(self, node: str, data_centres: Iterable[str]) -> bool:
         record = self._fleet.record_of(node)
         return record is not None and record.data_centre in data_centres
 
-    def _send_inside(self, now_ms: float) -> None:
-        """Send a digest of all data centres to the nodes of this one."""
-        peers = self._fleet.own_data_centre_peers()
-        if not any(peer.is_alive(now_ms) for peer in peers):
-            peers = self._rng.sample(peers, min(len(peers), MAX_SEARCH_PEERS))
+    def _send_digest(self, target: _Target, now_ms: float) -> None:
+        """Send a digest of what is known of some data centres."""
+        sent_ms = self._sent_ms_by_target.get(target.name, float("-inf"))
+        interval_ms = target.interval_ms
+        since = _Since(
+            min(sent_ms, now_ms - REPEATED_INTERVALS * interval_ms),
+            min(sent_ms, now_ms - REPEATED_USAGE_INTERVALS * interval_ms),
+        )
+        sections = []
+        for source in target.sources:
+            if source != target.name or target.name == self._rates.source:
+                n_loads = self._n_loads(target, source)
+                sections += self._sections(source, n_loads, since, now_ms)
+        self._sent_ms_by_target[target.name] = now_ms
+        self._sent_version_by_target[target.name] = self._config.version
+        self._send_sections(target.peers, sections)
+
+    def _n_loads(self, target: _Target, source: str) -> int:
         own = self._rates.source
-        remote = [name for name in self._fleet.data_centres if name != own]
-        n_loads = -(-REMOTE_LOADS_PER_DIGEST // max(1, len(remote)))
-        interval_ms = self._fleet.timeouts.digest_interval_ms
-        since_ms = self._changes_since_ms(own, interval_ms, now_ms)
-        sections = self._sections(own, LOADS_PER_DIGEST, since_ms, now_ms)
-        for data_centre in remote:
-            sections += self._sections(data_centre, n_loads, since_ms, now_ms)
-        self._mark_sent(own, now_ms)
-        self._send_sections(peers, sections)
-
-    def _send_outside(
-        self,
-        target: str,
-        peer: Peer,
-        sources: Iterable[str],
-        interval_ms: float,
-        now_ms: float,
+        if target.name != own:
+            return REMOTE_LOADS_PER_DIGEST
+        if source == own:
+            return LOADS_PER_DIGEST
+        return -(-REMOTE_LOADS_PER_DIGEST // (len(target.sources) - 1))
+
+    def _send_usages(
+        self, target: _Target, organisations: frozenset[str], now_ms: float
     ) -> None:
-        """Send a digest of some data centres to a relay of another one."""
-        since_ms = self._changes_since_ms(target, interval_ms, now_ms)
+        """Send a digest that has only the usages of some organisations."""
+        interval_ms = target.interval_ms * SHORT_INTERVAL_FACTOR
+        since_ms = now_ms - REPEATED_USAGE_INTERVALS * interval_ms
         sections = []
-        for source in sources:
-            if source != target:
-                n_loads = REMOTE_LOADS_PER_DIGEST
-                sections += self._sections(source, n_loads, since_ms, now_ms)
-        self._mark_sent(target, now_ms)
-        self._send_sections([peer], sections)
-
-    def _changes_since_ms(
-        self, target: str, interval_ms: float, now_ms: float
-    ) -> float:
-        """Return the time from which on changes are sent to a data centre."""
-        sent_ms = self._sent_ms_by_target.get(target, float("-inf"))
-        return min(sent_ms, now_ms - REPEATED_INTERVALS * interval_ms)
-
-    def _mark_sent(self, target: str, now_ms: float) -> None:
-        self._sent_ms_by_target[target] = now_ms
-        self._sent_version_by_target[target] = self._config.version
+        for source in target.sources:
+            usages = self._usages(source, since_ms, now_ms, organisations)
+            if usages and (source != target.name or target.name == self._rates.source):
+                section = Section(source, self._age_ms(source), [], [], [], [])
+                sections += split_section(section, usages)
+        self._usages_sent_ms_by_target[target.name] = now_ms
+        self._send_sections(target.peers, sections)
 
     def _send_sections(self, peers: Sequence[Peer], sections: list[Section]) -> None:
         """Send sections in datagrams of limited size."""
@@ -220,28 +253,34 @@
             self._send(peers, Digest(own.node, self._config.version, parts))
 
     def _sections(
-        self, source: str, n_loads: int, since_ms: float, now_ms: float
+        self, source: str, n_loads: int, since: _Since, now_ms: float
     ) -> list[Section]:
-        """Return what to tell about a data centre, in parts.
-
-        :param since_ms: changes of records and usages from then on are included.
-        """
-        age_ms = self._age_ms(source)
-        usages: list[Usage] = []
-        if age_ms < MAX_ENTERED_AGE_MS or source == self._rates.source:
-            usages = self._rates.usages(source, since_ms, now_ms)
+        """Return what to tell about a data centre, in parts."""
         return split_section(
             Section(
                 source,
-                age_ms,
+                self._age_ms(source),
                 self._loads(source, n_loads, now_ms),
-                self._records(source, since_ms, now_ms),
+                self._records(source, since.records_ms, now_ms),
                 self._lost(source, now_ms),
                 [],
             ),
-            usages,
+            self._usages(source, since.usages_ms, now_ms),
         )
 
+    def _usages(
+        self,
+        source: str,
+        since_ms: float,
+        now_ms: float,
+        organisations: frozenset[str] | None = None,
+    ) -> list[Usage]:
+        """Return the changed usages of a data centre, unless they are too old."""
+        age_ms = self._age_ms(source)
+        if age_ms >= MAX_ENTERED_AGE_MS and source != self._rates.source:
+            return []
+        return self._rates.usages(source, since_ms, now_ms, organisations)
+
     def _age_ms(self, source: str) -> int:
         """Return the age of the usages of a data centre."""
         now_ms = self._clock.now_ms()
--- a/packages/policy/ibisspoke_policy/_rate_account.py
+++ b/packages/policy/ibisspoke_policy/_rate_account.py
@@ -1,5 +1,6 @@
 """One node's copy of an organisation's token bucket."""
 
+import math
 from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
@@ -87,23 +88,35 @@
 
 
 class _DecayingRate:
-    """Request rate as an exponentially decaying average."""
+    """Request rate as an exponentially decaying average.
 
-    __slots__ = ("_at_ms", "_per_s")
+    Counting is cheap, since many more requests are counted than rates are read. Those
+    between two readings count as spread evenly over the time between them.
+    """
+
+    __slots__ = ("_at_ms", "_n_counted", "_per_s")
 
     def __init__(self, now_ms: float) -> None:
         self._per_s = 0.0
         self._at_ms = now_ms
+        self._n_counted = 0
 
-    def add(self, n: int, now_ms: float) -> None:
+    def add(self, n: int) -> None:
         """Count ``n`` requests."""
-        self._per_s = self.rate_at(now_ms) + n * 693.0 / DEMAND_HALF_LIFE_MS
-        self._at_ms = now_ms
+        self._n_counted += n
 
     def rate_at(self, now_ms: float) -> float:
         """Return the requests per second at ``now_ms``."""
         elapsed_ms = max(0.0, now_ms - self._at_ms)
-        return float(self._per_s * 0.5 ** (elapsed_ms / DEMAND_HALF_LIFE_MS))
+        kept = math.exp2(-elapsed_ms / DEMAND_HALF_LIFE_MS)
+        per_s = self._per_s * kept
+        if not self._n_counted:
+            return per_s
+        if elapsed_ms < SHARE_INTERVAL_MS:
+            return per_s + self._n_counted * 693.0 / DEMAND_HALF_LIFE_MS
+        per_s += (1.0 - kept) * self._n_counted * 1000.0 / elapsed_ms
+        self._per_s, self._at_ms, self._n_counted = per_s, now_ms, 0
+        return per_s
 
 
 class _SlotCounts:
@@ -120,8 +133,8 @@
 
     def get(self, slot: int) -> Counts:
         """Return the counts of a slot."""
-        counts, _ = self._by_slot.get(slot, (NO_COUNTS, 0.0))
-        return counts
+        known = self._by_slot.get(slot)
+        return known[0] if known is not None else NO_COUNTS
 
     def set(self, slot: int, counts: Counts, oldest_slot: int, now_ms: float) -> None:
         """Set the counts of a slot, and drop those before ``oldest_slot``."""
@@ -207,7 +220,7 @@
         :param n_nodes: number of nodes in the fleet.
         """
         self.refill(is_starting, n_nodes, now_ms)
-        self._demand.add(1, now_ms)
+        self._demand.add(1)
         self._count((1, 0, 0), now_ms)
         if not is_starting and self._has_surplus():
             self._spend_token(now_ms)
@@ -308,30 +321,27 @@
         :param is_own_source: whether the counts include this node's own.
         :returns: whether anything was new.
         """
-        reported: Counts = usage[2:]
-        if is_own_source:
-            own = self._own_counts.get(usage.slot)
-            reported = (
-                reported[0] - own[0],
-                reported[1] - own[1],
-                reported[2] - own[2],
-            )
+        _, slot, n_asked, n_admitted, n_refunded = usage
         known = self._sources_by_name.get(source)
-        last = known.counts.get(usage.slot) if known is not None else NO_COUNTS
-        latest = latest_counts(last, reported)
-        if latest == last:  # most reports repeat what another one has brought
+        last = known.counts.get(slot) if known is not None else NO_COUNTS
+        counted = last
+        if is_own_source:
+            counted = sum_counts(last, self._own_counts.get(slot))
+        n_asked = n_asked - counted[0] if n_asked > counted[0] else 0
+        n_admitted = n_admitted - counted[1] if n_admitted > counted[1] else 0
+        n_refunded = n_refunded - counted[2] if n_refunded > counted[2] else 0
+        if not n_asked and not n_admitted and not n_refunded:
             return False
         self._fill(now_ms)
         if known is None:
             known = self._sources_by_name[source] = _Source(now_ms)
-        known.counts.set(usage.slot, latest, self._oldest_slot, now_ms)
-        known.asked.add(latest[0] - last[0], now_ms)
+        latest = sum_counts(last, (n_asked, n_admitted, n_refunded))
+        known.counts.set(slot, latest, self._oldest_slot, now_ms)
+        known.asked.add(n_asked)
         if now_ms - self._lowered_ms < REPORT_LAG_S * 1000.0:
             return True
-        n_admitted = latest[1] - last[1]
-        known.admitted.add(n_admitted, now_ms)
-        self.level -= n_admitted
-        self.level += latest[2] - last[2]
+        known.admitted.add(n_admitted)
+        self.level += n_refunded - n_admitted
         return True
 
     def forget_source(self, source: str) -> None:
@@ -357,6 +367,8 @@
         )
 
     def _fill(self, now_ms: float) -> None:
+        if now_ms == self._filled_ms:
+            return
         elapsed_ms = max(0.0, now_ms - self._filled_ms)
         self._filled_ms = now_ms
         self._approach_target(now_ms, elapsed_ms)
--- a/packages/policy/ibisspoke_policy/shared_rate.py
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -173,11 +173,12 @@
         account = self._accounts_by_name.get(name)
         return account is not None and account.level < account.burst * LOW_FILL_FRACTION
 
-    def is_report_urgent(self) -> bool:
-        """Return whether this data centre uses an organisation's last tokens."""
-        return any(
-            self.is_low(name) and self._is_much(account)
+    def urgent_organisations(self) -> frozenset[str]:
+        """Return the organisations whose last tokens this data centre uses."""
+        return frozenset(
+            name
             for name, account in self._active_by_name.items()
+            if self.is_low(name) and self._is_much(account)
         )
 
     def _is_much(self, account: RateAccount) -> bool:
@@ -199,16 +200,28 @@
             for slot in account.own_slots(since_ms)
         ]
 
-    def usages(self, source: str, since_ms: float, now_ms: float) -> list[Usage]:
+    def usages(
+        self,
+        source: str,
+        since_ms: float,
+        now_ms: float,
+        organisations: Iterable[str] | None = None,
+    ) -> list[Usage]:
         """Return the counts of a data centre's nodes that changed after ``since_ms``.
 
         Organisations that use little of their rate are left out, as
         :meth:`RateAccount.is_quiet` explains.
+
+        :param organisations: only these; all if it is None.
         """
         is_own = source == self.source
         n_sources = len(self.sources)
         usages = []
-        for name, account in self._active_by_name.items():
+        active = self._active_by_name
+        for name in active if organisations is None else organisations:
+            account = active.get(name)
+            if account is None:
+                continue
             slots = set(account.source_slots(source, since_ms))
             if is_own:
                 slots.update(account.own_slots(since_ms))
@@ -243,7 +256,12 @@
         return n_invalid
 
     def _is_valid(self, usage: Usage) -> bool:
-        return abs(usage.slot - self.slot) < KEPT_SLOTS and min(usage[2:]) >= 0
+        return (
+            -KEPT_SLOTS < usage.slot - self.slot < KEPT_SLOTS
+            and usage.n_asked >= 0
+            and usage.n_admitted >= 0
+            and usage.n_refunded >= 0
+        )
 
     def record_report_time(self, source: str, reported_ms: float) -> None:
         """Record that a data centre reported at ``reported_ms``."""
