Send the configuration to nodes as soon as it is known, with its proof

Cause: after a failure of all nodes each one asked two that read the store first. These had not started to listen, or did not know the configuration yet, and kept no note of the request. At the first start of all each node watched the store, as none knew another, and each verified a version that it got from another node. While the store was down for all, one node after the other became a watcher, found the store lost, and left it to the next.

Change: a request for the configuration waits at the node that gets it, and is repeated every 60 ms until the node is reached. The reply brings the age of the proof, counted from the request. A node reads the table once if it hears nothing, and watches it only when it knows others or had time to. Nodes ask those that verify first before they verify a version without any proof. If the first ten nodes of a region have lost the store, others do not try. Requests and replies have two fields more, which the version before passes over.

--- a/packages/mesh/ibisspoke_mesh/config_state.py
+++ b/packages/mesh/ibisspoke_mesh/config_state.py
@@ -46,6 +46,7 @@
         self._document = b""
         self._reply: ConfigReply | None = None
         self._is_proven = False
+        self._adopted_ms = 0.0
 
     def __repr__(self) -> str:
         return f"ConfigState({self.table!r})"
@@ -71,9 +72,15 @@
             self.freshness.record_read(self.version, started_ms)
 
     def apply_reply(self, reply: ConfigReply) -> None:
-        """Apply a configuration that another node sent."""
-        if reply.version <= self.version:
-            return
+        """Apply a configuration that another node sent, and its proof."""
+        if reply.version > self.version:
+            self._apply_document(reply)
+        if reply.echo and reply.proof_age_ms is not None:
+            self.freshness.record_relayed(
+                reply.version, reply.echo, max(0, reply.proof_age_ms)
+            )
+
+    def _apply_document(self, reply: ConfigReply) -> None:
         inflater = zlib.decompressobj()
         try:
             document = inflater.decompress(reply.compressed, MAX_DOCUMENT_BYTES)
@@ -104,6 +111,10 @@
         """Return the age of the proof that the configuration is current."""
         return self.freshness.age_ms(self.version, self._clock.boot_ms())
 
+    def in_force_ms(self) -> float:
+        """Return for how long the version has been in force."""
+        return self._clock.boot_ms() - self._adopted_ms
+
     def tick(self, max_age_ms: float) -> None:
         """Log when the proof becomes too old to accept keys, and when it is renewed.
 
@@ -133,6 +144,7 @@
             self._reply = None
         if table.version > self.version:
             self.table = table
+            self._adopted_ms = self._clock.boot_ms()
             self._document = document
             self._log.write(
                 "configuration adopted",
--- a/packages/mesh/ibisspoke_mesh/config_verifier.py
+++ b/packages/mesh/ibisspoke_mesh/config_verifier.py
@@ -67,8 +67,11 @@
 
     def _is_due(self) -> bool:
         rank = min(self._ranks.verify_rank, MAX_RANK)
-        age_ms = CHECK_AGE_MS + rank * RANK_DELAY_MS + self._rng.random() * JITTER_MS
-        return self._config.proof_age_ms() >= age_ms
+        delay_ms = rank * RANK_DELAY_MS + self._rng.random() * JITTER_MS
+        if self._config.proof_age_ms() < CHECK_AGE_MS + delay_ms:
+            return False
+        # Without any proof, the nodes that verify first are asked for theirs before.
+        return rank == 0 or self._config.in_force_ms() >= delay_ms
 
     async def _verify(self) -> StoreError | None:
         """Check that the version in force is current, or else read the newest."""
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -113,9 +113,14 @@
 
 
 class ConfigRequest(msgspec.Struct, array_like=True, tag=8):
-    """Request the configuration in force, if newer than ``version``."""
+    """Request the configuration in force, now or as soon as it is newer than a version.
+
+    :param nonce: time of sending, to be echoed with the age of the receiver's proof; 0
+        from an earlier version.
+    """
 
     version: int
+    nonce: int = 0
 
 
 class ConfigReply(msgspec.Struct, array_like=True, tag=9):
@@ -123,11 +128,15 @@
 
     :param row_version: store version of the row that holds the document.
     :param compressed: the document, compressed by zlib.
+    :param echo: nonce of the request; 0 from an earlier version.
+    :param proof_age_ms: age of the sender's proof for the version; None without one.
     """
 
     version: int
     row_version: int
     compressed: bytes
+    echo: int = 0
+    proof_age_ms: int | None = None
 
 
 class RateRequest(msgspec.Struct, array_like=True, tag=10):
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -20,6 +20,7 @@
     Handler,
     ServerState,
 )
+from .config_replies import ConfigReplies
 from .config_requester import ConfigRequester
 from .config_state import ConfigState, Decoder
 from .config_verifier import ConfigVerifier
@@ -49,6 +50,7 @@
 CONFIG_WAIT_MS = 28_000  # the store allows 30 s; TCP keep-alive detects a dead peer
 MEMBER_ROWS_WAIT_MS = 300.0  # for other nodes' rows, before the configuration is read
 N_STARTUP_SOURCES = 2  # nodes that a starting node asks for the configuration
+STARTUP_RETRY_MS = 60.0  # between requests; these nodes may be starting too
 STARTUP_WAIT_MS = 400.0  # some round trips; then a starting node reads the store
 SETTLING_MS = 2_000.0  # until a starting node knows the others and its rank among them
 STOP_MIN_MS = 3_000.0  # callers must see the lost readiness before the listener closes
@@ -106,6 +108,7 @@
         self.config = ConfigState(
             adapter.config_key, adapter.decode_config, clock, self.log, self._on_adopted
         )
+        self.config_replies = ConfigReplies(self.config)
         self.fleet = Fleet(settings, own, clock, self.log, rng, self.config.apply_reply)
         self.pool = UpstreamPool(*settings.upstream, adapter.dialect, clock)
         self.dispatcher = UpstreamDispatcher(
@@ -126,7 +129,7 @@
             self.dispatcher,
             clock,
             self.log,
-            self.config.reply,
+            self.config_replies,
             self.rate_homes.grant,
         )
         self.retries = RetryBudget(settings.retry_window_ms)
@@ -243,22 +246,28 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(MEMBER_ROWS_WAIT_MS / 1000.0):
                 await self.rows.previous_record_known.wait()
-        if not self.ranks.is_watcher:
+        started_ms = self._config_requested_ms = self.clock.now_ms()
+        while (
+            self.config.table is None
+            and not self.ranks.is_watcher
+            and self.clock.now_ms() - started_ms < STARTUP_WAIT_MS
+        ):
             for peer in self.ranks.sources[:N_STARTUP_SOURCES]:
                 self.config_requester.request(peer)
-        self._config_requested_ms = self.clock.now_ms()
+            await asyncio.sleep(STARTUP_RETRY_MS / 1000.0)
         await self.watch.run()
 
     def _is_watch_wanted(self) -> bool:
         """Whether this node is a watcher, or got no configuration from other nodes.
 
         A node that knows no other yet reads the configuration, but does not watch it:
-        of the first nodes to start each would take itself for a watcher.
+        of the first nodes to start each would take itself for a watcher. Others read it
+        once, and rely on the watchers if there is none yet.
         """
         waited_ms = self.clock.now_ms() - self._config_requested_ms
-        if self.config.table is None:
-            return self.ranks.is_watcher or waited_ms > STARTUP_WAIT_MS
         is_settled = bool(self.fleet.peers_by_id) or waited_ms > SETTLING_MS
+        if self.config.table is None and not self.watch.has_read:
+            return self.ranks.is_watcher or waited_ms > STARTUP_WAIT_MS
         return is_settled and self.ranks.is_watcher
 
     def _run_slow_checks(self) -> None:
@@ -322,6 +331,8 @@
         self.status_receiver.set_organisations(list(limits_by_name))
         self.admission.splitter.keep_only(table.routes)
         self._set_retry_budget()
+        # later, as a read that brought the configuration is then known as its proof
+        asyncio.get_running_loop().call_soon(self.config_replies.send_waiting)
 
     def _set_retry_budget(self) -> None:
         settings, n_nodes = self.settings, len(self.fleet.peers_by_id) + 1
--- a/packages/mesh/ibisspoke_mesh/node_ranks.py
+++ b/packages/mesh/ibisspoke_mesh/node_ranks.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterable, Iterator
+from itertools import islice
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.rendezvous import ranked, score
@@ -15,6 +16,8 @@
 N_RELAYS = 2  # per data centre, to different nodes; one may be disconnected
 REFRESH_MS = 250.0  # half of the status interval
 MAX_RANK = 6  # higher ranks are not told apart
+# Of a region; if all of them lose the store, it is down, and the others need not try.
+N_CANDIDATES = 10
 N_SOURCES = N_WATCHERS  # preferred nodes to ask for the configuration
 SOURCE_TRIES = 8  # to find another one that is alive
 
@@ -139,17 +142,18 @@
     def _rank_watchers(self, own: str, now_ms: float) -> None:
         connected: list[Peer] = []
         disconnected: list[Peer] = []
-        self._verify_rank = 0
+        n_preceding = self._verify_rank = 0
         own_score = _score(WATCH_TOPIC, own)
-        for peer in _alive(self._region_order, now_ms):
+        for peer in islice(_alive(self._region_order, now_ms), N_CANDIDATES):
+            precedes = _score(WATCH_TOPIC, peer.record.node) > own_score
+            n_preceding += precedes
             if peer.has_lost_store:
-                if len(disconnected) < N_SOURCES:
-                    disconnected.append(peer)
+                disconnected.append(peer)
                 continue
-            self._verify_rank += _score(WATCH_TOPIC, peer.record.node) > own_score
+            self._verify_rank += precedes
             connected.append(peer)
-            if len(connected) >= MAX_RANK:
-                break
+        if n_preceding == N_CANDIDATES or self._verify_rank > MAX_RANK:
+            self._verify_rank = MAX_RANK
         if not connected and not disconnected:
             for peer in _alive(self._fleet_order, now_ms):
                 target = disconnected if peer.has_lost_store else connected
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -34,6 +34,8 @@
 PONG_TIMEOUT_MS = 700.0  # after a ping without reply, the connection is closed
 RECOVER_TIMEOUT_MS = 1_500.0  # to get the outcome of a call over a new connection
 RECONNECT_DELAY_MS = 400.0  # no new attempt for this time after a failed connection
+# The same for the configuration: the node may have started at the same moment.
+CONFIG_RECONNECT_DELAY_MS = 50.0
 RETRY_AFTER_MS = 150.0
 
 
@@ -141,6 +143,7 @@
         self._incarnation = 0
         self._wanted_config_version: int | None = None
         self._rate_answers: dict[int, asyncio.Future[bool | None]] = {}
+        self._failed_ms = float("-inf")
         self.unreachable_until_ms = 0.0
 
     def __repr__(self) -> str:
@@ -213,11 +216,16 @@
     def request_config(self, version: int) -> None:
         """Request a configuration newer than ``version``."""
         if self._connection is not None:
-            self._send(ConfigRequest(version))
-        elif self.clock.now_ms() >= self.unreachable_until_ms:
+            self._send(ConfigRequest(version, self._nonce()))
+            return
+        elapsed_ms = self.clock.now_ms() - self._failed_ms
+        if elapsed_ms >= CONFIG_RECONNECT_DELAY_MS:
             self._wanted_config_version = version
             self._start_opening()
 
+    def _nonce(self) -> int:
+        return max(1, int(self.clock.boot_ms()))
+
     def receive(self, frame: Frame) -> None:
         """Handle a frame of the other node."""
         if isinstance(frame, Reply):
@@ -318,7 +326,8 @@
         except (OSError, TimeoutError) as error:
             if transport is not None:
                 transport.abort()
-            self.unreachable_until_ms = self.clock.now_ms() + RECONNECT_DELAY_MS
+            self._failed_ms = self.clock.now_ms()
+            self.unreachable_until_ms = self._failed_ms + RECONNECT_DELAY_MS
             self.log.write(
                 "node unreachable", peer=self.name, reason=str(error) or "timed out"
             )
@@ -329,7 +338,7 @@
         self._connection = connection
         self._incarnation = hello.incarnation
         if self._wanted_config_version is not None:
-            self._send(ConfigRequest(self._wanted_config_version))
+            self._send(ConfigRequest(self._wanted_config_version, self._nonce()))
             self._wanted_config_version = None
         for stream, pending in list(self._pending.items()):
             if pending.lost_ms is not None and not pending.ended.done():
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -8,12 +8,12 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.upstream_queue import Load
 
+from .config_replies import ConfigReplies
 from .decision_log import DecisionLog
 from .frames import (
     Attempt,
     Call,
     Cancel,
-    ConfigReply,
     ConfigRequest,
     Frame,
     FrameReader,
@@ -75,7 +75,7 @@
     """Calls of all other nodes, by calling node and stream.
 
     :param own: this node, in this incarnation.
-    :param config_document: returns the configuration in force, for nodes that ask.
+    :param config_replies: replies to nodes that request the configuration.
     :param grant: returns whether this node, as an organisation's home node, admits a
         request.
     """
@@ -86,13 +86,13 @@
         runner: AttemptRunner,
         clock: Clock,
         log: DecisionLog,
-        config_document: Callable[[], ConfigReply | None],
+        config_replies: ConfigReplies,
         grant: Callable[[str], bool],
     ) -> None:
         self.own = own
         self.clock = clock
         self.log = log
-        self.config_document = config_document
+        self.config_replies = config_replies
         self.grant = grant
         self._runner = runner
         self._calls_by_key: dict[_CallKey, _CallState] = {}
@@ -221,6 +221,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark the calls of this connection as orphaned."""
+        self._calls.config_replies.forget(self)
         self._calls.on_disconnected(self)
 
     def send(self, frame: Frame) -> None:
@@ -246,9 +247,7 @@
             is_granted = self._calls.grant(frame.organisation)
             self.send(RateReply(frame.stream, is_granted))
         elif isinstance(frame, ConfigRequest):
-            reply = self._calls.config_document()
-            if reply is not None and reply.version > frame.version:
-                self.send(reply)
+            self._calls.config_replies.request(self, frame)
         elif isinstance(frame, Call):
             self._calls.call(self._key(frame.stream), frame.attempt, self)
         elif isinstance(frame, Cancel):
--- a/packages/mesh/ibisspoke_mesh/table_watch.py
+++ b/packages/mesh/ibisspoke_mesh/table_watch.py
@@ -22,6 +22,7 @@
 
     :param wait_ms: maximum wait of a long poll for changes.
     :param is_wanted: returns whether this node should watch the table now.
+    :ivar has_read: whether the table has been read since the start.
     :param on_changes: called with rows, whether they are the whole table, and when the
         call that returned them started, on the suspension-aware clock.
     """
@@ -46,6 +47,7 @@
         self._after: int | None = None
         self._lost_since_ms: float | None = None
         self._n_failed = 0
+        self.has_read = False
 
     def __repr__(self) -> str:
         return f"TableWatch({self._table!r}, after={self._after})"
@@ -74,6 +76,7 @@
                 await self._handle_failure(result.err_value)
                 continue
             self._handle_success()
+            self.has_read = True
             changes = result.ok_value
             if self._after is not None and changes.version < self._after:
                 self._after = None  # the store has another history; read a snapshot
