Wake up every 30 ms only while requests wait

Cause: each node ran its ticks 33 times a second and looked for a due proof 10 times a second, whether or not anything could be due.

Change: ticks are 90 ms apart while nothing is queued, and the proof is looked at when it can be due, at the latest after 0.5 s.

--- a/packages/mesh/ibisspoke_mesh/config_verifier.py
+++ b/packages/mesh/ibisspoke_mesh/config_verifier.py
@@ -17,6 +17,7 @@
 MAX_RANK = 5  # higher ranks wait alike, within the age at which keys are valid
 JITTER_MS = 100.0
 POLL_INTERVAL_MS = 100.0
+MAX_PAUSE_MS = 500.0  # a new version needs a proof of its own
 CALL_TIMEOUT_MS = 700  # a slow store takes 240 ms, and a round trip of regions 40 ms
 MAX_BACKOFF_MS = 800.0
 
@@ -54,7 +55,7 @@
         """Renew the proof when it is due, until cancelled."""
         n_failed = 0
         while True:
-            await asyncio.sleep(POLL_INTERVAL_MS / 1000.0)
+            await asyncio.sleep(self._pause_ms() / 1000.0)
             if self._config.table is None or not self._is_due():
                 continue
             error = await self._verify()
@@ -65,6 +66,13 @@
             backoff_ms = min(MAX_BACKOFF_MS, POLL_INTERVAL_MS * 2**n_failed)
             await asyncio.sleep(self._rng.random() * backoff_ms / 1000.0)
 
+    def _pause_ms(self) -> float:
+        """Return how long no check is due, whatever this node's rank."""
+        if self._config.table is None:
+            return POLL_INTERVAL_MS
+        left_ms = CHECK_AGE_MS - self._config.proof_age_ms()
+        return min(MAX_PAUSE_MS, max(POLL_INTERVAL_MS, left_ms))
+
     def _is_due(self) -> bool:
         rank = min(self._ranks.verify_rank, MAX_RANK)
         delay_ms = rank * RANK_DELAY_MS + self._rng.random() * JITTER_MS
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -45,8 +45,8 @@
 from .upstream_dispatcher import UpstreamDispatcher
 from .upstream_pool import UpstreamPool
 
-TICK_MS = 30.0  # bounds how late the end of a wait is noticed
-TICKS_PER_SLOW_TICK = 3  # links, status and idle connections need fewer checks
+TICK_MS = 30.0  # while requests wait; bounds how late the end of a wait is noticed
+SLOW_TICK_MS = 90.0  # enough for links, status and idle connections
 CONFIG_WAIT_MS = 28_000  # the store allows 30 s; TCP keep-alive detects a dead peer
 MEMBER_ROWS_WAIT_MS = 300.0  # for other nodes' rows, before the configuration is read
 N_STARTUP_SOURCES = 2  # nodes that a starting node asks for the configuration
@@ -230,15 +230,18 @@
 
     async def run_ticks(self) -> None:
         """Run the periodic checks, until cancelled."""
-        n_ticks = 0
+        slow_due_ms = self.clock.now_ms() + SLOW_TICK_MS
         while True:
-            due_ms = self.clock.now_ms() + TICK_MS
-            await asyncio.sleep(TICK_MS / 1000.0)
+            now_ms = self.clock.now_ms()
+            due_ms = max(now_ms, slow_due_ms)
+            if self.dispatcher.queue.n_queued:
+                due_ms = min(due_ms, now_ms + TICK_MS)
+            await asyncio.sleep((due_ms - now_ms) / 1000.0)
             now_ms = self.clock.now_ms()
             self.tick_lag_ms = max(now_ms - due_ms, 0.95 * self.tick_lag_ms)
             self.dispatcher.tick()
-            n_ticks += 1
-            if n_ticks % TICKS_PER_SLOW_TICK == 0:
+            if now_ms >= slow_due_ms:
+                slow_due_ms = now_ms + SLOW_TICK_MS
                 self._run_slow_checks()
 
     async def follow_config(self) -> None:
--- a/tests/fleet/test_requests.py
+++ b/tests/fleet/test_requests.py
@@ -152,3 +152,29 @@
     second.upstream.execution_s = 0.05
     await asyncio.gather(*(first.call() for _ in range(8)))
     assert first.node.fleet.profiles.of("lookup").median_ms < 100.0
+
+
+async def test_an_idle_node_wakes_up_seldom(single):
+    # Guards against a fleet whose idle nodes use most of the processor time.
+    vm = single.vms[0]
+    n_ticks = 0
+    tick = vm.node.dispatcher.tick
+
+    def count():
+        nonlocal n_ticks
+        n_ticks += 1
+        tick()
+
+    vm.node.dispatcher.tick = count
+    await asyncio.sleep(0.9)
+    assert n_ticks <= 11
+    vm.upstream.n_slots = 1
+    await vm.upstream.announce()
+    vm.upstream.execution_s = 0.5
+    n_ticks = 0
+    first = asyncio.ensure_future(vm.call(request_id="first"))
+    second = asyncio.ensure_future(vm.call(request_id="second"))
+    await asyncio.sleep(0.3)
+    assert n_ticks >= 3 or second.done()
+    assert (await first).status == 200
+    assert (await second).status in (200, 503)
