Take the bound of a rate's use from the time that sending took

The test was wrong: it allowed what a rate admits in 3.0 s, but on a busy machine sending took 3.2 to 3.4 s, in which more may be admitted (92 of 88 allowed, 1 of 8 runs). It now measures the time, with the same factors, so it is as strict for each second.

--- a/tests/fleet/test_rate_homes.py
+++ b/tests/fleet/test_rate_homes.py
@@ -39,16 +39,23 @@
 ]
 
 
-async def count_served(fleet: Fleet, per_s: float, seconds: float) -> int:
-    """Send requests to all nodes in turn, and return how many were served."""
+async def count_served(fleet: Fleet, per_s: float, seconds: float) -> tuple[int, float]:
+    """Send requests to all nodes in turn.
+
+    :returns: how many were served, and the seconds that sending them took, which may be
+        more than ``seconds``.
+    """
     calls = []
+    clock = asyncio.get_running_loop()
+    started_s = clock.time()
     for number in range(int(per_s * seconds)):
         vm = fleet.vms[number % N_VMS]
         calls.append(asyncio.ensure_future(vm.call("/lookup/1")))
         await asyncio.sleep(1.0 / per_s)
+    elapsed_s = clock.time() - started_s
     responses = await asyncio.gather(*calls)
     assert {response.status for response in responses} <= {200, 429}
-    return sum(response.status == 200 for response in responses)
+    return sum(response.status == 200 for response in responses), elapsed_s
 
 
 async def test_nodes_agree_on_the_home(six):
@@ -58,9 +65,8 @@
 
 async def test_a_rate_is_used_up_and_kept(six):
     await asyncio.sleep(1.0)
-    seconds = 3.0
-    n = await count_served(six, 60.0, seconds)
-    expected = BURST + RATE * seconds
+    n, elapsed_s = await count_served(six, 60.0, 3.0)
+    expected = BURST + RATE * elapsed_s
     assert 0.85 * expected <= n <= 1.1 * expected
 
 
