Keep the proof of the version in force while a newer one is proved again

Callers got 503 'keys_not_proven' for a moment after a change of the configuration, and a node's ticks ended with an error and were started again.

Cause: two proofs were kept, the last ones. A second proof of the newer version took the place of that of the version in force, so there was none for it, and its age, infinity, could not be logged as a number.

Change: a proof takes the place of one of the same version; the earlier version's is kept until another version is proved. It stays bounded by its own age, so a withdrawn key works no longer than before.

--- a/packages/mesh/ibisspoke_mesh/config_state.py
+++ b/packages/mesh/ibisspoke_mesh/config_state.py
@@ -14,6 +14,7 @@
 from .store import Changes
 
 COMPRESSION_LEVEL = 1  # zlib level; shrinks 300 KB to a tenth in a few milliseconds
+MAX_LOGGED_AGE_MS = 1e9  # of a proof; it is infinite if there is none
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 
 Decoder = Callable[[bytes], Result[RouteTable, str]]
@@ -126,7 +127,8 @@
             return
         self._is_proven = is_proven
         event = "keys proven" if is_proven else "keys not proven"
-        self._log.write(event, version=self.version, age_ms=int(age_ms))
+        logged_ms = int(min(age_ms, MAX_LOGGED_AGE_MS))
+        self._log.write(event, version=self.version, age_ms=logged_ms)
 
     def _adopt(self, document: bytes, row_version: int, source: str) -> bool:
         decoded = self._decode(document)
--- a/packages/mesh/tests/test_config_state.py
+++ b/packages/mesh/tests/test_config_state.py
@@ -86,3 +86,18 @@
         ("keys not proven", 5_000),
         ("keys proven", 0),
     ]
+
+
+def test_the_loss_of_every_proof_is_logged(caplog):
+    # Guards against ticks that end with an error when an age is infinite.
+    caplog.set_level(logging.INFO)
+    clock = ManualClock(10_000.0)
+    state, _ = make_state(clock)
+    state.apply_changes(changes(b"3"), True, clock.boot_ms())
+    state.tick(4_100.0)
+    clock.advance(1.0)
+    state.record_proof(4, clock.boot_ms())
+    clock.advance(1.0)
+    state.record_proof(5, clock.boot_ms())
+    state.tick(4_100.0)
+    assert [record.message for record in caplog.records][-1] == "keys not proven"
--- a/packages/policy/ibisspoke_policy/freshness.py
+++ b/packages/policy/ibisspoke_policy/freshness.py
@@ -23,7 +23,7 @@
 
     def __init__(self) -> None:
         self._proof = Proof(0, float("-inf"))
-        self._relayed = Proof(0, float("-inf"))
+        self._earlier = Proof(0, float("-inf"))
 
     def __repr__(self) -> str:
         return f"ConfigFreshness({self._proof})"
@@ -41,9 +41,13 @@
 
         :returns: infinity if there is no proof.
         """
-        proofs = [p for p in (self._proof, self._relayed) if p.version <= version]
+        proofs = [p for p in (self._proof, self._earlier) if p.version <= version]
         return now_ms - max((p.at_ms for p in proofs), default=float("-inf"))
 
     def _update(self, proof: Proof) -> None:
-        if proof.version >= self._proof.version and proof.at_ms > self._proof.at_ms:
-            self._relayed, self._proof = self._proof, proof
+        if proof.version < self._proof.version or proof.at_ms <= self._proof.at_ms:
+            return
+        if proof.version > self._proof.version:
+            # It still counts until the newer version is in force.
+            self._earlier = self._proof
+        self._proof = proof
--- a/packages/policy/tests/test_freshness.py
+++ b/packages/policy/tests/test_freshness.py
@@ -32,3 +32,13 @@
     freshness.record_read(5, 2_000.0)
     freshness.record_relayed(5, asked_ms=1_900.0, age_ms=100.0)
     assert freshness.age_ms(5, 3_000.0) == 1_000.0
+
+
+def test_a_repeated_proof_of_a_newer_version_leaves_that_of_the_one_in_force():
+    # Guards against refusing all keys from a second proof until its version is known.
+    freshness = ConfigFreshness()
+    freshness.record_read(5, 1_000.0)
+    freshness.record_relayed(6, asked_ms=2_000.0, age_ms=0.0)
+    freshness.record_relayed(6, asked_ms=2_300.0, age_ms=0.0)
+    assert freshness.age_ms(5, 3_000.0) == 2_000.0
+    assert freshness.age_ms(6, 3_000.0) == 700.0
--- a/tests/fleet/test_process_soak.py
+++ b/tests/fleet/test_process_soak.py
@@ -10,6 +10,7 @@
 SECONDS = 25
 SEEDS = {
     5: "a run that never failed",
+    31: "proofs of two newer versions ended the ticks with an error",
     32: "a change of the settings ended a node while it loaded",
 }
 
