Count requests after a pause from the first of them on

Cause: averages that are computed when they are read spread what was counted over the whole time since the last reading. Where an organisation had not been looked at for long, a burst that others reported seemed to be a trickle, and its demand was taken for low at the first request.

Change: what is counted is spread from the first of it on. Averages and counts by slot are modules of their own, so that the bucket is what is left in _rate_account.py.

--- a/packages/policy/ibisspoke_policy/_rate_account.py
+++ b/packages/policy/ibisspoke_policy/_rate_account.py
@@ -1,10 +1,12 @@
 """One node's copy of an organisation's token bucket."""
 
-import math
 from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
 
+from .decaying_rate import DecayingRate
+from .usage_counts import KEPT_SLOTS, NO_COUNTS, Counts, SlotCounts, Usage, sum_counts
+
 # Time until the nodes of all data centres know what one node has admitted.
 REPORT_LAG_S = 0.5
 # Requests admitted beyond the burst; users tolerate 20 in a window of 5 s.
@@ -18,11 +20,8 @@
 # Fraction of the burst at the start: a restarted fleet must not grant a whole burst
 # a second time.
 INITIAL_FILL_FRACTION = 0.1
-DEMAND_HALF_LIFE_MS = 600.0
 # Usual longest age of a data centre's report; beyond, it is unreachable.
 MAX_REPORT_INTERVAL_MS = 1_200.0
-# Slots whose counts are kept: enough for late reports and for clocks that differ.
-KEPT_SLOTS = 16
 # Fraction of its part of a rate up to which a data centre need not report.
 QUIET_FRACTION = 0.5
 # Capacity of a node's share bucket, in seconds of the share's rate.
@@ -41,25 +40,6 @@
 LIMIT_TRANSITION_MS = 400.0
 
 
-class Usage(NamedTuple):
-    """Requests of one organisation at one or more nodes, in one time slot.
-
-    Each count only grows while the slot lasts, so of two reports on a slot the larger
-    one is the later one, over whichever path it came.
-
-    :param slot: number of the slot; the nodes' clocks roughly agree on it.
-    :param n_asked: requests received.
-    :param n_admitted: requests admitted.
-    :param n_refunded: requests admitted in this or an earlier slot that did not run.
-    """
-
-    organisation: str
-    slot: int
-    n_asked: int
-    n_admitted: int
-    n_refunded: int
-
-
 class Admission(Enum):
     """What a node does with a request under its organisation's rate limit."""
 
@@ -83,87 +63,15 @@
     burst: float
 
 
-Counts = tuple[int, int, int]  # asked, admitted and refunded
-NO_COUNTS: Counts = (0, 0, 0)
-
-
-class _DecayingRate:
-    """Request rate as an exponentially decaying average.
-
-    Counting is cheap, since many more requests are counted than rates are read. Those
-    between two readings count as spread evenly over the time between them.
-    """
-
-    __slots__ = ("_at_ms", "_n_counted", "_per_s")
-
-    def __init__(self, now_ms: float) -> None:
-        self._per_s = 0.0
-        self._at_ms = now_ms
-        self._n_counted = 0
-
-    def add(self, n: int) -> None:
-        """Count ``n`` requests."""
-        self._n_counted += n
-
-    def rate_at(self, now_ms: float) -> float:
-        """Return the requests per second at ``now_ms``."""
-        elapsed_ms = max(0.0, now_ms - self._at_ms)
-        kept = math.exp2(-elapsed_ms / DEMAND_HALF_LIFE_MS)
-        per_s = self._per_s * kept
-        if not self._n_counted:
-            return per_s
-        if elapsed_ms < SHARE_INTERVAL_MS:
-            return per_s + self._n_counted * 693.0 / DEMAND_HALF_LIFE_MS
-        per_s += (1.0 - kept) * self._n_counted * 1000.0 / elapsed_ms
-        self._per_s, self._at_ms, self._n_counted = per_s, now_ms, 0
-        return per_s
-
-
-class _SlotCounts:
-    """Counts by slot, each with the time of its last change.
-
-    :ivar changed_ms: time of the last change of any of them.
-    """
-
-    __slots__ = ("_by_slot", "changed_ms")
-
-    def __init__(self) -> None:
-        self._by_slot: dict[int, tuple[Counts, float]] = {}
-        self.changed_ms = float("-inf")
-
-    def get(self, slot: int) -> Counts:
-        """Return the counts of a slot."""
-        known = self._by_slot.get(slot)
-        return known[0] if known is not None else NO_COUNTS
-
-    def set(self, slot: int, counts: Counts, oldest_slot: int, now_ms: float) -> None:
-        """Set the counts of a slot, and drop those before ``oldest_slot``."""
-        if slot not in self._by_slot:
-            for old in [known for known in self._by_slot if known < oldest_slot]:
-                del self._by_slot[old]
-        self._by_slot[slot] = (counts, now_ms)
-        self.changed_ms = now_ms
-
-    def changed_slots(self, since_ms: float) -> list[int]:
-        """Return the slots whose counts changed after ``since_ms``."""
-        if self.changed_ms <= since_ms:
-            return []
-        return [slot for slot, (_, at_ms) in self._by_slot.items() if at_ms > since_ms]
-
-    def has_recent(self, oldest_slot: int) -> bool:
-        """Return whether there are counts from ``oldest_slot`` on."""
-        return any(slot >= oldest_slot for slot in self._by_slot)
-
-
 class _Source:
     """What the nodes of one data centre, other than this node, have reported."""
 
     __slots__ = ("admitted", "asked", "counts")
 
     def __init__(self, now_ms: float) -> None:
-        self.asked = _DecayingRate(now_ms)
-        self.admitted = _DecayingRate(now_ms)
-        self.counts = _SlotCounts()
+        self.asked = DecayingRate(now_ms)
+        self.admitted = DecayingRate(now_ms)
+        self.counts = SlotCounts()
 
 
 class RateAccount:
@@ -190,8 +98,8 @@
         self._share_updated_ms = float("-inf")
         self._filled_ms = now_ms
         self._share_filled_ms = now_ms
-        self._demand = _DecayingRate(now_ms)
-        self._own_counts = _SlotCounts()
+        self._demand = DecayingRate(now_ms)
+        self._own_counts = SlotCounts()
         self._sources_by_name: dict[str, _Source] = {}
 
     def __repr__(self) -> str:
@@ -220,7 +128,7 @@
         :param n_nodes: number of nodes in the fleet.
         """
         self.refill(is_starting, n_nodes, now_ms)
-        self._demand.add(1)
+        self._demand.add(1, now_ms)
         self._count((1, 0, 0), now_ms)
         if not is_starting and self._has_surplus():
             self._spend_token(now_ms)
@@ -337,10 +245,10 @@
             known = self._sources_by_name[source] = _Source(now_ms)
         latest = sum_counts(last, (n_asked, n_admitted, n_refunded))
         known.counts.set(slot, latest, self._oldest_slot, now_ms)
-        known.asked.add(n_asked)
+        known.asked.add(n_asked, now_ms)
         if now_ms - self._lowered_ms < REPORT_LAG_S * 1000.0:
             return True
-        known.admitted.add(n_admitted)
+        known.admitted.add(n_admitted, now_ms)
         self.level += n_refunded - n_admitted
         return True
 
@@ -389,7 +297,7 @@
         fraction = elapsed_ms / (elapsed_ms + left_ms) if left_ms > 0.0 else 1.0
         self._lowered_ms = now_ms
         for source in self._sources_by_name.values():
-            source.admitted = _DecayingRate(now_ms)
+            source.admitted = DecayingRate(now_ms)
         self.rate += fraction * (self._target.rate - self.rate)
         self.burst += fraction * (self._target.burst - self.burst)
         self.level = min(self.level, self.burst)
@@ -428,17 +336,3 @@
         if is_starting:
             self._share = min(self._share, 1.0 / n_nodes)
         self._unreported = unreported
-
-
-def latest_counts(first: Counts, second: Counts) -> Counts:
-    """Return the latest of two reports on a slot, whichever came first."""
-    return (
-        max(first[0], second[0]),
-        max(first[1], second[1]),
-        max(first[2], second[2]),
-    )
-
-
-def sum_counts(first: Counts, second: Counts) -> Counts:
-    """Return the counts of two nodes together."""
-    return (first[0] + second[0], first[1] + second[1], first[2] + second[2])
--- a/packages/policy/ibisspoke_policy/shared_rate.py
+++ b/packages/policy/ibisspoke_policy/shared_rate.py
@@ -14,16 +14,8 @@
 
 from collections.abc import Callable, Iterable
 
-from ._rate_account import (
-    KEPT_SLOTS,
-    Admission,
-    Counts,
-    Home,
-    Limit,
-    RateAccount,
-    Usage,
-    sum_counts,
-)
+from ._rate_account import Admission, Home, Limit, RateAccount
+from .usage_counts import KEPT_SLOTS, Counts, Usage, sum_counts
 
 # Fraction of a second's rate; a data centre that admits more at once reports it early.
 URGENT_FRACTION = 0.02
--- a/packages/policy/ibisspoke_policy/usage_sums.py
+++ b/packages/policy/ibisspoke_policy/usage_sums.py
@@ -2,15 +2,8 @@
 
 from collections.abc import Iterable
 
-from ._rate_account import (
-    KEPT_SLOTS,
-    MAX_REPORT_INTERVAL_MS,
-    NO_COUNTS,
-    SILENT_SOURCE_TIMEOUT_MS,
-    Counts,
-    Usage,
-    latest_counts,
-)
+from ._rate_account import MAX_REPORT_INTERVAL_MS, SILENT_SOURCE_TIMEOUT_MS
+from .usage_counts import KEPT_SLOTS, NO_COUNTS, Counts, Usage, latest_counts
 
 # Slots whose counts a silent node is assumed to repeat.
 REPEATED_SLOTS = 4
