--- a/packages/mesh/ibisspoke_mesh/status_relay.py
+++ b/packages/mesh/ibisspoke_mesh/status_relay.py
@@ -29,8 +29,8 @@
 SHORT_INTERVAL_FACTOR = 0.4  # for organisations whose rate is nearly used up
 MIN_INTERVAL_MS = 60.0  # also for changed records, so that several share a datagram
 N_RANDOM_RECORDS = 1  # of the own data centre, for nodes that missed a change
-REPEATED_INTERVALS = 2.2  # in which records are sent again, as datagrams may be lost
-REPEATED_USAGE_INTERVALS = 1.2  # fewer, as these are most of the bytes
+REPEATED_INTERVALS = 2.2  # in which changes are sent again, as datagrams may be lost
+REPEATED_USAGE_INTERVALS = 1.2  # of usages; fewer, as these are most of the bytes
 LOST_REPEAT_MS = 4_000.0  # time for which the loss of a node is told
 MAX_ENTERED_AGE_MS = 3_000.0  # of sections that came from another region
 MAX_SEARCH_PEERS = 32  # that a node asks which hears of no other node
@@ -195,11 +195,15 @@
 
     def _is_urgent_due(self, target: _Target, now_ms: float) -> bool:
         """Return whether usages of organisations are due that are nearly used up."""
-        sent_ms = max(
+        elapsed_ms = now_ms - self._usages_sent_ms(target)
+        return elapsed_ms >= target.interval_ms * SHORT_INTERVAL_FACTOR
+
+    def _usages_sent_ms(self, target: _Target) -> float:
+        """Return when usages were last sent, in a digest of either kind."""
+        return max(
             self._sent_ms_by_target.get(target.name, float("-inf")),
             self._usages_sent_ms_by_target.get(target.name, float("-inf")),
         )
-        return now_ms - sent_ms >= target.interval_ms * SHORT_INTERVAL_FACTOR
 
     def _is_of(self, node: str, data_centres: Iterable[str]) -> bool:
         record = self._fleet.record_of(node)
@@ -235,7 +239,8 @@
     ) -> None:
         """Send a digest that has only the usages of some organisations."""
         interval_ms = target.interval_ms * SHORT_INTERVAL_FACTOR
-        since_ms = now_ms - REPEATED_USAGE_INTERVALS * interval_ms
+        sent_ms = self._usages_sent_ms(target)
+        since_ms = min(sent_ms, now_ms - REPEATED_INTERVALS * interval_ms)
         sections = []
         for source in target.sources:
             usages = self._usages(source, since_ms, now_ms, organisations)
--- a/packages/mesh/tests/test_usage_digests.py
+++ b/packages/mesh/tests/test_usage_digests.py
@@ -116,3 +116,27 @@
     }
     assert names == {name_checksum("o3")}
     assert not any(s.records or s.lost for message in early for s in message.sections)
+
+
+def test_no_count_of_an_organisation_that_is_low_is_left_out(node):
+    # Guards against ticks that are further apart than the time whose counts are sent.
+    sent = node.exchange._transport
+    for _ in range(40):
+        node.admit("o3")
+    told = {}
+    for _ in range(120):
+        node.clock.advance(20.0)
+        for _ in range(4):
+            node.admit("o3")
+        node.clock.advance(TICK_MS - 20.0)
+        sent.clear()
+        node.tick()
+        for message in sent:
+            for section in message.sections:
+                for slot, entries in section.usages:
+                    for _, _, n_admitted, _ in entries:
+                        told[slot] = max(told.get(slot, 0), n_admitted)
+        if any(section.usages for message in sent for section in message.sections):
+            account = node.rates._accounts_by_name["o3"]
+            for slot in range(node.rates.slot - 3, node.rates.slot + 1):
+                assert told.get(slot, 0) == account.own_counts(slot)[1]
