Take no request in a stop that may outlast it

Cause: a stop took every request up to six tenths of its time and dropped all that still ran at nine tenths, whatever time these had left. Ruled out: a lost response of the upstream (its log shows the request dropped), and SIGKILL (the process ended by itself at 5.4 s).

From 2.5 s on a request is taken only if its time limit ends before the stop. Others get a 503 with a Retry-After up to the end of the stop. What outlasts the stop is answered: 503 if it has not run, 504 otherwise. Found on the same path: requests that were read behind another one on their connection were dropped in a stop; the connection now stays open until they are answered.

--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -258,7 +258,7 @@
             self._task = None
         if self._transport is None or self._transport.is_closing():
             return
-        closes = not keeps_alive or self._state.is_stopping
+        closes = not keeps_alive or (self._state.is_stopping and self._has_read_all)
         self._write(response, closes, request.method == b"HEAD")
         self._last_active_ms = self._state.clock.now_ms()
         if closes:
@@ -269,6 +269,11 @@
                 self._transport.resume_reading()
             self._start_next()
 
+    @property
+    def _has_read_all(self) -> bool:
+        """Whether no further request was read, not even in part."""
+        return not self._pipelined and self._reading_since_ms is None
+
     def _write(self, response: CallerResponse, closes: bool, is_head: bool) -> None:
         assert self._transport is not None
         reason = REASONS.get(response.status, b"Unknown")
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -54,8 +54,11 @@
 STARTUP_WAIT_MS = 400.0  # some round trips; then a starting node reads the store
 SETTLING_MS = 2_000.0  # until a starting node knows the others and its rank among them
 STOP_MIN_MS = 3_000.0  # callers must see the lost readiness before the listener closes
-STOP_CLOSING_SHARE = 0.6  # of the stop time; later requests are refused
-STOP_END_SHARE = 0.9  # of the stop time; requests still running then are dropped
+# Later requests are refused if they may run beyond the end of the stop. Callers that
+# check readiness every second have seen by then that it is lost.
+STOP_CLOSING_MS = 2_500.0
+STOP_END_SHARE = 0.9  # of the stop time; requests still running then are ended
+STOP_FLUSH_SHARE = 0.95  # of the stop time, until which last responses are sent
 
 logger = logging.getLogger("ibisspoke")
 
@@ -299,18 +302,22 @@
         """Stop gracefully, and let running requests finish."""
         started_ms = self._stopping_ms = self.clock.now_ms()
         stop_ms = self.settings.stop_ms
+        end_ms = started_ms + stop_ms * STOP_END_SHARE
         logger.info("node stops", extra={"n_active": self.callers.n_active})
         self.dispatcher.is_stopping = True
         self.callers.is_stopping = True
         self._publish_change()
         removal = asyncio.ensure_future(self.rows.remove())
-        while (elapsed_ms := self.clock.now_ms() - started_ms) < (
-            stop_ms * STOP_END_SHARE
-        ):
-            if elapsed_ms > stop_ms * STOP_CLOSING_SHARE:
-                self.admission.is_closing = True
+        while (now_ms := self.clock.now_ms()) < end_ms:
+            if now_ms - started_ms >= STOP_CLOSING_MS:
+                self.admission.must_end_by_ms = end_ms
             is_idle = not self.callers.connections and self.dispatcher.is_idle
-            if elapsed_ms >= STOP_MIN_MS and is_idle:
+            if now_ms - started_ms >= STOP_MIN_MS and is_idle:
+                break
+            await asyncio.sleep(TICK_MS / 1000.0)
+        self.request_handler.end_all()
+        while self.clock.now_ms() < started_ms + stop_ms * STOP_FLUSH_SHARE:
+            if not self.callers.n_active:
                 break
             await asyncio.sleep(TICK_MS / 1000.0)
         removal.cancel()
--- a/packages/mesh/ibisspoke_mesh/request_admission.py
+++ b/packages/mesh/ibisspoke_mesh/request_admission.py
@@ -71,6 +71,8 @@
 class RequestAdmission:
     """Admits the requests that the configuration in force allows.
 
+    :ivar must_end_by_ms: end of this node, on the monotonic clock; requests whose time
+        limit is later are refused. None while no stop is near its end.
     :param table: returns the configuration in force.
     """
 
@@ -89,7 +91,7 @@
     ) -> None:
         self.settings = settings
         self.splitter = WeightedSplitter(rng)
-        self.is_closing = False
+        self.must_end_by_ms: float | None = None
         self._shedder = DependencyShedder(rng)
         self._dialect = dialect
         self._table = table
@@ -130,8 +132,6 @@
         table = self._table()
         if table is None:
             return Refusal(503, "no_configuration", NO_CONFIG_RETRY_MS)
-        if self.is_closing:
-            return Refusal(503, "stopping", NO_CONFIG_RETRY_MS)
         now_ms = self._clock.boot_ms()
         age_ms = self._freshness.age_ms(table.version, now_ms)
         is_fresh = age_ms < self.settings.key_proof_ms
@@ -184,6 +184,14 @@
         now_ms = self._clock.now_ms()
         stated_ms = _parse_number(headers.get(self._dialect.deadline))
         caller_ms = stated_ms if stated_ms is not None else route.timeout_ms
+        deadline_ms = request.arrived_ms + min(caller_ms, route.timeout_ms)
+        if self.must_end_by_ms is not None and deadline_ms > self.must_end_by_ms:
+            if owner is not None:
+                self._rates.refund(owner.organisation, now_ms)
+            # Another process takes requests on this VM once this one has ended.
+            wait_ms = min(self.must_end_by_ms - now_ms, caller_ms * MAX_RETRY_SHARE)
+            wait_ms = max(MIN_RETRY_AFTER_MS, wait_ms)
+            return Refusal(503, "stopping", wait_ms, route=route.name)
         service = self.splitter.pick(route)
         self._retries.count_request(service, now_ms)
         if not is_nested(route, owner):
@@ -193,14 +201,13 @@
                     self._rates.refund(owner.organisation, now_ms)
                 wait_ms = caller_ms * MAX_RETRY_SHARE * self._rng.uniform(0.5, 1.0)
                 return Refusal(503, "dependency_overloaded", wait_ms, route=route.name)
-        arrived_ms = request.arrived_ms
         return AdmittedRequest(
             request_id,
             route,
             owner,
             service,
-            arrived_ms + min(caller_ms, route.timeout_ms),
-            arrived_ms + caller_ms,
+            deadline_ms,
+            request.arrived_ms + caller_ms,
         )
 
 
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -69,10 +69,19 @@
         self._log = log
         self._metrics = metrics
         self._stream_ids = itertools.count(1)
+        self._time_limits: set[asyncio.Timeout] = set()
+        self._has_ended_all = False
 
     def __repr__(self) -> str:
         return f"RequestHandler({self._admission!r})"
 
+    def end_all(self) -> None:
+        """End all requests that are running, as if their time were over."""
+        self._has_ended_all = True
+        for time_limit in self._time_limits:
+            if not time_limit.expired():
+                time_limit.reschedule(0.0)
+
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Return the response to a request."""
         headers = {lower: value for lower, _, value in request.headers}
@@ -98,13 +107,18 @@
         progress: RequestProgress,
     ) -> Outcome:
         """Run a request within its time limit."""
+        remaining_ms = admitted.deadline_ms - self._clock.now_ms()
+        time_limit = asyncio.timeout(max(0.0, remaining_ms) / 1000.0)
         try:
-            remaining_ms = admitted.deadline_ms - self._clock.now_ms()
-            async with asyncio.timeout(max(0.0, remaining_ms) / 1000.0):
+            async with time_limit:
+                self._time_limits.add(time_limit)
                 return await self._run_attempts(request, admitted, progress)
         except TimeoutError:
+            reason = "no answer within the time limit"
+            if self._has_ended_all:
+                reason = "no answer before the node stopped"
             return progress.best_outcome or Outcome(
-                OutcomeKind.TIMED_OUT, reason="no answer within the time limit"
+                OutcomeKind.TIMED_OUT, reason=reason
             )
         except asyncio.CancelledError:
             details = self._log_fields(request, admitted, progress)
@@ -114,6 +128,7 @@
             self._metrics.count_request(admitted.route.name, "cancelled")
             raise
         finally:
+            self._time_limits.discard(time_limit)
             self._admission.refund_if_not_run(admitted, progress.may_have_run)
 
     async def _admit(
--- a/tests/fleet/test_stop.py
+++ b/tests/fleet/test_stop.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from fleet_harness import READY, call, connect, request_bytes, until
+from fleet_harness import READY, call, connect, request_bytes, route, until
 
 from ibisspoke_mesh.http_client import HttpClient
+from ibisspoke_standins.fleet_upstream import hang
 
 
 async def test_a_stop_cuts_no_request(pair):
@@ -64,3 +65,66 @@
     assert first.upstream.executed_requests == []
     await stopping
     assert first.host not in pair.store.keys("members")
+
+
+# Guards against requests that a stop takes late and cuts off at its end (LOST).
+async def test_a_request_late_in_a_stop_is_run_only_if_it_ends_in_time(pair):
+    first = pair.vms[0]
+    await pair.configure(2, routes=[route("order", "non_idempotent", timeoutMs=5_000)])
+    await until(lambda: all(vm.node.config.version == 2 for vm in pair.vms))
+    for vm in pair.vms:
+        vm.upstream.execution_s = 2.6
+    stopping = asyncio.ensure_future(first.node.stop())
+    await asyncio.sleep(3.0)
+    fitting, late = await connect(first.host), await connect(first.host)
+    fitting.transport.write(
+        request_bytes("/order/1", method="POST", body=b"x", deadline_ms=2_000)
+    )
+    late.transport.write(request_bytes("/order/2", method="POST", body=b"x"))
+    refused = await late.responses.get()
+    assert refused.status == 503
+    assert float(refused.headers["retry-after"]) > 0.0
+    assert (await fitting.responses.get()).status == 504
+    assert not stopping.done()
+    await stopping
+    assert [request.target for request in pair.executed_requests] == ["/order/1"]
+
+
+# Guards against requests that a stop ends by closing their connections (LOST).
+async def test_requests_that_outlast_a_stop_get_an_answer(pair):
+    first = pair.vms[0]
+    await pair.configure(2, routes=[route("order", "non_idempotent", timeoutMs=9_000)])
+    await until(lambda: all(vm.node.config.version == 2 for vm in pair.vms))
+    for vm in pair.vms:
+        vm.upstream.behaviour = hang
+    callers = [await connect(first.host) for _ in range(3)]
+    for number, caller in enumerate(callers):
+        caller.transport.write(
+            request_bytes(
+                f"/order/{number}", method="POST", body=b"x", deadline_ms=9_000
+            )
+        )
+    await until(lambda: len(pair.executed_requests) == len(callers))
+    await first.node.stop()
+    responses = [caller.responses.get_nowait() for caller in callers]
+    assert [response.status for response in responses] == [504] * len(callers)
+
+
+# Guards against pipelined requests that are read in a stop and dropped (LOST).
+async def test_pipelined_requests_are_all_answered_in_a_stop(pair):
+    first = pair.vms[0]
+    for vm in pair.vms:
+        vm.upstream.execution_s = 0.3
+    caller = await connect(first.host)
+    caller.transport.write(b"".join(request_bytes("/lookup/1") for _ in range(3)))
+    await until(lambda: first.node.callers.n_active)
+    stopping = asyncio.ensure_future(first.node.stop())
+    async with asyncio.timeout(5.0):
+        responses = [await caller.responses.get() for _ in range(3)]
+    assert [response.status for response in responses] == [200] * 3
+    assert [response.headers.get("connection") for response in responses] == [
+        None,
+        None,
+        "close",
+    ]
+    await stopping
