Store a departure that is acknowledged during a stop

Cause: the stop removed the node's row first and then ignored all changes, while the wait before the acknowledgement saw the row as saved, by an earlier write. Ruled out: the next process reading the row too early (it found none).

One loop now writes the row from what holds at that moment: the record, or nothing in a stop, unless the upstream leaves. So there is no second writer, and the wait covers the write that matters. A node does not end while an announcement is being handled. A conflicting write is repeated without a pause, which took most of the time that upstreams wait.

--- a/packages/mesh/ibisspoke_mesh/member_rows.py
+++ b/packages/mesh/ibisspoke_mesh/member_rows.py
@@ -69,16 +69,29 @@
         self._write_wanted = asyncio.Event()
         self._first_written = asyncio.Event()
         self._written_order: tuple[int, int] | None = None
-        self._is_leaving = False
+        self._is_stopping = False
 
     def __repr__(self) -> str:
         return f"MemberRows(written={self._written_order})"
 
     def publish(self) -> None:
         """Write this node's row soon."""
-        if not self._is_leaving:
-            self._saved.clear()
-            self._write_wanted.set()
+        self._saved.clear()
+        self._write_wanted.set()
+
+    def remove(self) -> None:
+        """Remove the row soon, in a planned stop; other nodes know the record.
+
+        If the upstream is leaving, also if it says so later in the stop, the row is
+        written instead, so that a node that restarts on this VM knows it.
+        """
+        self._is_stopping = True
+        self.publish()
+
+    @property
+    def is_saved(self) -> bool:
+        """Whether the row in the store is up to date."""
+        return self._saved.is_set()
 
     async def wait_until_saved(self) -> None:
         """Wait for a short time until the row is written, to outlast a restart."""
@@ -98,21 +111,26 @@
             own = self._fleet.own
             if own is None:
                 continue
-            error = await self._write(own.node, encode_record(own))
+            is_removal = self._is_stopping and not own.is_leaving
+            if is_removal and self._written_order is None:
+                continue
+            value = None if is_removal else encode_record(own)
+            error = await self._write(own.node, value)
             if error is not None:
                 n_failed += 1
                 self._log.write("member row not written", detail=error.detail)
-                await asyncio.sleep(_pause_s(n_failed))
+                if n_failed > 1 or error.kind is not StoreErrorKind.CONFLICT:
+                    await asyncio.sleep(_pause_s(n_failed))
                 self._write_wanted.set()
                 continue
             n_failed = 0
             self._first_written.set()
-            self._written_order = own.order
+            self._written_order = None if is_removal else own.order
             if not self._write_wanted.is_set():
                 self._saved.set()
 
     async def _write(self, node: str, value: bytes | None) -> StoreError | None:
-        """Replace the row, on condition that it has the last known version.
+        """Replace or remove the row, on condition that it has the last known version.
 
         A write that got no response may still be applied later. The condition prevents
         it from overwriting a newer one.
@@ -122,7 +140,8 @@
             [Check(key, self._row_version)], [Write(key, value)]
         )
         if isinstance(result, Ok):
-            self._row_version = result.ok_value[0].version
+            is_removed = value is None
+            self._row_version = 0 if is_removed else result.ok_value[0].version
             return None
         error = result.err_value
         if error.kind is StoreErrorKind.CONFLICT:
@@ -156,21 +175,6 @@
             await asyncio.sleep(_pause_s(n_failed))
         self._apply_rows(result.ok_value.rows)
 
-    async def remove(self) -> None:
-        """Remove the row in a planned stop; other nodes keep the record in memory.
-
-        If the upstream is leaving, the row is kept, so that a node that restarts on
-        this VM knows it.
-        """
-        self._is_leaving = True
-        own = self._fleet.own
-        if own is None or self._written_order is None:
-            return
-        value = encode_record(own) if own.is_leaving else None
-        error = await self._write(own.node, value)
-        if error is not None:
-            self._log.write("member row not removed", detail=error.detail)
-
     def _apply_rows(self, rows: list[TableRow]) -> None:
         known = set(self._fleet.peers_by_id)
         own = self._fleet.own
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -307,12 +307,11 @@
         self.dispatcher.is_stopping = True
         self.callers.is_stopping = True
         self._publish_change()
-        removal = asyncio.ensure_future(self.rows.remove())
+        self.rows.remove()
         while (now_ms := self.clock.now_ms()) < end_ms:
             if now_ms - started_ms >= STOP_CLOSING_MS:
                 self.admission.must_end_by_ms = end_ms
-            is_idle = not self.callers.connections and self.dispatcher.is_idle
-            if now_ms - started_ms >= STOP_MIN_MS and is_idle:
+            if now_ms - started_ms >= STOP_MIN_MS and self._is_idle:
                 break
             await asyncio.sleep(TICK_MS / 1000.0)
         self.request_handler.end_all()
@@ -320,11 +319,17 @@
             if not self.callers.n_active:
                 break
             await asyncio.sleep(TICK_MS / 1000.0)
-        removal.cancel()
-        with suppress(asyncio.CancelledError):
-            await removal
         logger.info("node stopped", extra={"n_active": self.callers.n_active})
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether nothing is lost if the process ends."""
+        if self.callers.connections or not self.dispatcher.is_idle:
+            return False
+        if any(server.n_active for server in self.servers):
+            return False
+        return self.rows.is_saved or not self.dispatcher.upstream.is_leaving
+
     def _limits(self) -> CallerLimits:
         table = self.config.table
         return table.limits if table is not None else DEFAULT_LIMITS
@@ -376,5 +381,5 @@
         )
         self._set_retry_budget()
         self.status.broadcast()
-        if upstream.latest is not None and self._stopping_ms is None:
+        if upstream.latest is not None:
             self.rows.publish()
--- a/tests/fleet/test_restart.py
+++ b/tests/fleet/test_restart.py
@@ -73,6 +73,19 @@
     assert vm.node.dispatcher.upstream.state != "ready"
 
 
+# Guards against a departure that is acknowledged in a stop and stored nowhere (DRAIN).
+async def test_a_departure_during_a_stop_outlasts_the_restart(vm, store):
+    stopping = asyncio.ensure_future(vm.node.stop())
+    await until(lambda: not store.keys("members"))
+    assert await vm.upstream.leave() == 200
+    await stopping
+    await vm.kill()
+    await vm.start()
+    assert await vm.upstream.announce() == 200
+    await until(lambda: vm.node.rows.previous_record_known.is_set())
+    assert vm.node.dispatcher.upstream.state != "ready"
+
+
 async def test_a_late_heartbeat_does_not_undo_a_departure_in_a_new_process(vm):
     await vm.kill()
     await vm.start()
