Acknowledge a departure only once it outlasts the node

Cause: the node waited 0.4 s for its row and acknowledged the departure all the same, though only its memory had it. Other nodes knew it and gave it up for the word of the new process. Ruled out: a second heartbeat in time (one arrived).

Departures are now a set that only grows, in the row and in the record that all nodes keep, so copies can be merged. A departure is acknowledged when the row has it, or when two other nodes have sent back a copy that has it, and answered with 503 otherwise. A starting node asks others for their copies before one heartbeat makes its upstream ready, and nodes never use an upstream again that they know to have left.

The same cause elsewhere: a repeated departure was acknowledged unseen, one before the first heartbeat was never stored, and a draining upstream was forgotten when another took its place.

test_a_departure_is_acknowledged_without_the_store asked for the fault: an acknowledgement that nothing backs. In its place two tests are as strict: the acknowledgement comes within the same second where other nodes have the departure, and outlasts the node; a node alone refuses it and is not used.

--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -9,7 +9,12 @@
 from ibisspoke_policy.route_profile import Pace, RouteProfiles
 from ibisspoke_policy.upstream_choice import Candidate, Distance, choose, sample
 from ibisspoke_policy.upstream_queue import Load
-from ibisspoke_policy.upstream_tracker import UpstreamState
+from ibisspoke_policy.upstream_tracker import (
+    UpstreamProcess,
+    UpstreamState,
+    has_departed,
+    merge_departures,
+)
 
 from .decision_log import DecisionLog
 from .frames import ConfigReply
@@ -25,7 +30,7 @@
 FIRST_STATUS_TIMEOUT_MS = 3_000.0  # until then, a node without statuses counts as alive
 
 
-class MemberRecord(msgspec.Struct, frozen=True):
+class MemberRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """A node's description of itself: a row of the store, and part of its statuses.
 
     :param incarnation: when the node started, in Unix milliseconds.
@@ -34,6 +39,8 @@
     :param born_ms: when the upstream started, in Unix milliseconds.
     :param is_leaving: whether the upstream has announced that it leaves; a node that
         restarts on this VM must not consider it ready.
+    :param departures: the upstreams of this VM that have left, the latest ones. Other
+        nodes may have added some that the node itself does not know.
     """
 
     node: str
@@ -49,6 +56,23 @@
     state: UpstreamState
     born_ms: int = 0
     is_leaving: bool = False
+    departures: tuple[UpstreamProcess, ...] = ()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node takes requests for its upstream, which has not left."""
+        if self.state is not UpstreamState.READY:
+            return False
+        upstream = UpstreamProcess(self.instance, self.born_ms)
+        return not self.departures or not has_departed(upstream, self.departures)
+
+    @property
+    def all_departures(self) -> tuple[UpstreamProcess, ...]:
+        """The departures, also in a record of a version that has only a flag."""
+        if not self.is_leaving or not self.instance:
+            return self.departures
+        upstream = UpstreamProcess(self.instance, self.born_ms)
+        return merge_departures(self.departures, [upstream])
 
     @property
     def order(self) -> tuple[int, int]:
@@ -182,14 +206,20 @@
         return record.order if record is not None else None
 
     def update_record(self, record: MemberRecord) -> Peer | None:
-        """Add or update a node by a record from the store or from the node itself.
+        """Add or update a node by a record from the store or from a node.
+
+        The departures of both records are kept, since the node may have restarted
+        without knowing of them.
 
         :returns: the node, or None if the record is this node's own.
         """
         if record.node == self._settings.host:
             return None
         peer = self.peers_by_id.get(record.node)
+        if peer is not None:
+            record = _with_departures(record, peer.record.all_departures)
         if peer is not None and record.order <= peer.record.order:
+            peer.record = _with_departures(peer.record, record.departures)
             return peer
         if peer is not None and record.incarnation == peer.record.incarnation:
             if peer.record.instance != record.instance:
@@ -260,7 +290,7 @@
 
         def is_usable(peer: Peer) -> bool:
             return (
-                peer.record.state is UpstreamState.READY
+                peer.record.is_ready
                 and peer.record.node not in excluded
                 and peer.link.unreachable_until_ms <= now_ms
                 and peer.is_alive(now_ms)
@@ -317,7 +347,7 @@
         loads = [
             peer.load
             for peer in self._peers_by_service.get(service, {}).values()
-            if peer.record.state is UpstreamState.READY and peer.is_alive(now_ms)
+            if peer.record.is_ready and peer.is_alive(now_ms)
         ]
         if self.own is not None and _serves(self.own, service):
             loads.append(self.own_load())
@@ -420,4 +450,13 @@
 
 
 def _serves(record: MemberRecord, service: str) -> bool:
-    return record.service == service and record.state is UpstreamState.READY
+    return record.service == service and record.is_ready
+
+
+def _with_departures(
+    record: MemberRecord, departures: tuple[UpstreamProcess, ...]
+) -> MemberRecord:
+    if not departures or departures == record.departures:
+        return record
+    merged = merge_departures(record.departures, departures)
+    return msgspec.structs.replace(record, departures=merged)
--- a/packages/mesh/ibisspoke_mesh/member_rows.py
+++ b/packages/mesh/ibisspoke_mesh/member_rows.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok
 
+from ibisspoke_policy.upstream_tracker import UpstreamProcess
 from ibisspoke_storage.store import (
     Check,
     StoreError,
@@ -28,7 +29,7 @@
 FULL_RATE_NODES = 100  # larger fleets read less often, to limit calls
 MIN_SECOND_READ_MS = 700.0  # after the first; others may contact a starting node sooner
 MAX_SECOND_READ_MS = 1_500.0
-SAVE_WAIT_MS = 400.0  # upstreams wait 1 s for an acknowledgement
+SAVE_WAIT_MS = 300.0  # upstreams wait 1 s; a slow store takes 240 ms
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(list[Any])
@@ -66,6 +67,7 @@
         self.previous_record_known = asyncio.Event()
         self._row_version = 0
         self._saved = asyncio.Event()
+        self._saved_departures: set[UpstreamProcess] = set()
         self._write_wanted = asyncio.Event()
         self._first_written = asyncio.Event()
         self._written_order: tuple[int, int] | None = None
@@ -76,7 +78,6 @@
 
     def publish(self) -> None:
         """Write this node's row soon."""
-        self._saved.clear()
         self._write_wanted.set()
 
     def remove(self) -> None:
@@ -89,17 +90,24 @@
         self.publish()
 
     @property
-    def is_saved(self) -> bool:
-        """Whether the row in the store is up to date."""
-        return self._saved.is_set()
+    def has_departures(self) -> bool:
+        """Whether the row in the store has all departures that this node knows."""
+        own = self._fleet.own
+        return own is None or set(own.departures) <= self._saved_departures
+
+    async def wait_until_saved(self) -> bool:
+        """Wait for a short time until the row has all departures.
 
-    async def wait_until_saved(self) -> None:
-        """Wait for a short time until the row is written, to outlast a restart."""
+        :returns: whether it has them, so that a restart does not undo them.
+        """
         with suppress(TimeoutError):
             async with asyncio.timeout(SAVE_WAIT_MS / 1000.0):
-                await self._saved.wait()
-                return
+                while not self.has_departures:
+                    await self._saved.wait()
+                    self._saved.clear()
+                return True
         self._log.write("member row late", wait_ms=int(SAVE_WAIT_MS))
+        return False
 
     async def publish_changes(self) -> None:
         """Write the row whenever it has changed, until cancelled."""
@@ -126,8 +134,8 @@
             n_failed = 0
             self._first_written.set()
             self._written_order = None if is_removal else own.order
-            if not self._write_wanted.is_set():
-                self._saved.set()
+            self._saved_departures = set() if is_removal else set(own.departures)
+            self._saved.set()
 
     async def _write(self, node: str, value: bytes | None) -> StoreError | None:
         """Replace or remove the row, on condition that it has the last known version.
@@ -198,7 +206,9 @@
     def _restore_previous(self, row: TableRow | None) -> None:
         """Pass on the row that an earlier process of this VM has written."""
         self._row_version = row.version if row is not None else 0
-        self._on_previous_record(self._decode(row) if row is not None else None)
+        record = self._decode(row) if row is not None else None
+        self._saved_departures = set(record.all_departures if record else ())
+        self._on_previous_record(record)
         self.previous_record_known.set()
 
     def _decode(self, row: TableRow) -> MemberRecord | None:
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -11,7 +11,7 @@
 from ibisspoke_policy.retry_window import RetryBudget
 from ibisspoke_policy.route_table import CallerLimits, RouteTable
 from ibisspoke_policy.shared_rate import SharedRates
-from ibisspoke_policy.upstream_tracker import UpstreamProcess
+from ibisspoke_policy.upstream_tracker import UpstreamProcess, has_departed
 
 from .caller_server import (
     DEFAULT_LIMITS,
@@ -34,6 +34,7 @@
 from .peer_link import NodeIncarnation
 from .peer_server import PeerCalls
 from .rate_homes import RateHomes
+from .record_copies import RecordCopies
 from .request_admission import RequestAdmission
 from .request_handler import RequestHandler
 from .settings import NodeSettings
@@ -68,8 +69,7 @@
 
     :param config_table: table of the row that holds the configuration.
     :param announcements: returns the handler of the upstream's heartbeats and
-        departures, given the dispatcher and a function that waits until the node's row
-        has been saved.
+        departures, given the dispatcher and :meth:`Node.keep_departures`.
     """
 
     dialect: Dialect
@@ -78,7 +78,7 @@
     config_key: str
     decode_config: Decoder
     announcements: Callable[
-        [UpstreamDispatcher, Callable[[], Awaitable[None]]], Handler
+        [UpstreamDispatcher, Callable[[], Awaitable[bool]]], Handler
     ]
 
 
@@ -167,7 +167,7 @@
             self.log,
             lambda: self.status_receiver.is_introduced,
             lambda: self.status.broadcast(),
-            self._restore_departure,
+            self._restore_departures,
         )
         self.ranks = NodeRanks(self.fleet, clock, rng)
         self.config_requester = ConfigRequester(self.config, clock)
@@ -198,8 +198,17 @@
             lambda: self.dispatcher.cold_until_ms - clock.now_ms(),
             lambda: self.watch.is_lost,
         )
+        self.copies = RecordCopies(
+            self.fleet,
+            clock,
+            rng,
+            self.status.read_back,
+            self.dispatcher.add_departures,
+        )
+        self.status_receiver.on_own_copy = self.copies.receive
+        self._recall: asyncio.Task[None] | None = None
         self.announcements = adapter.announcements(
-            self.dispatcher, self.rows.wait_until_saved
+            self.dispatcher, self.keep_departures
         )
         self.traffic_log = TrafficLog(metrics, clock, self.log)
         self.servers: list[ServerState] = []
@@ -220,6 +229,15 @@
         """Whether callers on this VM may send requests to this node."""
         return self.config.table is not None and self._stopping_ms is None
 
+    async def keep_departures(self) -> bool:
+        """Wait for a short time until the departures outlast this process.
+
+        :returns: whether the store or enough other nodes have them.
+        """
+        if await self.rows.wait_until_saved() or await self.copies.wait_until_kept():
+            return True
+        return self.rows.has_departures
+
     async def readiness(self, request: CallerRequest) -> CallerResponse:
         """Respond to a readiness check of the platform."""
         return CallerResponse(200 if self.is_ready else 503, b"", b"")
@@ -328,7 +346,7 @@
             return False
         if any(server.n_active for server in self.servers):
             return False
-        return self.rows.is_saved or not self.dispatcher.upstream.is_leaving
+        return self.rows.has_departures or not self.dispatcher.upstream.is_leaving
 
     def _limits(self) -> CallerLimits:
         table = self.config.table
@@ -353,16 +371,28 @@
         settings, n_nodes = self.settings, len(self.fleet.peers_by_id) + 1
         self.retries.configure(settings.retry_ratio, settings.retry_slack, n_nodes)
 
-    def _restore_departure(self, record: MemberRecord | None) -> None:
-        """Restore the upstream's departure from the record of an earlier process."""
-        departed = None
-        if record is not None and record.is_leaving:
-            departed = UpstreamProcess(record.instance, record.born_ms)
-        self.dispatcher.restore_departure(departed)
+    def _restore_departures(self, record: MemberRecord | None) -> None:
+        """Restore departures from the record of an earlier process, and recall others.
+
+        :param record: the row in the store, which may be older than that process.
+        """
+        if record is not None:
+            self.dispatcher.add_departures(record.all_departures)
+        self._recall = asyncio.ensure_future(self._recall_departures())
+
+    async def _recall_departures(self) -> None:
+        await self.copies.recall()
+        self.dispatcher.complete_departures()
 
     def _publish_change(self) -> None:
         """Update this node's record, and publish it to other nodes and the store."""
         settings, upstream = self.settings, self.dispatcher.upstream
+        latest, departures = upstream.latest, upstream.departures
+        process = UpstreamProcess("", 0)
+        if latest is not None:
+            process = UpstreamProcess(latest.instance, latest.start_ms)
+        elif departures:
+            process = departures[-1]
         self._revision += 1
         self.fleet.own = MemberRecord(
             settings.host,
@@ -373,13 +403,14 @@
             settings.peers[1],
             settings.status_port,
             self.dispatcher.service,
-            self.dispatcher.instance,
-            upstream.latest.n_slots if upstream.latest else 0,
+            process.instance,
+            latest.n_slots if latest else 0,
             self.dispatcher.state,
-            upstream.latest.start_ms if upstream.latest else 0,
-            upstream.is_leaving,
+            process.start_ms,
+            has_departed(process, departures),
+            departures,
         )
         self._set_retry_budget()
         self.status.broadcast()
-        if upstream.latest is not None:
+        if process.instance:
             self.rows.publish()
--- a/packages/mesh/ibisspoke_mesh/status_exchange.py
+++ b/packages/mesh/ibisspoke_mesh/status_exchange.py
@@ -166,6 +166,16 @@
         for peer in self._fleet.own_data_centre_peers():
             self._send(peer, with_record=True)
 
+    def read_back(self, peer: Peer) -> None:
+        """Send this node's record to another node, and request its copy of it."""
+        own = self._fleet.own
+        if own is None or self._transport is None:
+            return
+        self._send(peer, with_record=True)
+        request = RecordRequest(own.node, [own.node])
+        address = (peer.record.node, peer.record.status_port)
+        self._transport.sendto(encode(request), address)
+
     def _status_targets(self, now_ms: float) -> list[Peer]:
         """Return the nodes of the data centre that this node reports to.
 
--- a/packages/mesh/ibisspoke_mesh/status_receiver.py
+++ b/packages/mesh/ibisspoke_mesh/status_receiver.py
@@ -1,5 +1,7 @@
 """Processing of statuses received from other nodes."""
 
+from collections.abc import Callable
+
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.shared_rate import SharedRates
 from ibisspoke_policy.usage_sums import UsageSums
@@ -7,6 +9,7 @@
 from ._known_sums import KnownSums
 from .config_requester import ConfigRequester
 from .fleet import Fleet, Peer
+from .record_copies import Departures
 from .status_messages import (
     Digest,
     LostNode,
@@ -30,6 +33,8 @@
     :ivar n_invalid_usages: counts of organisations that could not be applied.
     :ivar is_introduced: whether a relay of the data centre has named this node, which
         then learns of all nodes from the relays.
+    :ivar on_own_copy: called with the id of a node and the departures in its copy of
+        this node's record.
     """
 
     def __init__(
@@ -41,6 +46,7 @@
     ) -> None:
         self.n_invalid_usages = 0
         self.is_introduced = False
+        self.on_own_copy: Callable[[str, Departures], None] = lambda holder, _: None
         self._fleet = fleet
         self._rates = rates
         self._config_requester = config_requester
@@ -83,7 +89,8 @@
         unknown: list[str] = []
         for section in digest.sections:
             for record in section.records:
-                self._fleet.update_record(record)
+                if self._fleet.update_record(record) is None:
+                    self.on_own_copy(digest.node, record.all_departures)
             for load in section.loads:
                 if not self._apply_load(load, now_ms):
                     unknown.append(load.node)
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 
 import msgspec
@@ -146,26 +146,34 @@
 
     def handle_departure(self, instance: str, start_ms: int | None) -> None:
         """Handle the announcement that the upstream leaves."""
+        known = self.upstream.departures
         if self.upstream.record_departure(instance, start_ms, self._clock.wall_ms()):
             self._track_draining(self.upstream.state)
+        if self.upstream.departures != known:
             self._log.write("upstream leaves", instance=instance)
             self.on_change()
 
-    def restore_departure(self, departed: UpstreamProcess | None) -> None:
-        """Restore which upstream had left before this process started.
+    def add_departures(self, departures: Iterable[UpstreamProcess]) -> None:
+        """Apply departures that an earlier process on this VM acknowledged."""
+        if self.upstream.add_departures(departures):
+            self._handle_recalled()
 
-        :param departed: the one that had left, or None.
-        """
-        if self.upstream.restore_departure(departed):
-            self._track_draining(self.upstream.state)
-            self._log.write(
-                "upstream state",
-                instance=self.instance,
-                service=self.service,
-                state=self.upstream.state,
-                why="recalled from the store",
-            )
-            self.on_change()
+    def complete_departures(self) -> None:
+        """Take the departures that are known for all of earlier processes."""
+        if self.upstream.restore_departures([]):
+            self._handle_recalled()
+
+    def _handle_recalled(self) -> None:
+        self._track_draining(self.upstream.state)
+        self._log.write(
+            "upstream state",
+            instance=self.instance,
+            service=self.service,
+            state=self.upstream.state,
+            departed=" ".join(process.instance for process in self.upstream.departures),
+            why="recalled from the store or other nodes",
+        )
+        self.on_change()
 
     def submit(self, attempt: Attempt, on_outcome: OnOutcome) -> int:
         """Queue an attempt; ``on_outcome`` is called with its outcome.
--- a/packages/policy/ibisspoke_policy/upstream_tracker.py
+++ b/packages/policy/ibisspoke_policy/upstream_tracker.py
@@ -1,8 +1,12 @@
 """State of the upstream of this VM, derived from heartbeats and departures."""
 
+from collections.abc import Iterable
 from enum import StrEnum
 from typing import NamedTuple
 
+# Of the upstreams of one VM. Heartbeats of an earlier one are seconds late at most.
+MAX_DEPARTURES = 4
+
 
 class UpstreamState(StrEnum):
     """Whether an upstream accepts new requests."""
@@ -37,6 +41,33 @@
     start_ms: int
 
 
+def merge_departures(
+    *groups: Iterable[UpstreamProcess],
+) -> tuple[UpstreamProcess, ...]:
+    """Return the latest departures of all groups, by start.
+
+    Departures are final, so that copies that differ can be merged in any order.
+    """
+    start_ms_by_instance: dict[str, int] = {}
+    for group in groups:
+        for instance, start_ms in group:
+            known_ms = start_ms_by_instance.get(instance, start_ms)
+            start_ms_by_instance[instance] = max(known_ms, start_ms)
+    processes = [UpstreamProcess(*item) for item in start_ms_by_instance.items()]
+    processes.sort(key=lambda process: (process.start_ms, process.instance))
+    return tuple(processes[-MAX_DEPARTURES:])
+
+
+def has_departed(
+    process: UpstreamProcess, departures: Iterable[UpstreamProcess]
+) -> bool:
+    """Return whether a process, or a later one with its id, has departed."""
+    return any(
+        process.instance == departed.instance and process.start_ms <= departed.start_ms
+        for departed in departures
+    )
+
+
 class UpstreamTracker:
     """Track the upstream of one VM from heartbeats and departures that may be late.
 
@@ -46,7 +77,7 @@
 
     A node that has just started does not know which departures its predecessor has
     acknowledged. A delayed heartbeat may come from an upstream that has left since.
-    Until :meth:`restore_departure` is called, a single heartbeat therefore does not
+    Until :meth:`restore_departures` is called, a single heartbeat therefore does not
     make an upstream ready.
     """
 
@@ -54,7 +85,7 @@
         self.latest: Announcement | None = None
         self.state = UpstreamState.ABSENT
         self._is_history_known = False
-        self._departed_start_ms_by_instance: dict[str, int] = {}
+        self._departures: tuple[UpstreamProcess, ...] = ()
 
     def __repr__(self) -> str:
         return f"UpstreamTracker({self.state}, {self.latest})"
@@ -64,19 +95,34 @@
         """Whether the latest upstream is draining or has departed."""
         return self.state is UpstreamState.DRAINING
 
-    def restore_departure(self, departed: UpstreamProcess | None) -> bool:
-        """Apply the departure that an earlier node process on this VM acknowledged.
+    @property
+    def departures(self) -> tuple[UpstreamProcess, ...]:
+        """The processes that have departed or are draining."""
+        if self.latest is None or not self.is_leaving:
+            return self._departures
+        return merge_departures(self._departures, [_process_of(self.latest)])
+
+    def add_departures(self, departures: Iterable[UpstreamProcess]) -> bool:
+        """Apply departures that an earlier node process on this VM acknowledged.
+
+        :returns: whether any of them was not known.
+        """
+        known = self.departures
+        self._departures = merge_departures(self._departures, departures)
+        if self.latest is not None and self._is_departed(self.latest):
+            self.state = UpstreamState.DRAINING
+        return self.departures != known
+
+    def restore_departures(self, departures: Iterable[UpstreamProcess]) -> bool:
+        """Apply all departures that earlier node processes on this VM acknowledged.
 
-        :param departed: the upstream process that departed, or None if none has.
         :returns: whether the state of the latest upstream changed.
         """
+        state = self.state
         self._is_history_known = True
-        if departed is not None:
-            self._add_departure(departed)
-        latest, state = self.latest, self.state
-        if latest is not None and state is not UpstreamState.DRAINING:
-            has_left = self._is_departed(latest)
-            self.state = UpstreamState.DRAINING if has_left else UpstreamState.READY
+        self.add_departures(departures)
+        if self.latest is not None and self.state is not UpstreamState.DRAINING:
+            self.state = UpstreamState.READY
         return self.state is not state
 
     def announce(self, announcement: Announcement) -> bool:
@@ -93,6 +139,7 @@
             announcement
         )
         was_draining = is_same_process and self.state is UpstreamState.DRAINING
+        self._departures = self.departures
         self.latest = announcement
         if was_draining or announcement.is_draining:
             self.state = UpstreamState.DRAINING
@@ -115,7 +162,8 @@
         is_known = latest is not None and latest.instance == instance
         if start_ms is None:
             start_ms = latest.start_ms if latest and is_known else int(wall_ms)
-        self._add_departure(UpstreamProcess(instance, start_ms))
+        process = UpstreamProcess(instance, start_ms)
+        self._departures = merge_departures(self._departures, [process])
         if latest is None or not self._is_departed(latest):
             return False
         self.state = UpstreamState.DRAINING
@@ -126,17 +174,8 @@
         if self.state is UpstreamState.READY:
             self.state = UpstreamState.ABSENT
 
-    def _add_departure(self, process: UpstreamProcess) -> None:
-        known_ms = self._departed_start_ms_by_instance.get(
-            process.instance, process.start_ms
-        )
-        self._departed_start_ms_by_instance[process.instance] = max(
-            known_ms, process.start_ms
-        )
-
     def _is_departed(self, announcement: Announcement) -> bool:
-        start_ms = self._departed_start_ms_by_instance.get(announcement.instance)
-        return start_ms is not None and announcement.start_ms <= start_ms
+        return has_departed(_process_of(announcement), self._departures)
 
     def _replaces(self, new: Announcement, latest: Announcement) -> bool:
         if _process_of(new) == _process_of(latest):
--- a/packages/policy/tests/test_upstream_tracker.py
+++ b/packages/policy/tests/test_upstream_tracker.py
@@ -3,6 +3,7 @@
     UpstreamProcess,
     UpstreamState,
     UpstreamTracker,
+    merge_departures,
 )
 
 WALL_MS = 50_000.0
@@ -19,7 +20,7 @@
 def upstream_without_history() -> UpstreamTracker:
     """Return the tracker of a node without earlier departures."""
     upstream = UpstreamTracker()
-    upstream.restore_departure(None)
+    upstream.restore_departures([])
     return upstream
 
 
@@ -88,7 +89,7 @@
 
 def test_a_departure_is_kept_after_the_process_that_acknowledged_it():
     upstream = UpstreamTracker()
-    upstream.restore_departure(UpstreamProcess("i-1", 1_000))
+    upstream.restore_departures([UpstreamProcess("i-1", 1_000)])
     assert not upstream.announce(heartbeat(sequence=9))
     assert upstream.state is UpstreamState.ABSENT
 
@@ -97,13 +98,13 @@
     upstream = UpstreamTracker()
     upstream.announce(heartbeat(sequence=7))
     upstream.announce(heartbeat(sequence=8))
-    assert upstream.restore_departure(UpstreamProcess("i-1", 1_000))
+    assert upstream.restore_departures([UpstreamProcess("i-1", 1_000)])
     assert upstream.state is UpstreamState.DRAINING
 
 
 def test_an_upstream_started_after_a_departure_is_ready():
     upstream = UpstreamTracker()
-    upstream.restore_departure(UpstreamProcess("i-1", 1_000))
+    upstream.restore_departures([UpstreamProcess("i-1", 1_000)])
     assert upstream.announce(heartbeat(start_ms=2_000))
     assert upstream.state is UpstreamState.READY
 
@@ -111,7 +112,7 @@
 def test_an_early_heartbeat_makes_the_upstream_ready_once_the_history_is_known():
     upstream = UpstreamTracker()
     upstream.announce(heartbeat(sequence=7))
-    assert upstream.restore_departure(None)
+    assert upstream.restore_departures([])
     assert upstream.state is UpstreamState.READY
 
 
@@ -121,3 +122,36 @@
     assert not upstream.announce(heartbeat(sequence=9))
     assert upstream.announce(heartbeat(start_ms=int(WALL_MS) + 1))
     assert upstream.state is UpstreamState.READY
+
+
+def test_a_departure_before_any_heartbeat_is_kept_for_the_next_process():
+    upstream = upstream_without_history()
+    upstream.record_departure("i-1", 1_000, WALL_MS)
+    assert upstream.departures == (UpstreamProcess("i-1", 1_000),)
+
+
+def test_a_draining_upstream_has_departed_also_once_it_is_replaced():
+    upstream = upstream_without_history()
+    upstream.announce(heartbeat(sequence=1, draining=True))
+    assert upstream.departures == (UpstreamProcess("i-1", 1_000),)
+    upstream.announce(heartbeat("i-2", start_ms=2_000))
+    assert upstream.departures == (UpstreamProcess("i-1", 1_000),)
+    assert upstream.state is UpstreamState.READY
+
+
+def test_a_departure_that_another_node_recalls_ends_a_ready_upstream():
+    upstream = upstream_without_history()
+    upstream.announce(heartbeat(sequence=1))
+    assert upstream.add_departures([UpstreamProcess("i-1", 1_000)])
+    assert upstream.state is UpstreamState.DRAINING
+    assert not upstream.add_departures([UpstreamProcess("i-1", 1_000)])
+
+
+def test_copies_of_departures_merge_to_the_latest_ones():
+    old, new = UpstreamProcess("i-1", 1_000), UpstreamProcess("i-1", 3_000)
+    others = [UpstreamProcess(f"i-{n}", 1_000 * n) for n in range(2, 6)]
+    merged = merge_departures([new], others, [old])
+    assert merged == merge_departures([old], [new], others)
+    assert new in merged
+    assert old not in merged
+    assert UpstreamProcess("i-2", 2_000) not in merged
--- a/tests/fleet/test_restart.py
+++ b/tests/fleet/test_restart.py
@@ -25,14 +25,21 @@
 class RestartingVm:
     """A VM whose node is restarted while its upstream continues to run."""
 
-    def __init__(self, stack: AsyncExitStack) -> None:
-        self.upstream = FleetUpstream("i-1", "shop", HOST, UPSTREAM, (HOST, CONTROL))
+    def __init__(
+        self, stack: AsyncExitStack, host: str = HOST, data_centre: str = "a"
+    ) -> None:
+        self.upstream = FleetUpstream("i-1", "shop", host, UPSTREAM, (host, CONTROL))
         self.node = None
+        self.host = host
+        self.data_centre = data_centre
         self._stack = stack
 
     async def start(self):
         """Start a new node, without the state of an earlier one."""
-        self.node = new_node(settings_of(HOST, (STORE_HOST, STORE)))
+        settings = settings_of(
+            self.host, (STORE_HOST, STORE), data_centre=self.data_centre
+        )
+        self.node = new_node(settings)
         await self._stack.enter_async_context(running_node(self.node))
 
     async def kill(self):
@@ -61,6 +68,27 @@
         yield vm
 
 
+@pytest.fixture
+async def fleet(store, vm):
+    """Three VMs, which know each other; the first one's upstream is to leave."""
+    async with AsyncExitStack() as stack:
+        vms = [vm]
+        for number, data_centre in ((2, "a"), (3, "b")):
+            other = RestartingVm(stack, f"127.250.7.{number}", data_centre)
+            await other.start()
+            assert await other.upstream.announce() == 200
+            vms.append(other)
+        await until(
+            lambda: all(
+                vm.host in other.node.fleet.peers_by_id
+                and other.host in vm.node.fleet.peers_by_id
+                and other.node.fleet.peers_by_id[vm.host].record.state == "ready"
+                for other in vms[1:]
+            )
+        )
+        yield vms
+
+
 @pytest.mark.parametrize("ending", ["kill", "stop"])
 async def test_a_late_heartbeat_does_not_undo_a_departure_after_a_restart(vm, ending):
     assert await vm.upstream.leave() == 200
@@ -105,11 +133,50 @@
     assert vm.node.dispatcher.upstream.state == "ready"
 
 
-async def test_a_departure_is_acknowledged_without_the_store(vm, store):
+# Guards against a departure that only the memory of its node has (DRAIN).
+async def test_a_departure_that_nothing_else_has_is_not_acknowledged(vm, store):
+    store.silent = True
+    for _ in range(2):
+        async with asyncio.timeout(1.0):
+            assert await vm.upstream.leave() == 503
+        assert vm.node.dispatcher.upstream.state == "draining"
+    store.silent = False
+    await until(lambda: vm.node.rows.has_departures)
+    assert await vm.upstream.leave() == 200
+
+
+# Guards against a departure that is lost with its node while the store is down (DRAIN).
+@pytest.mark.parametrize("returns", ["before the start", "after a late heartbeat"])
+async def test_a_departure_without_the_store_outlasts_a_restart(fleet, store, returns):
+    vm, others = fleet[0], fleet[1:]
+    excluded = {other.host for other in others}
     store.silent = True
     async with asyncio.timeout(1.0):
         assert await vm.upstream.leave() == 200
-    assert vm.node.dispatcher.upstream.state == "draining"
+    await vm.kill()
+    store.silent = returns == "after a late heartbeat"
+    await vm.start()
+    assert await vm.upstream.announce() == 200
+    store.silent = False
+    await until(lambda: vm.node.rows.previous_record_known.is_set())
+    assert await vm.upstream.announce() == 200
+    await asyncio.sleep(0.5)
+    assert vm.node.dispatcher.upstream.state != "ready"
+    for other in others:
+        assert other.node.fleet.choose("shop", "r", 1_000.0, excluded) is None
+    await until(lambda: vm.node.rows.has_departures)
+
+
+async def test_a_departure_before_any_heartbeat_outlasts_a_restart(vm):
+    await vm.kill()
+    await vm.start()
+    assert await vm.upstream.leave() == 200
+    await vm.kill()
+    await vm.start()
+    await until(lambda: vm.node.rows.previous_record_known.is_set())
+    assert await vm.upstream.announce() == 200
+    await asyncio.sleep(0.3)
+    assert vm.node.dispatcher.upstream.state != "ready"
 
 
 async def test_a_write_that_is_done_late_does_not_undo_a_departure(vm, store):
