Refuse entries of other writers that cannot be used, as they are read

Tests showed it here: a deeply nested row ended each reading of the rows (a new node knew no other and read again every 30 ms), a status port out of range ended the periodic checks of every node that read it, and so did a heartbeat with a number that no message can carry.

Cause: decoders checked types but not ranges, and msgspec reports deep nesting as RecursionError, which was caught nowhere. Ruled out: that the process ends; what fails is started again, and fails again.

Numbers, ports and addresses are bounded where they are decoded, nesting is reported like any other fault, and a row counts only under its node's key.

All of test_odd_entries.py and eight new values in test_member_rows.py failed before and pass.

--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -1,11 +1,13 @@
 """This node's view of the other nodes and their upstreams."""
 
+import ipaddress
 import random
 from collections.abc import Callable
 
 import msgspec
 
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.decoding import Count, Slots, UnixMs
 from ibisspoke_policy.route_profile import Pace, RouteProfiles
 from ibisspoke_policy.upstream_choice import Candidate, Distance, choose, sample
 from ibisspoke_policy.upstream_queue import Load
@@ -19,7 +21,7 @@
 from .decision_log import DecisionLog
 from .frames import ConfigReply
 from .peer_link import NodeIncarnation, PeerLink
-from .settings import NodeSettings
+from .settings import NodeSettings, Port
 from .status_timeouts import StatusTimeouts
 
 LOCAL_RTT_MS = 1.0  # within a data centre; mostly two kernels and two event loops
@@ -44,20 +46,27 @@
     """
 
     node: str
-    incarnation: int
-    revision: int
+    incarnation: UnixMs
+    revision: Count
     region: str
     data_centre: str
-    link_port: int
-    status_port: int
+    link_port: Port
+    status_port: Port
     service: str
     instance: str
-    n_slots: int
+    n_slots: Slots
     state: UpstreamState
-    born_ms: int = 0
+    born_ms: UnixMs = 0
     is_leaving: bool = False
     departures: tuple[UpstreamProcess, ...] = ()
 
+    def __post_init__(self) -> None:
+        """Check that the node is named by its address.
+
+        :raises ValueError: if it is not; decoders raise ``msgspec.ValidationError``.
+        """
+        ipaddress.ip_address(self.node)
+
     @property
     def is_ready(self) -> bool:
         """Whether the node takes requests for its upstream, which has not left."""
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ibisspoke_policy.decoding import decode_untrusted
 from ibisspoke_policy.upstream_queue import Load
 
 LENGTH = struct.Struct("!I")
@@ -212,7 +213,7 @@
             if len(data) < end:
                 break
             with memoryview(data) as view, view[start + LENGTH.size : end] as payload:
-                frame = _decoder.decode(payload)
+                frame = decode_untrusted(_decoder.decode, payload)
             start = end
             self._on_frame(frame)
         return start
--- a/packages/mesh/ibisspoke_mesh/member_rows.py
+++ b/packages/mesh/ibisspoke_mesh/member_rows.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok
 
+from ibisspoke_policy.decoding import decode_untrusted
 from ibisspoke_policy.upstream_tracker import UpstreamProcess
 from ibisspoke_storage.store import (
     Check,
@@ -213,10 +214,15 @@
 
     def _decode(self, row: TableRow) -> MemberRecord | None:
         try:
-            return decode_record(row.value)
+            record = decode_record(row.value)
         except msgspec.MsgspecError as error:
             self._log.write("member row unreadable", key=row.key, detail=str(error))
             return None
+        if record.node != row.key:
+            detail = f"it names another node: {record.node}"
+            self._log.write("member row unreadable", key=row.key, detail=detail)
+            return None
+        return record
 
 
 def encode_record(record: MemberRecord) -> bytes:
@@ -234,9 +240,10 @@
     :raises msgspec.MsgspecError: if it is not valid.
     """
     if value.startswith(b"{"):
-        return _earlier_decoder.decode(value)
+        return decode_untrusted(_earlier_decoder.decode, value)
     names = MemberRecord.__struct_fields__
-    fields = dict(zip(names, _decoder.decode(value), strict=False))
+    values = decode_untrusted(_decoder.decode, value)
+    fields = dict(zip(names, values, strict=False))
     return msgspec.convert(fields, MemberRecord)
 
 
--- a/packages/mesh/ibisspoke_mesh/status_messages.py
+++ b/packages/mesh/ibisspoke_mesh/status_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ibisspoke_policy.decoding import decode_untrusted
 from ibisspoke_policy.shared_rate import Usage
 from ibisspoke_policy.upstream_queue import Load
 
@@ -141,7 +142,7 @@
 
     :raises msgspec.MsgspecError: if it is not valid.
     """
-    return _decoder.decode(data)
+    return decode_untrusted(_decoder.decode, data)
 
 
 def pack_load(load: Load) -> PackedLoad:
--- a/packages/mesh/tests/test_member_rows.py
+++ b/packages/mesh/tests/test_member_rows.py
@@ -40,6 +40,15 @@
         encode_record(OWN)[:-1],
         msgspec.msgpack.encode([*msgspec.structs.astuple(OWN)][:5]),
         msgspec.msgpack.encode(["x"] * 13),
+        # Guards against entries of other writers that end the reading of rows (LOST).
+        b"\x9d" + b"\x91" * 100_000 + b"\x90",
+        b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+        encode_record(msgspec.structs.replace(OWN, link_port=70_000)),
+        encode_record(msgspec.structs.replace(OWN, status_port=0)),
+        encode_record(msgspec.structs.replace(OWN, n_slots=10**12)),
+        encode_record(msgspec.structs.replace(OWN, born_ms=2**63)),
+        encode_record(msgspec.structs.replace(OWN, incarnation=-1)),
+        msgspec.msgpack.encode(["not-an-address", *msgspec.structs.astuple(OWN)[1:]]),
     ],
 )
 def test_bad_rows_are_refused(value):
--- /dev/null
+++ b/tests/fleet/test_odd_entries.py
@@ -0,0 +1,134 @@
+"""Entries and messages of other writers, which must not stop a node.
+
+Guards against one odd entry, such as one that is nested very deeply, or has a number
+that is too large or a port out of range, that ends a node or its periodic work (LOST).
+"""
+
+import asyncio
+import json
+
+import msgspec
+import pytest
+from fleet_harness import (
+    STATUS,
+    STORE,
+    call,
+    document,
+    running_fleet,
+    running_vm,
+    until,
+)
+
+from ibisspoke_adapter.configuration import decode_configuration
+from ibisspoke_mesh.member_rows import encode_record
+from ibisspoke_mesh.status_messages import decode
+
+DEPTH = 40_000  # larger bodies are refused for their size
+DEEP_JSON = b"[" * DEPTH + b"]" * DEPTH
+DEEP_MSGPACK = b"\x91" * DEPTH + b"\x90"
+LARGE = 10**30
+
+
+def heartbeat(**changes) -> bytes:
+    """Return a heartbeat of the upstream ``i-odd``, with some fields changed."""
+    fields = {"slots": 4, "sequence": 9, "coldRemainingMs": 0, "born": 5_000}
+    fields.update(changes)
+    body = {
+        "address": "127.0.0.1:9",
+        "details": {"service": "shop", "slots": fields["slots"]},
+        "status": {
+            "state": "ready",
+            "sequence": fields["sequence"],
+            "coldRemainingMs": fields["coldRemainingMs"],
+        },
+        "born": fields["born"],
+    }
+    return json.dumps(body).encode()
+
+
+async def test_odd_rows_do_not_stop_the_reading_of_sound_ones():
+    async with running_fleet(2) as fleet:
+        record = fleet.vms[0].node.fleet.own
+        odd_port = msgspec.structs.replace(
+            record, node=f"{fleet.net}.50", link_port=70_000, status_port=99_999
+        )
+        usurper = msgspec.structs.replace(record, incarnation=2**50)
+        rows = {
+            f"{fleet.net}.50": encode_record(odd_port),
+            f"{fleet.net}.51": b"\x9d" + DEEP_MSGPACK,
+            f"{fleet.net}.52": b'{"x":' + DEEP_JSON + b"}",
+            f"{fleet.net}.53": encode_record(usurper),
+        }
+        for key, value in rows.items():
+            await fleet.store.put("members", key, value)
+        address = (f"{fleet.net}.100", STORE)
+        async with running_vm(f"{fleet.net}.9", address) as vm:
+            hosts = {other.host for other in fleet.vms}
+            await until(lambda: set(vm.node.fleet.peers_by_id) == hosts)
+            await until(lambda: vm.node.is_ready)
+            n_calls = fleet.store.n_calls
+            await asyncio.sleep(1.0)
+            assert fleet.store.n_calls - n_calls < 20
+            assert set(vm.node.fleet.peers_by_id) == hosts
+            for host in (vm.host, *hosts):
+                assert (await call(host, "/lookup/1")).status == 200
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"x":' + DEEP_JSON + b"}",
+        heartbeat(slots=LARGE),
+        heartbeat(sequence=LARGE),
+        heartbeat(sequence=-1),
+        heartbeat(coldRemainingMs=1e300),
+        heartbeat(born=LARGE),
+        heartbeat(born=2**63),
+    ],
+    ids=["deep", "slots", "sequence", "negative", "cold", "born", "born in 64 bits"],
+)
+async def test_an_odd_heartbeat_names_no_upstream(pair, body):
+    first, second = pair.vms
+    target = "/api/Instances.Heartbeat/i-odd"
+    assert await first.upstream.call_control(target, body) == 400
+    assert first.node.dispatcher.instance == first.upstream.instance
+    peer = second.node.fleet.peers_by_id[first.host]
+    seen_ms = second.node.clock.now_ms()
+    await until(lambda: peer.last_seen_ms > seen_ms, timeout_s=3.0)
+    assert (await first.call()).status == 200
+
+
+@pytest.mark.parametrize("body", [b'{"x":' + DEEP_JSON + b"}", heartbeat(born=LARGE)])
+async def test_an_odd_departure_is_refused(single, body):
+    vm = single.vms[0]
+    target = f"/api/Instances.Leave/{vm.upstream.instance}"
+    assert await vm.upstream.call_control(target, body) == 400
+    assert vm.node.dispatcher.state == "ready"
+
+
+async def test_an_odd_datagram_is_passed_over(single):
+    vm = single.vms[0]
+    data = b"\x95\x03\xa1n\x01\x90" + DEEP_MSGPACK[-10_000:]
+    with pytest.raises(msgspec.MsgspecError):
+        decode(data)
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        asyncio.DatagramProtocol, remote_addr=(vm.host, STATUS)
+    )
+    transport.sendto(data)
+    transport.close()
+    await asyncio.sleep(0.1)
+    assert (await vm.call()).status == 200
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b'{"version":"r1","x":' + DEEP_JSON + b"}",
+        document(version=LARGE),
+        document(version=-1),
+    ],
+    ids=["deep", "large", "negative"],
+)
+def test_an_odd_configuration_is_refused(text):
+    assert decode_configuration(text).is_err()
