--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -147,10 +147,15 @@
     def handle_departure(self, instance: str, start_ms: int | None) -> None:
         """Handle the announcement that the upstream leaves."""
         known = self.upstream.departures
-        if self.upstream.record_departure(instance, start_ms, self._clock.wall_ms()):
+        has_left = self.upstream.record_departure(
+            instance, start_ms, self._clock.wall_ms()
+        )
+        is_new = self.upstream.departures != known
+        if has_left:
             self._track_draining(self.upstream.state)
-        if self.upstream.departures != known:
+        if has_left or is_new:
             self._log.write("upstream leaves", instance=instance)
+        if is_new:
             self.on_change()
 
     def add_departures(self, departures: Iterable[UpstreamProcess]) -> None:
