Wait in a stop for a request that is read in part

A request whose first bytes came in one piece with the request before it was not known as being read: a stop closed its connection with the answer to the one before, and no timeout applied to its head.

--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -128,8 +128,7 @@
         """Parse received bytes."""
         if self._is_closing:
             return
-        if self._reading_since_ms is None:
-            self._reading_since_ms = self._state.clock.now_ms()
+        self._note_reading()
         try:
             self._parse(data)
         except httptools.HttpParserError:
@@ -206,6 +205,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for the next request."""
+        self._note_reading()
         self._reset()
 
     def on_url(self, url: bytes) -> None:
@@ -276,6 +276,10 @@
         ):
             self._transport.pause_reading()
 
+    def _note_reading(self) -> None:
+        if self._reading_since_ms is None:
+            self._reading_since_ms = self._state.clock.now_ms()
+
     def _limit_unfinished_head(self, n_bytes: int) -> None:
         """Reject a head whose single line is longer than all of a head may be."""
         if self._in_body or self._reading_since_ms is None:
--- a/tests/fleet/test_stop.py
+++ b/tests/fleet/test_stop.py
@@ -114,11 +114,14 @@
 async def test_pipelined_requests_are_all_answered_in_a_stop(pair):
     first = pair.vms[0]
     for vm in pair.vms:
-        vm.upstream.execution_s = 0.3
+        vm.upstream.execution_s = 0.1
     caller = await connect(first.host)
-    caller.transport.write(b"".join(request_bytes("/lookup/1") for _ in range(3)))
+    data = b"".join(request_bytes("/lookup/1") for _ in range(3))
+    caller.transport.write(data[:-20])
     await until(lambda: first.node.callers.n_active)
     stopping = asyncio.ensure_future(first.node.stop())
+    await asyncio.sleep(0.3)  # the third one is still read when the others have ended
+    caller.transport.write(data[-20:])
     async with asyncio.timeout(5.0):
         responses = [await caller.responses.get() for _ in range(3)]
     assert [response.status for response in responses] == [200] * 3
