Let the soak send slow requests and late heartbeats

A new kind of request runs for 2.5 s of 5 s, only once, and half of the departures come without draining and with a heartbeat that arrives late.

--- a/benchmarks/_soak_callers.py
+++ b/benchmarks/_soak_callers.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 
-from _soak_operator import KEYS
+from _soak_operator import KEYS, REPORT_TIMEOUT_MS
 from _soak_processes import SoakVm, now_ms
 from fleet_harness import Caller, connect, request_bytes
 
@@ -12,8 +12,10 @@
 
 PAUSE_S = 0.08  # between two requests of a caller, on average
 ORDER_SHARE = 0.4
+REPORT_SHARE = 0.02
 DEADLINE_MS = 2_000
 ANSWER_TIMEOUT_S = 4.0  # beyond it, the caller gives the connection up
+REPORT_TIMEOUT_S = 7.0
 RECONNECT_PAUSE_S = 0.05
 FAULT_MARGIN_MS = 300.0  # around a fault; its start is not known to the millisecond
 
@@ -58,8 +60,12 @@
 
     async def _call(self, connection: Caller) -> None:
         request_id = f"c{self._number}-{next(self._ids)}"
-        is_order = self._rng.random() < ORDER_SHARE
+        share = self._rng.random()
+        is_order = share < ORDER_SHARE
+        is_report = share > 1.0 - REPORT_SHARE
         path = f"/order/{request_id}" if is_order else f"/lookup/{request_id}"
+        if is_report:
+            path = f"/report/{request_id}"
         key = self._rng.choice(KEYS)
         sent_ms = now_ms()
         connection.transport.write(
@@ -69,11 +75,12 @@
                 body=b"x" * 50 if is_order else b"",
                 key=key,
                 request_id=request_id,
-                deadline_ms=DEADLINE_MS,
+                deadline_ms=REPORT_TIMEOUT_MS if is_report else DEADLINE_MS,
             )
         )
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            timeout_s = REPORT_TIMEOUT_S if is_report else ANSWER_TIMEOUT_S
+            async with asyncio.timeout(timeout_s):
                 response = await connection.responses.get()
             status, body = response.status, response.body
         except TimeoutError:
--- a/benchmarks/_soak_faults.py
+++ b/benchmarks/_soak_faults.py
@@ -13,6 +13,7 @@
 from ibisspoke_standins import fleet_upstream as upstreams
 
 DELAY_S = (0.02, 0.4)
+LATE_HEARTBEAT_S = 2.0  # until the upstream of a late heartbeat ends
 SLOW_EXECUTION_S = 0.5  # a hundred times the usual
 N_ROUTES_ADDED = 1_200
 N_RELOADS = 4
@@ -168,16 +169,24 @@
 
 @asynccontextmanager
 async def leaving_upstream(scene: FaultScene) -> AsyncIterator[None]:
-    """Drain the upstream, end it after the drain time, then start another."""
+    """Let the upstream leave, end it after the drain time, then start another.
+
+    It drains first, or it leaves at once and one of its heartbeats arrives late.
+    """
     vm, upstream = scene.vm, scene.vm.upstream
     if upstream is None:
         yield
         return
-    vm.upstream_state = "draining"
-    if await _is_acknowledged(upstream.announce("draining")):
+    drains = scene.rng.random() < 0.5
+    vm.upstream_state = "draining" if drains else "gone"
+    departure = upstream.announce("draining") if drains else upstream.leave()
+    if await _is_acknowledged(departure):
         scene.operator.departed_ms_by_instance[upstream.instance] = now_ms()
     yield
     await asyncio.sleep(2.5)
+    if not drains and vm.upstream is upstream:
+        await _is_acknowledged(upstream.announce("ready"))
+        await asyncio.sleep(LATE_HEARTBEAT_S)
     if vm.upstream is upstream:
         vm.upstream_state = "gone"
         await _is_acknowledged(upstream.leave())
--- a/benchmarks/_soak_operator.py
+++ b/benchmarks/_soak_operator.py
@@ -10,6 +10,7 @@
 
 KEYS = tuple(f"key-{number}" for number in range(1, 7))
 LASTING_KEY = KEYS[0]
+REPORT_TIMEOUT_MS = 5_000  # nearly as long as a stop may last
 
 
 class Operator:
@@ -37,7 +38,11 @@
         self._n_routes = max(self._n_routes, n_routes)
         self.version += 1
         keys = [key for key in KEYS if key not in self.withdrawn_ms_by_key]
-        routes = [route("lookup", "safe"), route("order", "non_idempotent")]
+        routes = [
+            route("lookup", "safe"),
+            route("order", "non_idempotent"),
+            route("report", "non_idempotent", timeoutMs=REPORT_TIMEOUT_MS),
+        ]
         routes += [route(f"idle-{number}", "safe") for number in range(self._n_routes)]
         tenants = [{"name": "acme", "apiKeys": keys, "priority": 1}]
         changed = document(self.version, routes=routes, tenants=tenants)
--- a/benchmarks/_soak_processes.py
+++ b/benchmarks/_soak_processes.py
@@ -71,6 +71,8 @@
 
 _instances = itertools.count(1)
 
+REPORT_EXECUTION_S = 2.5  # more than is left to a request that comes late in a stop
+
 
 class RetryBounds:
     """The bounds on retries of the whole fleet, as in the settings."""
@@ -273,6 +275,8 @@
             ran = behaviour is not upstreams.shed
             arrival = Arrival(request.id, upstream.instance, now_ms(), ran)
             self.arrivals.append(arrival)
+            if request.target.startswith("/report/"):
+                await asyncio.sleep(REPORT_EXECUTION_S)
             return await behaviour(upstream, request, writer)
 
         upstream.behaviour = respond
--- a/packages/standins/ibisspoke_standins/fleet_guarantees.py
+++ b/packages/standins/ibisspoke_standins/fleet_guarantees.py
@@ -6,6 +6,7 @@
 
 # An upstream gets no new request later than this after it has left; the users require
 # at most 2.5 s.
+RUN_ONCE_PATHS = ("/order/", "/report/")
 MAX_LEAVE_MS = 2_000.0
 MAX_WITHDRAWAL_MS = 5_000.0  # until a withdrawn key is rejected everywhere
 MIN_ANSWERED_SHARE = 0.99  # minimum share of requests answered once all faults are over
@@ -74,7 +75,7 @@
         violations.append(f"{request.id} was answered and never ran")
     if request.status in (401, 429, 503) and n_runs:
         violations.append(f"{request.id} got {request.status} and ran")
-    if request.path.startswith("/order/") and n_runs > 1:
+    if request.path.startswith(RUN_ONCE_PATHS) and n_runs > 1:
         violations.append(f"{request.id} ran {n_runs} times")
     if request.was_up and not request.status:
         violations.append(f"{request.id} got no answer")
--- a/tests/fleet/test_process_soak.py
+++ b/tests/fleet/test_process_soak.py
@@ -12,6 +12,7 @@
     5: "a run that never failed",
     31: "proofs of two newer versions ended the ticks with an error",
     32: "a change of the settings ended a node while it loaded",
+    104: "a stop cut off a slow request that came late in it",
 }
 
 
