--- a/packages/ctl/ibisspoke_ctl/explain.py
+++ b/packages/ctl/ibisspoke_ctl/explain.py
@@ -26,7 +26,9 @@
     "'store lost' at this node",
     "no_configuration": "the node had no configuration yet; look for 'store lost' "
     "after 'node started'",
-    "stopping": "the node was about to stop",
+    "stopping": "the node was about to stop, and it might not have ended before",
+    "bodies_too_large": "uploads took the memory of its node; look for large ones "
+    "at the same time",
     "dependency_overloaded": "a service that its route needs had no capacity left; "
     "look at ibisspoke_upstream_pressure and at the queues of the services it calls",
     "full": "no reachable upstream could have answered within half of its objective; "
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -1,27 +1,18 @@
 """This node's view of the other nodes and their upstreams."""
 
-import ipaddress
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from ibisspoke_policy.clock import Clock
-from ibisspoke_policy.decoding import Count, Slots, UnixMs
 from ibisspoke_policy.route_profile import Pace, RouteProfiles
 from ibisspoke_policy.upstream_choice import Candidate, Distance, choose, sample
 from ibisspoke_policy.upstream_queue import Load
-from ibisspoke_policy.upstream_tracker import (
-    UpstreamProcess,
-    UpstreamState,
-    has_departed,
-    merge_departures,
-)
 
 from .decision_log import DecisionLog
 from .frames import ConfigReply
+from .member_record import MemberRecord
 from .peer_link import NodeIncarnation, PeerLink
-from .settings import NodeSettings, Port
+from .settings import NodeSettings
 from .status_timeouts import StatusTimeouts
 
 LOCAL_RTT_MS = 1.0  # within a data centre; mostly two kernels and two event loops
@@ -32,63 +23,6 @@
 FIRST_STATUS_TIMEOUT_MS = 3_000.0  # until then, a node without statuses counts as alive
 
 
-class MemberRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A node's description of itself: a row of the store, and part of its statuses.
-
-    :param incarnation: when the node started, in Unix milliseconds.
-    :param revision: increases with each change in one incarnation.
-    :param state: whether the node takes requests for its upstream.
-    :param born_ms: when the upstream started, in Unix milliseconds.
-    :param is_leaving: whether the upstream has announced that it leaves; a node that
-        restarts on this VM must not consider it ready.
-    :param departures: the upstreams of this VM that have left, the latest ones. Other
-        nodes may have added some that the node itself does not know.
-    """
-
-    node: str
-    incarnation: UnixMs
-    revision: Count
-    region: str
-    data_centre: str
-    link_port: Port
-    status_port: Port
-    service: str
-    instance: str
-    n_slots: Slots
-    state: UpstreamState
-    born_ms: UnixMs = 0
-    is_leaving: bool = False
-    departures: tuple[UpstreamProcess, ...] = ()
-
-    def __post_init__(self) -> None:
-        """Check that the node is named by its address.
-
-        :raises ValueError: if it is not; decoders raise ``msgspec.ValidationError``.
-        """
-        ipaddress.ip_address(self.node)
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether the node takes requests for its upstream, which has not left."""
-        if self.state is not UpstreamState.READY:
-            return False
-        upstream = UpstreamProcess(self.instance, self.born_ms)
-        return not self.departures or not has_departed(upstream, self.departures)
-
-    @property
-    def all_departures(self) -> tuple[UpstreamProcess, ...]:
-        """The departures, also in a record of a version that has only a flag."""
-        if not self.is_leaving or not self.instance:
-            return self.departures
-        upstream = UpstreamProcess(self.instance, self.born_ms)
-        return merge_departures(self.departures, [upstream])
-
-    @property
-    def order(self) -> tuple[int, int]:
-        """Sort key; a record with a higher key replaces one with a lower key."""
-        return (self.incarnation, self.revision)
-
-
 class Peer:
     """Another node, with its link and its latest status.
 
@@ -226,9 +160,9 @@
             return None
         peer = self.peers_by_id.get(record.node)
         if peer is not None:
-            record = _with_departures(record, peer.record.all_departures)
+            record = record.with_departures(peer.record.all_departures)
         if peer is not None and record.order <= peer.record.order:
-            peer.record = _with_departures(peer.record, record.departures)
+            peer.record = peer.record.with_departures(record.departures)
             return peer
         if peer is not None and record.incarnation == peer.record.incarnation:
             if peer.record.instance != record.instance:
@@ -460,12 +394,3 @@
 
 def _serves(record: MemberRecord, service: str) -> bool:
     return record.service == service and record.is_ready
-
-
-def _with_departures(
-    record: MemberRecord, departures: tuple[UpstreamProcess, ...]
-) -> MemberRecord:
-    if not departures or departures == record.departures:
-        return record
-    merged = merge_departures(record.departures, departures)
-    return msgspec.structs.replace(record, departures=merged)
--- a/packages/mesh/ibisspoke_mesh/member_rows.py
+++ b/packages/mesh/ibisspoke_mesh/member_rows.py
@@ -4,12 +4,10 @@
 import random
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Any
 
 import msgspec
 from result import Err, Ok
 
-from ibisspoke_policy.decoding import decode_untrusted
 from ibisspoke_policy.upstream_tracker import UpstreamProcess
 from ibisspoke_storage.store import (
     Check,
@@ -20,7 +18,8 @@
 )
 
 from .decision_log import DecisionLog
-from .fleet import Fleet, MemberRecord
+from .fleet import Fleet
+from .member_record import MemberRecord, decode_record, encode_record
 from .store import WatchedTables
 
 MEMBER_TABLE = "members"
@@ -32,10 +31,6 @@
 MAX_SECOND_READ_MS = 1_500.0
 SAVE_WAIT_MS = 300.0  # upstreams wait 1 s; a slow store takes 240 ms
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(list[Any])
-_earlier_decoder = msgspec.json.Decoder(MemberRecord)
-
 
 class MemberRows:
     """Keeps this node's row up to date, and reads the rows of other nodes.
@@ -225,28 +220,6 @@
         return record
 
 
-def encode_record(record: MemberRecord) -> bytes:
-    """Encode a record for a row, without the names of its fields.
-
-    After a failure of all nodes they read all rows at the same moment, many of them
-    over the link between regions.
-    """
-    return _encoder.encode(msgspec.structs.astuple(record))
-
-
-def decode_record(value: bytes) -> MemberRecord:
-    """Decode the record of a row, which an earlier version may have written.
-
-    :raises msgspec.MsgspecError: if it is not valid.
-    """
-    if value.startswith(b"{"):
-        return decode_untrusted(_earlier_decoder.decode, value)
-    names = MemberRecord.__struct_fields__
-    values = decode_untrusted(_decoder.decode, value)
-    fields = dict(zip(names, values, strict=False))
-    return msgspec.convert(fields, MemberRecord)
-
-
 def _pause_s(n_failed: int) -> float:
     pause_ms: float = min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** min(n_failed, 4))
     return random.uniform(0.5, 1.0) * pause_ms / 1000.0
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -26,7 +26,8 @@
 from .config_verifier import ConfigVerifier
 from .decision_log import DecisionLog, PipeHandler
 from .dialect import Dialect
-from .fleet import Fleet, MemberRecord
+from .fleet import Fleet
+from .member_record import MemberRecord
 from .member_rows import MemberRows
 from .metrics import NodeMetrics
 from .node_gauges import gauges
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -16,8 +16,9 @@
 from .caller_server import CallerRequest, CallerResponse
 from .decision_log import DecisionLog
 from .dialect import HOP_BY_HOP, Dialect
-from .fleet import Fleet, MemberRecord
+from .fleet import Fleet
 from .frames import Attempt, Outcome, OutcomeKind
+from .member_record import MemberRecord
 from .metrics import NodeMetrics
 from .rate_homes import RateHomes
 from .request_admission import (
--- a/packages/mesh/ibisspoke_mesh/status_exchange.py
+++ b/packages/mesh/ibisspoke_mesh/status_exchange.py
@@ -13,7 +13,8 @@
 from .config_state import ConfigState
 from .decision_log import DecisionLog
 from .digest_spread import Address, DigestSpread
-from .fleet import Fleet, MemberRecord, Peer
+from .fleet import Fleet, Peer
+from .member_record import MemberRecord
 from .node_ranks import NodeRanks
 from .status_messages import (
     Digest,
--- a/packages/mesh/ibisspoke_mesh/status_messages.py
+++ b/packages/mesh/ibisspoke_mesh/status_messages.py
@@ -9,7 +9,7 @@
 from ibisspoke_policy.shared_rate import Usage
 from ibisspoke_policy.upstream_queue import Load
 
-from .fleet import MemberRecord
+from .member_record import MemberRecord
 
 CHECKSUM_MASK = 0xFFFFFF  # short, yet collisions of organisations are unlikely
 
--- a/packages/mesh/ibisspoke_mesh/status_relay.py
+++ b/packages/mesh/ibisspoke_mesh/status_relay.py
@@ -9,7 +9,8 @@
 
 from ._digest_sections import datagrams, node_load, split_section
 from .config_state import ConfigState
-from .fleet import Fleet, MemberRecord, Peer
+from .fleet import Fleet, Peer
+from .member_record import MemberRecord
 from .node_ranks import N_RELAYS, NodeRanks
 from .status_messages import (
     Digest,
--- a/packages/mesh/tests/model_fleet.py
+++ b/packages/mesh/tests/model_fleet.py
@@ -7,7 +7,8 @@
 from ibisspoke_mesh.config_requester import ConfigRequester
 from ibisspoke_mesh.config_state import ConfigState
 from ibisspoke_mesh.decision_log import DecisionLog
-from ibisspoke_mesh.fleet import Fleet, MemberRecord
+from ibisspoke_mesh.fleet import Fleet
+from ibisspoke_mesh.member_record import MemberRecord
 from ibisspoke_mesh.node_ranks import N_RELAYS, NodeRanks
 from ibisspoke_mesh.peer_link import NodeIncarnation
 from ibisspoke_mesh.settings import NodeSettings
--- a/packages/mesh/tests/test_departures.py
+++ b/packages/mesh/tests/test_departures.py
@@ -4,7 +4,7 @@
 import pytest
 from model_fleet import ModelNode, record
 
-from ibisspoke_mesh.fleet import MemberRecord
+from ibisspoke_mesh.member_record import MemberRecord
 from ibisspoke_policy.clock import ManualClock
 from ibisspoke_policy.upstream_tracker import UpstreamProcess, UpstreamState
 
--- a/packages/mesh/tests/test_member_rows.py
+++ b/packages/mesh/tests/test_member_rows.py
@@ -4,7 +4,7 @@
 import pytest
 from model_fleet import record
 
-from ibisspoke_mesh.member_rows import decode_record, encode_record
+from ibisspoke_mesh.member_record import decode_record, encode_record
 from ibisspoke_policy.upstream_tracker import UpstreamState
 
 OWN = record(258, ("sv-a", "svealand"))
--- a/packages/mesh/tests/test_status_dissemination.py
+++ b/packages/mesh/tests/test_status_dissemination.py
@@ -16,7 +16,7 @@
     record,
 )
 
-from ibisspoke_mesh.fleet import MemberRecord
+from ibisspoke_mesh.member_record import MemberRecord
 from ibisspoke_mesh.node_ranks import N_RELAYS
 from ibisspoke_mesh.status_messages import (
     Digest,
--- a/tests/fleet/test_odd_entries.py
+++ b/tests/fleet/test_odd_entries.py
@@ -20,7 +20,7 @@
 )
 
 from ibisspoke_adapter.configuration import decode_configuration
-from ibisspoke_mesh.member_rows import encode_record
+from ibisspoke_mesh.member_record import encode_record
 from ibisspoke_mesh.status_messages import decode
 
 DEPTH = 40_000  # larger bodies are refused for their size
