Bound the numbers of statuses that nodes pass on

A status with a service time, failure share, pressure or cold time near 2^64 was read into a float, and a relay could not encode it again: each of its periodic checks ended with an OverflowError until the sender reported another number.

Numbers in datagrams are bounded when they are decoded, and a load that came over a link is packed within the same bound, also if it is not a number.

test_odd_entries: 4 of 7 new cases failed before, and pass now.

--- a/packages/mesh/ibisspoke_mesh/status_messages.py
+++ b/packages/mesh/ibisspoke_mesh/status_messages.py
@@ -2,6 +2,7 @@
 
 import zlib
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
@@ -13,8 +14,12 @@
 
 CHECKSUM_MASK = 0xFFFFFF  # short, yet collisions of organisations are unlikely
 
+MAX_FIGURE = 2**53  # floats hold it, and sums of a few still fit a message
+Figure = Annotated[int, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
 
-PackedLoad = tuple[int, int, int, int, int, tuple[tuple[str, int], ...]]
+PackedLoad = tuple[
+    Figure, Figure, Figure, Figure, Figure, tuple[tuple[str, Figure], ...]
+]
 # A slot, and for each organisation the checksum of its name and three counts.
 PackedUsages = tuple[int, list[tuple[int, int, int, int]]]
 
@@ -36,7 +41,7 @@
     revision: int
     record: MemberRecord | None
     load: PackedLoad
-    cold_ms: int
+    cold_ms: Figure
     totals: list[tuple[int, int, int]]
     version: int
     has_lost_store: bool
@@ -66,9 +71,9 @@
 
     node: str
     incarnation: int
-    age_ms: int
+    age_ms: Figure
     load: PackedLoad
-    cold_ms: int
+    cold_ms: Figure
     has_lost_store: bool
 
 
@@ -77,7 +82,7 @@
 
     node: str
     incarnation: int
-    silent_ms: int
+    silent_ms: Figure
 
 
 class Section(msgspec.Struct, array_like=True, frozen=True):
@@ -90,7 +95,7 @@
     """
 
     data_centre: str
-    age_ms: int
+    age_ms: Figure
     loads: list[NodeLoad]
     records: list[MemberRecord]
     lost: list[LostNode]
@@ -151,12 +156,17 @@
         load.n_running,
         load.n_queued,
         load.limit,
-        int(load.service_ms),
-        int(load.failure_share * 1000.0),
-        tuple((route, int(share * 1000.0)) for route, share in load.pressures),
+        _packed(load.service_ms),
+        _packed(load.failure_share * 1000.0),
+        tuple((route, _packed(share * 1000.0)) for route, share in load.pressures),
     )
 
 
+def _packed(value: float) -> int:
+    """Return a number as an integer that a message can carry; 0 if it is none."""
+    return int(min(MAX_FIGURE, max(0.0, value)))  # max() prefers 0 to NaN
+
+
 def unpack_load(packed: PackedLoad) -> Load:
     """Return the load from the result of :func:`packed_load`."""
     n_running, n_queued, limit, service_ms, failures, pressures = packed
--- a/tests/fleet/test_odd_entries.py
+++ b/tests/fleet/test_odd_entries.py
@@ -21,7 +21,7 @@
 
 from ibisspoke_adapter.configuration import decode_configuration
 from ibisspoke_mesh.member_record import encode_record
-from ibisspoke_mesh.status_messages import decode
+from ibisspoke_mesh.status_messages import NodeStatus, Status, decode, encode
 
 DEPTH = 40_000  # larger bodies are refused for their size
 DEEP_JSON = b"[" * DEPTH + b"]" * DEPTH
@@ -121,6 +121,49 @@
     assert (await vm.call()).status == 200
 
 
+LIMIT = 2**64 - 1  # of integers in MessagePack
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"load": (LIMIT, 0, 8, 5, 0, ())},
+        {"load": (0, 0, 8, LIMIT, 0, ())},
+        {"load": (0, 0, 8, 5, LIMIT, ())},
+        {"load": (0, 0, 8, 5, 0, (("lookup", LIMIT),))},
+        {"cold_ms": LIMIT},
+        {"version": LIMIT},
+        {"usages": [(LIMIT, [(1, LIMIT, LIMIT, LIMIT)])]},
+    ],
+    ids=["running", "service", "failures", "pressure", "cold", "version", "usages"],
+)
+async def test_an_odd_status_does_not_stop_a_relay(pair, caplog, changes):
+    # Guards against numbers that a relay cannot send on, in its periodic checks.
+    first, second = pair.vms
+    own = second.node.fleet.own
+    fields = {"load": (0, 0, 8, 5, 0, ()), "cold_ms": 0, "version": 1, "usages": []}
+    fields.update(changes)
+    status = NodeStatus(
+        own.node,
+        own.incarnation,
+        own.revision,
+        None,
+        totals=[],
+        has_lost_store=False,
+        **fields,
+    )
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        asyncio.DatagramProtocol, remote_addr=(first.host, STATUS)
+    )
+    for _ in range(20):
+        transport.sendto(encode(Status(status, 0, 0, 0)))
+        await asyncio.sleep(0.05)
+    transport.close()
+    assert not [line for line in caplog.records if line.message == "loop failed"]
+    assert (await first.call()).status == 200
+
+
 @pytest.mark.parametrize(
     "text",
     [
