Skip single malformed rows of the store, and let a node keep its own record

One row with a field of another type, a value that is not base64, or one nested too deeply made the whole page of the store unreadable. After a restart of all nodes none found another, and each refused what other services should run. A record with a later incarnation under the key of a live node replaced it for good, and one with a departure out of range stopped the periodic checks of each node that read it.

A malformed row is skipped, counted (bad_rows) and logged with its key; the key still counts where it can be read. A node whose row conflicts with the version that it shows writes it without that condition, and writes it again when a read shows that another writer has replaced it. Names and departures in records are bounded, addresses of another family or of no single node are refused, and a node that meets a later record of itself publishes a still later one.

--- a/packages/mesh/ibisspoke_mesh/config_state.py
+++ b/packages/mesh/ibisspoke_mesh/config_state.py
@@ -26,6 +26,7 @@
     :param key: key of the row that holds the configuration.
     :param decode: decodes the row's value to a route table, or returns an error.
     :param on_adopted: called with the route table after each change.
+    :param on_unreadable: called when a document cannot be decoded.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         clock: Clock,
         log: DecisionLog,
         on_adopted: Callable[[RouteTable], None],
+        on_unreadable: Callable[[], None] = lambda: None,
     ) -> None:
         self.table: RouteTable | None = None
         self.freshness = ConfigFreshness()
@@ -44,6 +46,7 @@
         self._clock = clock
         self._log = log
         self._on_adopted = on_adopted
+        self._on_unreadable = on_unreadable
         self._document = b""
         self._reply: ConfigReply | None = None
         self._is_proven = False
@@ -133,9 +136,11 @@
     def _adopt(self, document: bytes, row_version: int, source: str) -> bool:
         decoded = self._decode(document)
         if isinstance(decoded, Err):
+            self._on_unreadable()
             self._log.write(
                 "configuration unreadable",
                 source=source,
+                key=self.key,
                 detail=decoded.err_value,
                 in_force=self.version,
             )
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -1,5 +1,6 @@
 """This node's view of the other nodes and their upstreams."""
 
+import ipaddress
 import random
 from collections.abc import Callable
 
@@ -20,6 +21,10 @@
 OTHER_REGION_RTT_MS = 42.0  # twice the one-way delay between regions that users state
 PRESSURE_VALIDITY_MS = 50.0  # shorter than the shedding steps that depend on it
 MAX_PRESSURE_ROUTES = 1_000
+# Of a record, the time of its node's start; in the year 3084. Clocks may be wrong, but
+# a node must be able to replace a record under its key by a later one.
+MAX_INCARNATION_MS = 2**45
+BROADCAST = ipaddress.ip_address("255.255.255.255")
 FIRST_STATUS_TIMEOUT_MS = 3_000.0  # until then, a node without statuses counts as alive
 
 
@@ -87,6 +92,7 @@
     """All other nodes, by id.
 
     :ivar n_membership_changes: how often a node was added, removed or replaced.
+    :ivar on_usurped: called with a record of this node that is later than its own.
     :ivar own_load: returns the load of this node's upstream.
     :param on_config: called with a configuration that another node sent.
     """
@@ -111,9 +117,11 @@
         self.own: MemberRecord | None = None
         self.profiles = RouteProfiles()
         self._own_pace = Pace()
+        self.on_usurped: Callable[[MemberRecord], None] = lambda _: None
         self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, 0.0, 0.0, ())
         self.own_cold_until_ms = 0.0
         self._settings = settings
+        self._ip_version = ipaddress.ip_address(settings.host).version
         self._own_incarnation = own_incarnation
         self._clock = clock
         self._log = log
@@ -148,15 +156,39 @@
         record = self.record_of(node)
         return record.order if record is not None else None
 
+    def is_own(self, record: MemberRecord) -> bool:
+        """Return whether a record is of this node."""
+        return record.node == self._settings.host
+
+    def fault_of(self, record: MemberRecord) -> str | None:
+        """Return why a record cannot be used, or None if it can."""
+        if record.incarnation > MAX_INCARNATION_MS:
+            return f"its incarnation is far in the future: {record.incarnation}"
+        address = ipaddress.ip_address(record.node)
+        if address.version != self._ip_version:
+            return "its address is of another family"
+        is_broad = address.is_multicast or address == BROADCAST
+        if "%" in record.node or address.is_unspecified or is_broad:
+            return "its address is not that of one node"
+        return None
+
     def update_record(self, record: MemberRecord) -> Peer | None:
         """Add or update a node by a record from the store or from a node.
 
         The departures of both records are kept, since the node may have restarted
         without knowing of them.
 
-        :returns: the node, or None if the record is this node's own.
+        :returns: the node, or None if the record is this node's own or cannot be used.
         """
-        if record.node == self._settings.host:
+        known = self.record_of(record.node)
+        is_later = known is None or record.order > known.order
+        fault = self.fault_of(record) if is_later else None
+        if fault is not None:
+            self._log.write("record unusable", peer=record.node, detail=fault)
+            return None
+        if self.is_own(record):
+            if known is not None and is_later:
+                self.on_usurped(record)
             return None
         peer = self.peers_by_id.get(record.node)
         if peer is not None:
--- a/packages/mesh/ibisspoke_mesh/member_record.py
+++ b/packages/mesh/ibisspoke_mesh/member_record.py
@@ -1,12 +1,13 @@
 """A node's description of itself, and its encoding as a row."""
 
 import ipaddress
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
-from ibisspoke_policy.decoding import Count, Slots, UnixMs, decode_untrusted
+from ibisspoke_policy.decoding import Count, Name, Slots, UnixMs, decode_untrusted
 from ibisspoke_policy.upstream_tracker import (
+    MAX_DEPARTURES,
     UpstreamProcess,
     UpstreamState,
     has_departed,
@@ -15,6 +16,10 @@
 
 from .settings import Port
 
+Departures = Annotated[
+    tuple[UpstreamProcess, ...], msgspec.Meta(max_length=4 * MAX_DEPARTURES)
+]
+
 
 class MemberRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """A node's description of itself: a row of the store, and part of its statuses.
@@ -32,17 +37,17 @@
     node: str
     incarnation: UnixMs
     revision: Count
-    region: str
-    data_centre: str
+    region: Name
+    data_centre: Name
     link_port: Port
     status_port: Port
-    service: str
-    instance: str
+    service: Name
+    instance: Name
     n_slots: Slots
     state: UpstreamState
     born_ms: UnixMs = 0
     is_leaving: bool = False
-    departures: tuple[UpstreamProcess, ...] = ()
+    departures: Departures = ()
 
     def __post_init__(self) -> None:
         """Check that the node is named by its address.
@@ -59,6 +64,17 @@
         upstream = UpstreamProcess(self.instance, self.born_ms)
         return not self.departures or not has_departed(upstream, self.departures)
 
+    @property
+    def contradicts_itself(self) -> bool:
+        """Whether its upstream is ready and has departed.
+
+        No node writes such a row. Copies at other nodes may be such, since these keep
+        the departures that a node which has restarted does not know.
+        """
+        upstream = UpstreamProcess(self.instance, self.born_ms)
+        is_ready = self.state is UpstreamState.READY
+        return is_ready and has_departed(upstream, self.departures)
+
     @property
     def all_departures(self) -> tuple[UpstreamProcess, ...]:
         """The departures, also in a record of a version that has only a flag."""
--- a/packages/mesh/ibisspoke_mesh/member_rows.py
+++ b/packages/mesh/ibisspoke_mesh/member_rows.py
@@ -20,7 +20,8 @@
 from .decision_log import DecisionLog
 from .fleet import Fleet
 from .member_record import MemberRecord, decode_record, encode_record
-from .store import WatchedTables
+from .metrics import NodeMetrics
+from .store import UNKNOWN_VERSION, WatchedTables
 
 MEMBER_TABLE = "members"
 MIN_PAUSE_MS = 200.0  # after a failed call; random, since all nodes may retry at once
@@ -53,6 +54,7 @@
         is_introduced: Callable[[], bool],
         on_new_nodes: Callable[[], None],
         on_previous_record: Callable[[MemberRecord | None], None],
+        metrics: NodeMetrics,
     ) -> None:
         self._store = store
         self._fleet = fleet
@@ -60,6 +62,7 @@
         self._is_introduced = is_introduced
         self._on_new_nodes = on_new_nodes
         self._on_previous_record = on_previous_record
+        self._metrics = metrics
         self.previous_record_known = asyncio.Event()
         self._row_version = 0
         self._saved = asyncio.Event()
@@ -137,12 +140,14 @@
         """Replace or remove the row, on condition that it has the last known version.
 
         A write that got no response may still be applied later. The condition prevents
-        it from overwriting a newer one.
+        it from overwriting a newer one. There is no such condition for a row of which
+        no version can be read, since nothing else would ever replace it.
         """
         key = _key(node)
-        result = await self._store.commit(
-            [Check(key, self._row_version)], [Write(key, value)]
-        )
+        checks = [Check(key, self._row_version)]
+        if self._row_version == UNKNOWN_VERSION:
+            checks = []
+        result = await self._store.commit(checks, [Write(key, value)])
         if isinstance(result, Ok):
             is_removed = value is None
             self._row_version = 0 if is_removed else result.ok_value[0].version
@@ -152,7 +157,11 @@
             latest = await self._store.read(key)
             if isinstance(latest, Err):
                 return latest.err_value
-            self._row_version = latest.ok_value.version
+            version = latest.ok_value.version
+            # A row that conflicts with the version that it shows is malformed, and so
+            # is one that conflicts but does not show at all.
+            is_malformed = version == self._row_version
+            self._row_version = UNKNOWN_VERSION if is_malformed else version
         return error
 
     async def poll(self) -> None:
@@ -187,18 +196,24 @@
             record = self._decode(row)
             if own is not None and row.key == own.node:
                 own_row = row
-            elif record is not None:
+            if record is not None:
                 self._fleet.update_record(record)
         keys = {row.key for row in rows}
         for node in known - keys:
             self._fleet.remove_node(node)
         if not self.previous_record_known.is_set():
             self._restore_previous(own_row)
-        elif own is not None and self._written_order is not None and own_row is None:
+        elif self._written_order is not None and self._is_replaced(own_row):
             self.publish()
         if set(self._fleet.peers_by_id) - known:
             self._on_new_nodes()
 
+    def _is_replaced(self, row: TableRow | None) -> bool:
+        """Return whether another writer has removed or replaced this node's row."""
+        if row is None or row.version == UNKNOWN_VERSION:
+            return True
+        return row.version > self._row_version
+
     def _restore_previous(self, row: TableRow | None) -> None:
         """Pass on the row that an earlier process of this VM has written."""
         self._row_version = row.version if row is not None else 0
@@ -208,16 +223,24 @@
         self.previous_record_known.set()
 
     def _decode(self, row: TableRow) -> MemberRecord | None:
+        """Return the record of a row, or None if it is malformed and skipped."""
         try:
             record = decode_record(row.value)
+            fault = self._fault_of(row.key, record)
+            if fault is None:
+                return record
         except msgspec.MsgspecError as error:
-            self._log.write("member row unreadable", key=row.key, detail=str(error))
-            return None
-        if record.node != row.key:
-            detail = f"it names another node: {record.node}"
-            self._log.write("member row unreadable", key=row.key, detail=detail)
-            return None
-        return record
+            fault = str(error)
+        self._metrics.count_bad_row(MEMBER_TABLE, "record")
+        self._log.write("member row unreadable", key=row.key, detail=fault)
+        return None
+
+    def _fault_of(self, key: str, record: MemberRecord) -> str | None:
+        if record.node != key:
+            return f"it names another node: {record.node}"
+        if record.contradicts_itself:
+            return "its upstream is ready and has departed"
+        return self._fleet.fault_of(record)
 
 
 def _pause_s(n_failed: int) -> float:
--- a/packages/mesh/ibisspoke_mesh/metrics.py
+++ b/packages/mesh/ibisspoke_mesh/metrics.py
@@ -39,6 +39,8 @@
     :ivar retries: requests sent to another node, by outcome of the earlier attempt.
     :ivar rate_decisions: requests of organisations with a rate, by decision.
     :ivar store_calls: calls to the store, by call and outcome.
+    :ivar bad_rows: rows of the store that were skipped, by table and what is malformed:
+        the ``row`` itself, or the ``record`` or ``configuration`` in it.
     :ivar answer_times: from the complete request to its response, by priority.
     :ivar queue_times: in the queue of the upstream of this VM.
     :ivar upstream_times: at the upstream of this VM.
@@ -54,6 +56,7 @@
         self.retries: Counter[Labels] = Counter()
         self.rate_decisions: Counter[Labels] = Counter()
         self.store_calls: Counter[Labels] = Counter()
+        self.bad_rows: Counter[Labels] = Counter()
         self.answer_times: dict[str, TimeHistogram] = {}
         self.queue_times = TimeHistogram()
         self.upstream_times = TimeHistogram()
@@ -85,6 +88,10 @@
         self.attempt_ms[label, "queued"] += round(queued_ms)
         self.attempt_ms[label, "running"] += round(running_ms)
 
+    def count_bad_row(self, table: str, part: str) -> None:
+        """Count a row of the store that was skipped."""
+        self.bad_rows[table, part] += 1
+
     def count_refusal(self, status: int, reason: str) -> None:
         """Count a response of the node itself."""
         self.refusals[str(status), reason[:MAX_REASON_CHARS]] += 1
--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -96,6 +96,12 @@
             ["call", "outcome"],
             metrics.store_calls,
         )
+        yield _counter(
+            "bad_rows",
+            "Rows of the store that were skipped.",
+            ["table", "part"],
+            metrics.bad_rows,
+        )
         yield _histogram(
             "answer",
             "From a whole request to its answer.",
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -110,10 +110,16 @@
         # Slots of rates follow the wall clock of the start, whatever its later steps.
         self._slot_origin_ms = clock.wall_ms() - clock.boot_ms()
         self.config = ConfigState(
-            adapter.config_key, adapter.decode_config, clock, self.log, self._on_adopted
+            adapter.config_key,
+            adapter.decode_config,
+            clock,
+            self.log,
+            self._on_adopted,
+            lambda: metrics.count_bad_row(adapter.config_table, "configuration"),
         )
         self.config_replies = ConfigReplies(self.config)
         self.fleet = Fleet(settings, own, clock, self.log, rng, self.config.apply_reply)
+        self.fleet.on_usurped = self._replace_usurper
         self.pool = UpstreamPool(*settings.upstream, adapter.dialect, clock)
         self.dispatcher = UpstreamDispatcher(
             settings.service,
@@ -169,6 +175,7 @@
             lambda: self.status_receiver.is_introduced,
             lambda: self.status.broadcast(),
             self._restore_departures,
+            metrics,
         )
         self.ranks = NodeRanks(self.fleet, clock, rng)
         self.config_requester = ConfigRequester(self.config, clock)
@@ -385,6 +392,22 @@
         await self.copies.recall()
         self.dispatcher.complete_departures()
 
+    def _replace_usurper(self, record: MemberRecord) -> None:
+        """Publish a record that replaces one that another writer left for this node.
+
+        An earlier process whose clock was ahead may also have written it. A process
+        that stops is not replaced by another one's later record.
+        """
+        if self._stopping_ms is not None:
+            return
+        self.log.write(
+            "own record replaced",
+            incarnation=record.incarnation,
+            own_incarnation=self._incarnation,
+        )
+        self._incarnation = record.incarnation + 1
+        self._publish_change()
+
     def _publish_change(self) -> None:
         """Update this node's record, and publish it to other nodes and the store."""
         settings, upstream = self.settings, self.dispatcher.upstream
--- a/packages/mesh/ibisspoke_mesh/status_receiver.py
+++ b/packages/mesh/ibisspoke_mesh/status_receiver.py
@@ -89,7 +89,8 @@
         unknown: list[str] = []
         for section in digest.sections:
             for record in section.records:
-                if self._fleet.update_record(record) is None:
+                self._fleet.update_record(record)
+                if self._fleet.is_own(record):
                     self.on_own_copy(digest.node, record.all_departures)
             for load in section.loads:
                 if not self._apply_load(load, now_ms):
--- a/packages/mesh/ibisspoke_mesh/store.py
+++ b/packages/mesh/ibisspoke_mesh/store.py
@@ -6,6 +6,8 @@
 
 from ibisspoke_storage.store import StoreError, TableRow, TableService
 
+UNKNOWN_VERSION = -1  # of a row whose version cannot be read
+
 
 class Changes(NamedTuple):
     """All rows of a table, or those that changed after a version.
--- a/packages/policy/ibisspoke_policy/decoding.py
+++ b/packages/policy/ibisspoke_policy/decoding.py
@@ -10,6 +10,8 @@
 # Integers that every message between nodes can carry.
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 UnixMs = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+# Records of nodes with several names must fit a datagram.
+Name = Annotated[str, msgspec.Meta(max_length=1_000)]
 Slots = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 
 
--- a/packages/policy/ibisspoke_policy/upstream_tracker.py
+++ b/packages/policy/ibisspoke_policy/upstream_tracker.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from .decoding import Name, UnixMs
+
 # Of the upstreams of one VM. Heartbeats of an earlier one are seconds late at most.
 MAX_DEPARTURES = 4
 
@@ -37,8 +39,8 @@
 class UpstreamProcess(NamedTuple):
     """One process of an upstream; a later one may have the same id."""
 
-    instance: str
-    start_ms: int
+    instance: Name
+    start_ms: UnixMs
 
 
 def merge_departures(
--- a/packages/standins/ibisspoke_standins/fleet_store.py
+++ b/packages/standins/ibisspoke_standins/fleet_store.py
@@ -32,6 +32,7 @@
         self._version = 0
         self._rows_by_table: dict[str, dict[str, tuple[str, int]]] = {}
         self._removed_by_table: dict[str, dict[str, int]] = {}
+        self._raw_by_id: dict[tuple[str, str], str] = {}
         self._changed = asyncio.Condition()
 
     def __repr__(self) -> str:
@@ -56,11 +57,26 @@
         """Return the keys of a table."""
         return set(self._rows_by_table.get(table, {}))
 
+    def value(self, table: str, key: str) -> bytes | None:
+        """Return the value of a row, or None if it is missing or malformed."""
+        if (table, key) in self._raw_by_id:
+            return None
+        row = self._rows_by_table.get(table, {}).get(key)
+        return base64.b64decode(row[0]) if row is not None else None
+
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row unconditionally, as an operator does."""
         encoded = base64.b64encode(value).decode()
         await self._apply([{"table": table, "key": key, "value": encoded}], [])
 
+    async def put_raw(self, table: str, key: str, message: str) -> None:
+        """Hold a row that is sent as ``message``, until it is written again.
+
+        :param message: takes the place of the row's JSON object; need not be valid.
+        """
+        await self._apply([{"table": table, "key": key, "value": ""}], [])
+        self._raw_by_id[table, key] = message
+
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Answer a request under the active faults."""
         self.n_calls += 1
@@ -125,9 +141,11 @@
         for write in writes:
             table = self._rows_by_table.setdefault(write["table"], {})
             table[write["key"]] = (write["value"], self._version)
+            self._raw_by_id.pop((write["table"], write["key"]), None)
             self._removed_by_table.get(write["table"], {}).pop(write["key"], None)
         for removal in removals:
             self._rows_by_table.get(removal["table"], {}).pop(removal["key"], None)
+            self._raw_by_id.pop((removal["table"], removal["key"]), None)
             removed = self._removed_by_table.setdefault(removal["table"], {})
             removed[removal["key"]] = self._version
         async with self._changed:
@@ -149,13 +167,15 @@
         return sorted(changed, key=lambda row: int(row["rowVersion"]))
 
     def _page(self, rows: list[dict[str, Any]], has_more: bool) -> CallerResponse:
-        page = {
-            "rows": rows,
-            "hasMore": has_more,
-            "rowVersion": self._version,
-            "nowMs": 0,
-        }
-        return CallerResponse(200, JSON_HEADER, json.dumps(page).encode())
+        messages = [
+            self._raw_by_id.get((row["table"], row["key"])) or json.dumps(row)
+            for row in rows
+        ]
+        page = (
+            f'{{"rows": [{", ".join(messages)}], "hasMore": {json.dumps(has_more)}, '
+            f'"rowVersion": {self._version}, "nowMs": 0}}'
+        )
+        return CallerResponse(200, JSON_HEADER, page.encode("utf-8", "surrogateescape"))
 
 
 def _row_message(table: str, key: str, value: str, version: int) -> dict[str, Any]:
