Take an answer with an odd status for a failed attempt

Statuses 000, 600 to 999 and, for HEAD, 1xx reached callers; others below 200 with a body left their request to its deadline. The status is checked when the head is complete, and again in the outcome of another node. A failed attempt may have run: 502, or another upstream for a safe request.

--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -13,6 +13,7 @@
 LENGTH = struct.Struct("!I")
 MIN_APART_BYTES = 64 * 1024  # bodies that are not copied into their frame
 MAX_FRAME_BYTES = 96 * 1024 * 1024  # fits the largest body that callers may send
+FINAL_STATUSES = range(200, 600)  # of answers that callers may get
 
 
 class OutcomeKind(IntEnum):
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -9,6 +9,7 @@
 
 from .decision_log import DecisionLog
 from .frames import (
+    FINAL_STATUSES,
     Attempt,
     Call,
     Cancel,
@@ -233,7 +234,7 @@
             self._on_load(frame.load)
             pending = self._pending.get(frame.stream)
             if pending is not None and not pending.ended.done():
-                pending.ended.set_result(frame.outcome)
+                pending.ended.set_result(_checked(frame.outcome))
         elif isinstance(frame, RateReply):
             answered = self._rate_answers.get(frame.stream)
             if answered is not None and not answered.done():
@@ -357,5 +358,16 @@
         pending.ended.set_result(Outcome(OutcomeKind.FAILED, reason=reason))
 
 
+def _checked(outcome: Outcome) -> Outcome:
+    """Return an outcome, as failed if its status is not one of an answer.
+
+    Nodes of earlier versions pass on whatever status an upstream has sent.
+    """
+    if outcome.kind is not OutcomeKind.ANSWERED or outcome.status in FINAL_STATUSES:
+        return outcome
+    reason = f"the status {outcome.status} is not valid"
+    return Outcome(OutcomeKind.FAILED, reason=reason)
+
+
 def _not_connected(reason: str) -> Outcome:
     return Outcome(OutcomeKind.REFUSED, reason=reason, retry_after_ms=RETRY_AFTER_MS)
--- a/packages/mesh/ibisspoke_mesh/upstream_pool.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pool.py
@@ -11,6 +11,7 @@
 
 from .answer_size import AnswerSize
 from .dialect import HOP_BY_HOP, Dialect
+from .frames import FINAL_STATUSES
 from .sockets import enable_liveness_checks
 
 CONNECT_TIMEOUT_MS = 500  # the upstream is on this VM; connecting takes about 1 ms
@@ -19,6 +20,8 @@
 MAX_IDLE_CONNECTIONS = 64  # any further idle connections are closed
 # Of all unfinished answers together; leaves room in the smallest memory of a node.
 MAX_BUFFERED_BYTES = 48 * 1024 * 1024
+# Another answer follows these, unless they state a length, which they must not.
+INTERIM_STATUSES = (100, 102, 103)
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -130,7 +133,8 @@
         if self._answer is not None:
             self._deliver(reusable=self._is_reusable and error is None)
         elif error is not None:
-            self._fail(f"the upstream's answer cannot be read: {error}")
+            cause = error.__context__ or error  # of a callback, its own error
+            self._fail(f"the upstream's answer cannot be read: {cause}")
         elif excess := self._size.excess():
             self._fail(excess)
         else:
@@ -195,10 +199,18 @@
             self._is_encoded = value.strip().lower() != b"identity"
 
     def on_headers_complete(self) -> None:
-        """Complete the response if it cannot have a body."""
+        """Complete the response if it cannot have a body.
+
+        :raises ValueError: if the status is not one of an answer; the parser passes it
+            on as an error of its own.
+        """
         if self._answer is not None:
             return
         self._status = self._parser.get_status_code()
+        if self._status in INTERIM_STATUSES and self._ends_with_connection:
+            return
+        if self._status not in FINAL_STATUSES:
+            raise ValueError(f"the status {self._status} is not valid")
         self._in_body = True
         if self._status in (204, 304):
             self._ends_with_connection = False
@@ -219,7 +231,7 @@
         if self._answer is not None:
             return
         self._in_body = False
-        if self._status >= 200 and self._matches_request():
+        if self._status in FINAL_STATUSES and self._matches_request():
             self._complete(reusable=not self._closes)
 
     def _matches_request(self) -> bool:
--- a/packages/standins/ibisspoke_standins/fleet_upstream.py
+++ b/packages/standins/ibisspoke_standins/fleet_upstream.py
@@ -141,6 +141,38 @@
     return respond
 
 
+def answer_with_line(
+    line: bytes, *, is_named: bool, is_stamped: bool, has_length: bool = True
+) -> Behaviour:
+    """Return a behaviour that runs the request and answers with a status line.
+
+    :param line: the status line after the protocol version.
+    :param is_named: whether the answer has the id of the request.
+    :param is_stamped: whether it has the server stamp.
+    :param has_length: whether it has a body of a stated length; otherwise the body
+        ends with the connection.
+    """
+
+    async def respond(
+        upstream: "FleetUpstream",
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        upstream.executed_requests.append(request)
+        lines = [b"HTTP/1.1 " + line]
+        if is_named:
+            lines.append(b"X-Request-Id: " + request.id.encode())
+        if is_stamped:
+            lines.append(b"X-Server-Stamp: stamp-" + upstream.instance.encode())
+        if has_length:
+            lines.append(b"Content-Length: 2")
+        body = b"" if request.method == "HEAD" else b"ok"
+        writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+        return has_length
+
+    return respond
+
+
 async def answer_without_length(
     upstream: "FleetUpstream", request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> bool:
--- a/tests/fleet/test_upstream_faults.py
+++ b/tests/fleet/test_upstream_faults.py
@@ -3,8 +3,10 @@
 import asyncio
 
 import pytest
-from fleet_harness import until
+from fleet_harness import connect, request_bytes, until
 
+from ibisspoke_mesh.frames import Outcome, OutcomeKind, Reply
+from ibisspoke_policy.upstream_queue import Load
 from ibisspoke_standins import fleet_upstream as upstreams
 
 
@@ -97,6 +99,160 @@
     assert len(vm.upstream.executed_requests) == n_before + 1
 
 
+ODD_LINES = [
+    b"000 OK",
+    b"0 OK",
+    b"20 OK",
+    b"99 OK",
+    b"099 OK",
+    b"101 Switching Protocols",
+    b"103 Early Hints",
+    b"199 OK",
+    b"600 Unknown",
+    b"999 Unknown",
+    b"1000 OK",
+    b"2000 OK",
+    b"-1 OK",
+    b"+200 OK",
+    b"2e2 OK",
+    b"abc OK",
+    b"OK",
+    b"",
+]
+FORMS = [
+    (is_named, is_stamped, has_length)
+    for is_named in (True, False)
+    for is_stamped in (True, False)
+    for has_length in (True, False)
+]
+
+
+def odd_line(line, form):
+    is_named, is_stamped, has_length = form
+    return upstreams.answer_with_line(
+        line, is_named=is_named, is_stamped=is_stamped, has_length=has_length
+    )
+
+
+@pytest.mark.parametrize("form", FORMS, ids=lambda form: "-".join(map(str, form)))
+@pytest.mark.parametrize("line", ODD_LINES)
+async def test_an_odd_status_line_is_no_answer(single, line, form):
+    # Guards against a caller that gets a status of three zeros, or another odd one.
+    vm = single.vms[0]
+    vm.upstream.behaviour = odd_line(line, form)
+    response = await vm.call("/order/1", method="POST", body=b"x")
+    assert response.status == 502
+    assert len(vm.upstream.executed_requests) == 1
+    vm.upstream.behaviour = upstreams.answer
+    assert (await vm.call(request_id="next")).body.startswith(b"next@")
+
+
+async def test_the_log_names_an_odd_status(single, caplog):
+    caplog.set_level("INFO", logger="ibisspoke")
+    vm = single.vms[0]
+    vm.upstream.behaviour = odd_line(b"000 OK", (True, True, True))
+    assert (await vm.call("/order/1", method="POST", body=b"x")).status == 502
+    (line,) = [line for line in caplog.records if line.message == "attempt failed"]
+    assert line.reason == (
+        "the upstream's answer cannot be read: the status 0 is not valid"
+    )
+
+
+@pytest.mark.parametrize("line", ODD_LINES)
+async def test_an_odd_status_line_is_no_answer_to_a_head_request(single, line):
+    vm = single.vms[0]
+    vm.upstream.behaviour = odd_line(line, (True, True, True))
+    assert (await vm.call(method="HEAD")).status == 502
+
+
+@pytest.mark.parametrize("line", ODD_LINES)
+async def test_a_lookup_is_run_again_after_an_odd_status_line(pair, line):
+    first, second = pair.vms
+    first.upstream.behaviour = odd_line(line, (True, True, True))
+    for _ in range(20):
+        response = await first.call()
+        assert response.status == 200
+        assert response.body.endswith(f"@{second.upstream.instance}:0".encode())
+        if first.upstream.executed_requests:
+            break
+    assert len(first.upstream.executed_requests) == 1
+
+
+@pytest.mark.parametrize("line", [b"100 Continue", b"102 Processing", b"103 Hints"])
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+async def test_an_answer_may_follow_interim_ones(single, line, method):
+    vm = single.vms[0]
+
+    async def respond(upstream, request, writer):
+        lines = b"HTTP/1.1 %b\r\nX-Request-Id: %b\r\n\r\n"
+        writer.write(lines % (line, request.id.encode()) * 3)
+        return await upstreams.answer(upstream, request, writer)
+
+    vm.upstream.behaviour = respond
+    assert (await vm.call(method=method)).status == 200
+
+
+@pytest.mark.parametrize("status", [300, 302, 304, 400, 404, 409, 418, 499, 500, 599])
+async def test_a_valid_status_is_passed_on_unchanged(single, status):
+    vm = single.vms[0]
+    vm.upstream.behaviour = odd_line(b"%d X" % status, (True, True, True))
+    response = await vm.call("/order/1", method="POST", body=b"x")
+    assert response.status == status
+    assert response.headers["x-server-stamp"] == f"stamp-{vm.upstream.instance}"
+    assert response.body == (b"" if status == 304 else b"ok")
+
+
+@pytest.mark.parametrize("status", [-1, 0, 20, 99, 101, 103, 199, 600, 999, 1000])
+async def test_an_odd_status_from_another_node_is_no_answer(pair, status):
+    # Guards against nodes of an earlier version, which pass such a status on.
+    first, second = pair.vms
+    second.upstream.execution_s = 5.0
+    await first.upstream.announce("draining")
+    task = asyncio.ensure_future(first.call("/order/1", method="POST", body=b"x"))
+    await until(lambda: second.upstream.executed_requests)
+    link = first.node.fleet.peers_by_id[second.host].link
+    outcome = Outcome(OutcomeKind.ANSWERED, status, b"X-Server-Stamp: x\r\n", b"ok")
+    load = Load(0, 0, 8, 0.0, 0.0, ())
+    for stream in list(link._pending):
+        link.receive(Reply(stream, outcome, load))
+    assert (await task).status == 502
+
+
+async def test_pipelined_lookups_are_answered_in_their_order(single):
+    vm = single.vms[0]
+    caller = await connect(vm.host)
+    ids = [f"p{number}" for number in range(12)]
+    requests = [request_bytes("/lookup/1", request_id=name) for name in ids]
+    caller.transport.write(b"".join(requests))
+    async with asyncio.timeout(5):
+        responses = [await caller.responses.get() for _ in ids]
+    assert [response.body.split(b"@")[0].decode() for response in responses] == ids
+    caller.transport.close()
+
+
+@pytest.mark.parametrize("n_behind", [1, 3])
+async def test_a_request_behind_the_last_one_of_a_connection_is_not_run(
+    single, n_behind
+):
+    # Guards against a request that runs although its answer cannot be sent.
+    vm = single.vms[0]
+    caller = await connect(vm.host)
+    last = {"Connection": "close"}
+    requests = [request_bytes("/lookup/1", request_id="one")]
+    requests.append(request_bytes("/lookup/1", request_id="two", headers=last))
+    requests += [
+        request_bytes("/order/1", method="POST", body=b"x", request_id=f"b{number}")
+        for number in range(n_behind)
+    ]
+    caller.transport.write(b"".join(requests))
+    async with asyncio.timeout(5):
+        responses = [await caller.responses.get() for _ in range(3)]
+    assert [response.status for response in responses] == [200, 200, 0]
+    await asyncio.sleep(0.1)
+    ran = [request.id for request in vm.upstream.received_requests]
+    assert ran == ["one", "two"]
+
+
 async def test_an_answer_may_end_with_its_connection(single):
     vm = single.vms[0]
     vm.upstream.behaviour = upstreams.answer_without_length
