Serve requests only in the regions that route and organisation allow

allowedRegions was passed over, and restricted requests went to any region. The regions that route and organisation have in common are taken at the admission; the choice of an upstream, retries, fallbacks and the pressure of the service keep to them. 503 with no_upstream_in_regions if nothing can be asked there; a line names listed regions in which no node is known.

--- a/packages/ctl/ibisspoke_ctl/explain.py
+++ b/packages/ctl/ibisspoke_ctl/explain.py
@@ -36,6 +36,8 @@
     "preempted": "more urgent requests displaced it from the queue; look at "
     "ibisspoke_requests_queued of its service",
     "stalled": "its upstream did not answer for seconds; look at that upstream",
+    "no_upstream_in_regions": "no upstream of its service could be asked in the "
+    "regions that its route and its organisation allow; look for 'region unknown'",
     "expired": "its deadline passed before it could start",
 }
 
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -6,6 +6,7 @@
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.route_profile import Pace, RouteProfiles
+from ibisspoke_policy.route_table import Regions
 from ibisspoke_policy.upstream_choice import Candidate, Distance, choose, sample
 from ibisspoke_policy.upstream_queue import Load
 
@@ -28,6 +29,9 @@
 FIRST_STATUS_TIMEOUT_MS = 3_000.0  # until then, a node without statuses counts as alive
 
 
+_PressureKey = tuple[str, str, Regions | None]
+
+
 class Peer:
     """Another node, with its link and its latest status.
 
@@ -113,7 +117,7 @@
         self._peers_by_data_centre: dict[str, list[Peer]] = {}
         self._groups_by_service: dict[str, list[list[Peer]]] = {}
         self._waiting_links: set[PeerLink] = set()
-        self._pressure_by_route: dict[tuple[str, str], tuple[float, float]] = {}
+        self._pressure_by_route: dict[_PressureKey, tuple[float, float]] = {}
         self.own: MemberRecord | None = None
         self.profiles = RouteProfiles()
         self._own_pace = Pace()
@@ -136,6 +140,12 @@
         """Data centres of the other nodes."""
         return list(self._peers_by_data_centre)
 
+    @property
+    def regions(self) -> set[str]:
+        """Regions of all known nodes, and of this one."""
+        regions = {peer.record.region for peer in self.peers_by_id.values()}
+        return regions | {self._settings.region}
+
     def data_centre_peers(self, data_centre: str) -> list[Peer]:
         """Return the other nodes of a data centre."""
         return self._peers_by_data_centre.get(data_centre, [])
@@ -220,15 +230,27 @@
         self._log.write("node forgotten", peer=node)
 
     def choose(
-        self, service: str, route: str, objective_ms: float, excluded: set[str]
+        self,
+        service: str,
+        route: str,
+        objective_ms: float,
+        excluded: set[str],
+        regions: Regions | None = None,
     ) -> MemberRecord | None:
-        """Return the record of the node that should run a request, or None."""
+        """Return the record of the node that should run a request, or None.
+
+        :param regions: where it may run; None for all regions.
+        """
         now_ms = self._clock.now_ms()
         own = self.own
-        serves = own is not None and _serves(own, service) and own.node not in excluded
-        peers = self._sample(service, excluded, now_ms, is_fallback=False)
+        serves = (
+            own is not None
+            and _serves(own, service, regions)
+            and own.node not in excluded
+        )
+        peers = self._sample(service, excluded, regions, now_ms, is_fallback=False)
         if not peers and not serves:
-            peers = self._sample(service, excluded, now_ms, is_fallback=True)
+            peers = self._sample(service, excluded, regions, now_ms, is_fallback=True)
         candidates = [
             Candidate(
                 peer.record.node,
@@ -255,7 +277,12 @@
         return self.peers_by_id[chosen.id].record
 
     def _sample(
-        self, service: str, excluded: set[str], now_ms: float, is_fallback: bool
+        self,
+        service: str,
+        excluded: set[str],
+        regions: Regions | None,
+        now_ms: float,
+        is_fallback: bool,
     ) -> list[Peer]:
         """Return a few random nodes of a service whose upstream accepts requests.
 
@@ -272,7 +299,13 @@
                 and (is_fallback or (peer.load.limit > 0 and not peer.link.is_suspect))
             )
 
-        return sample(self._groups(service), is_usable, self._rng)
+        if regions is None:
+            return sample(self._groups(service), is_usable, self._rng)
+
+        def is_allowed(peer: Peer) -> bool:
+            return peer.record.region in regions and is_usable(peer)
+
+        return sample(self._groups(service), is_allowed, self._rng)
 
     def _groups(self, service: str) -> list[list[Peer]]:
         """Return the nodes of a service by distance, the nearest ones first."""
@@ -302,29 +335,37 @@
         profile.add(running_ms, pace.at(now_ms) or 1.0, n_bytes)
         pace.add(running_ms, profile.median_ms, now_ms)
 
-    def pressure(self, service: str, route: str) -> float:
+    def pressure(
+        self, service: str, route: str, regions: Regions | None = None
+    ) -> float:
         """Return the share of a route's requests that starve downstream.
 
         Upstreams are weighted by their running requests, so that idle ones do not hide
         the overload of others.
+
+        :param regions: of the upstreams to consider; None for all regions.
         """
         now_ms = self._clock.now_ms()
-        key = (service, route)
+        key = (service, route, regions)
         pressure, computed_ms = self._pressure_by_route.get(key, (0.0, float("-inf")))
         if now_ms - computed_ms >= PRESSURE_VALIDITY_MS:
-            pressure = self._current_pressure(service, route, now_ms)
+            pressure = self._current_pressure(service, route, regions, now_ms)
             if len(self._pressure_by_route) >= MAX_PRESSURE_ROUTES:
                 self._pressure_by_route.clear()
             self._pressure_by_route[key] = (pressure, now_ms)
         return pressure
 
-    def _current_pressure(self, service: str, route: str, now_ms: float) -> float:
+    def _current_pressure(
+        self, service: str, route: str, regions: Regions | None, now_ms: float
+    ) -> float:
         loads = [
             peer.load
             for peer in self._peers_by_service.get(service, {}).values()
-            if peer.record.is_ready and peer.is_alive(now_ms)
+            if peer.record.is_ready
+            and peer.is_alive(now_ms)
+            and (regions is None or peer.record.region in regions)
         ]
-        if self.own is not None and _serves(self.own, service):
+        if self.own is not None and _serves(self.own, service, regions):
             loads.append(self.own_load())
         total = starved = 0.0
         for load in loads:
@@ -424,5 +465,7 @@
         )
 
 
-def _serves(record: MemberRecord, service: str) -> bool:
+def _serves(record: MemberRecord, service: str, regions: Regions | None) -> bool:
+    if regions is not None and record.region not in regions:
+        return False
     return record.service == service and record.is_ready
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -36,6 +36,7 @@
 from .peer_server import PeerCalls
 from .rate_homes import RateHomes
 from .record_copies import RecordCopies
+from .region_check import RegionCheck
 from .request_admission import RequestAdmission
 from .request_handler import RequestHandler
 from .settings import NodeSettings
@@ -119,6 +120,7 @@
         )
         self.config_replies = ConfigReplies(self.config)
         self.fleet = Fleet(settings, own, clock, self.log, rng, self.config.apply_reply)
+        self.region_check = RegionCheck(self.fleet, clock, self.log)
         self.fleet.on_usurped = self._replace_usurper
         self.pool = UpstreamPool(*settings.upstream, adapter.dialect, clock)
         self.dispatcher = UpstreamDispatcher(
@@ -310,6 +312,7 @@
         self.calls.tick()
         self.fleet.own_cold_until_ms = self.dispatcher.cold_until_ms
         self.fleet.tick()
+        self.region_check.tick()
         self.status.tick()
         self.config.tick(self.settings.key_proof_ms)
         self.log.tick()
@@ -371,6 +374,7 @@
         )
         self.status_receiver.set_organisations(list(limits_by_name))
         self.admission.splitter.keep_only(table.routes)
+        self.region_check.on_adopted(table)
         self._set_retry_budget()
         # later, as a read that brought the configuration is then known as its proof
         asyncio.get_running_loop().call_soon(self.config_replies.send_waiting)
--- a/packages/mesh/ibisspoke_mesh/request_admission.py
+++ b/packages/mesh/ibisspoke_mesh/request_admission.py
@@ -8,7 +8,13 @@
 from ibisspoke_policy.dependency_shedding import DependencyShedder
 from ibisspoke_policy.freshness import ConfigFreshness
 from ibisspoke_policy.retry_window import RetryBudget
-from ibisspoke_policy.route_table import KeyOwner, Route, RouteTable
+from ibisspoke_policy.route_table import (
+    KeyOwner,
+    Regions,
+    Route,
+    RouteTable,
+    common_regions,
+)
 from ibisspoke_policy.shared_rate import Admission, SharedRates
 from ibisspoke_policy.weighted_split import WeightedSplitter
 
@@ -53,6 +59,7 @@
     :param deadline_ms: end of the caller's or the route's timeout, on the monotonic
         clock.
     :param caller_deadline_ms: end of the caller's timeout, on the monotonic clock.
+    :param regions: where it may be served; None for all regions.
     """
 
     id: bytes
@@ -61,6 +68,7 @@
     service: str
     deadline_ms: float
     caller_deadline_ms: float
+    regions: Regions | None = None
 
     @property
     def is_nested(self) -> bool:
@@ -156,7 +164,14 @@
                     return RateCheckNeeded(name)
                 if admission is Admission.REFUSED:
                     return self.refuse_over_rate(request, headers, name)
-        return self._admit(request, headers, request_id, route, owner)
+        regions: Regions | None = None
+        if route.regions or table.has_restricted_owners:
+            # A public route needs no key, but a key that is sent may be restricted.
+            key_owner = owner or table.owners_by_key.get(
+                _bearer_token(headers, self._dialect)
+            )
+            regions = common_regions(route, key_owner)
+        return self._admit(request, headers, request_id, route, owner, regions)
 
     def refuse_over_rate(
         self, request: CallerRequest, headers: dict[bytes, bytes], organisation: str
@@ -180,6 +195,7 @@
         request_id: bytes,
         route: Route,
         owner: KeyOwner | None,
+        regions: Regions | None,
     ) -> AdmittedRequest | Refusal:
         now_ms = self._clock.now_ms()
         stated_ms = _parse_number(headers.get(self._dialect.deadline))
@@ -195,7 +211,7 @@
         service = self.splitter.pick(route)
         self._retries.count_request(service, now_ms)
         if not is_nested(route, owner):
-            pressure = self._fleet.pressure(service, route.name)
+            pressure = self._fleet.pressure(service, route.name, regions)
             if not self._shedder.admits(route.name, route.priority, pressure, now_ms):
                 if owner is not None:
                     self._rates.refund(owner.organisation, now_ms)
@@ -208,6 +224,7 @@
             service,
             deadline_ms,
             request.arrived_ms + caller_ms,
+            regions,
         )
 
 
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -38,6 +38,8 @@
 DROPPED_BODY_RETRY_MS = 500.0  # by then uploads that took the memory have mostly ended
 MIN_RETRY_TIME_MS = 100.0  # time that must be left to run a request again
 MOST_URGENT_RANK = 0  # of requests of priority 0 and the calls made for them
+NO_UPSTREAM = "no upstream is known"
+NO_UPSTREAM_IN_REGIONS = "no_upstream_in_regions"
 UNKNOWN_PARENT_RANK = (-1, 0)  # before all others; work was spent on the parent
 
 
@@ -160,13 +162,15 @@
         if self._rank(admitted)[0] <= MOST_URGENT_RANK:
             self._retries.count_urgent(admitted.service, self._clock.now_ms())
         objective_ms = admitted.route.objective_ms
-        outcome = Outcome(OutcomeKind.REFUSED, reason="no upstream is known")
+        reason = NO_UPSTREAM if admitted.regions is None else NO_UPSTREAM_IN_REGIONS
+        outcome = Outcome(OutcomeKind.REFUSED, reason=reason)
         while len(progress.tried_nodes) < MAX_TRIED_NODES:
             member = self._fleet.choose(
                 admitted.service,
                 admitted.route.name,
                 objective_ms,
                 progress.tried_nodes,
+                admitted.regions,
             )
             if member is None:
                 break
--- a/packages/policy/ibisspoke_policy/route_table.py
+++ b/packages/policy/ibisspoke_policy/route_table.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+Regions = frozenset[str]
+ALL_REGIONS: Regions = frozenset()
+
 
 class Split(NamedTuple):
     """A service that takes a share of a route's requests."""
@@ -19,6 +22,7 @@
     :param priority: 0 is the most urgent.
     :param max_attempts: the largest number of upstreams that a request is sent to.
     :param is_public: whether requests need no key.
+    :param regions: where requests may be served; empty for all regions.
     """
 
     name: str
@@ -31,6 +35,7 @@
     splits: tuple[Split, ...]
     max_attempts: int
     is_public: bool
+    regions: Regions = ALL_REGIONS
 
 
 class KeyOwner(NamedTuple):
@@ -39,12 +44,22 @@
     :param priority: 0 is the most urgent.
     :param rate_per_s: requests per second; 0 means no limit.
     :param burst: requests allowed at once in excess of the rate.
+    :param regions: where its requests may be served; empty for all regions.
     """
 
     organisation: str
     priority: int
     rate_per_s: float
     burst: float
+    regions: Regions = ALL_REGIONS
+
+
+def common_regions(route: Route, owner: KeyOwner | None) -> Regions | None:
+    """Return the regions that both allow, or None for all."""
+    of_owner = owner.regions if owner is not None else ALL_REGIONS
+    if route.regions and of_owner:
+        return route.regions & of_owner
+    return route.regions or of_owner or None
 
 
 class CallerLimits(NamedTuple):
@@ -61,6 +76,7 @@
 
     :param version: increases with each change.
     :param owners_by_key: organisations by key; empty if no keys are in use.
+    :ivar has_restricted_owners: whether any organisation is restricted to regions.
     """
 
     def __init__(
@@ -76,6 +92,8 @@
         self.owners_by_key = owners_by_key
         self.limits = limits
         self.has_organisations = has_organisations
+        owners = owners_by_key.values()
+        self.has_restricted_owners = any(owner.regions for owner in owners)
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
             self._routes_by_host.setdefault(route.host.lower(), []).append(route)
--- a/packages/policy/tests/test_route_table.py
+++ b/packages/policy/tests/test_route_table.py
@@ -1,10 +1,14 @@
 import random
 
+import pytest
+
 from ibisspoke_policy.route_table import (
     CallerLimits,
+    KeyOwner,
     Route,
     RouteTable,
     Split,
+    common_regions,
 )
 from ibisspoke_policy.weighted_split import WeightedSplitter
 
@@ -20,6 +24,30 @@
     return RouteTable(7, list(routes), {}, LIMITS, True)
 
 
+NORTH, SOUTH = frozenset({"north"}), frozenset({"south"})
+
+
+@pytest.mark.parametrize(
+    ("of_route", "of_owner", "expected"),
+    [
+        ((), (), None),
+        (NORTH, (), NORTH),
+        ((), SOUTH, SOUTH),
+        (NORTH, NORTH | SOUTH, NORTH),
+        (NORTH, SOUTH, frozenset()),
+    ],
+)
+def test_a_request_may_be_served_where_route_and_organisation_allow(
+    of_route, of_owner, expected
+):
+    # Guards against an empty intersection that is taken for "all regions".
+    restricted = route("r", "a.example", "/")._replace(regions=frozenset(of_route))
+    owner = KeyOwner("acme", 0, 0.0, 0.0, frozenset(of_owner))
+    assert common_regions(restricted, owner) == expected
+    without_owner = frozenset(of_route) or None
+    assert common_regions(restricted, None) == without_owner
+
+
 def test_the_longest_prefix_of_the_host_is_found():
     wide = route("wide", "a.example", "/x/")
     narrow = route("narrow", "a.example", "/x/y/")
