Let slow uploads give way, and test connections at their limits

An upload that was begun and left held its memory until its caller closed the connection, so that others got 503. Unfinished bodies over 64 KiB that grow by less than 64 KiB in 5 s are refused with 503 when bodies and answers exceed their limit together.

--- a/packages/mesh/ibisspoke_mesh/caller_budget.py
+++ b/packages/mesh/ibisspoke_mesh/caller_budget.py
@@ -3,6 +3,7 @@
 import resource
 from collections import Counter
 from collections.abc import Callable
+from itertools import islice
 from typing import Protocol
 
 from ibisspoke_policy.clock import Clock
@@ -17,6 +18,10 @@
 MAX_HELD_BYTES = 112 * 1024 * 1024
 # Beyond that, for heads, input that is not parsed yet, and small bodies.
 MAX_SMALL_BYTES = 8 * 1024 * 1024
+# An unfinished body that grew by less in this time gives way to others; callers are on
+# the same VM, where an upload takes milliseconds.
+SLOW_UPLOAD_BYTES = 64 * 1024
+SLOW_UPLOAD_MS = 5_000.0
 STALLED_MS = 1_000.0  # without progress; such unread answers are cut off first
 # For files, the store, other nodes and the upstream; 200 of them for files.
 RESERVED_DESCRIPTORS = 700
@@ -37,6 +42,23 @@
     def cut_off(self, reason: str) -> None:
         """Close the connection immediately."""
 
+    def refuse(self, status: int, reason: str) -> None:
+        """Close the connection after the responses to the requests that were read."""
+
+
+class Upload:
+    """A large body that is being read.
+
+    :ivar progress_ms: when it last had grown enough.
+    """
+
+    __slots__ = ("n_bytes", "n_bytes_then", "progress_ms")
+
+    def __init__(self, now_ms: float) -> None:
+        self.n_bytes = 0
+        self.n_bytes_then = 0
+        self.progress_ms = now_ms
+
 
 class UnreadAnswers:
     """Answers that a caller has not taken yet.
@@ -83,6 +105,7 @@
         self._n_answer_bytes = n_answer_bytes
         self._connections: dict[BudgetedConnection, None] = {}
         self._unread: dict[BudgetedConnection, UnreadAnswers] = {}
+        self._uploads: dict[BudgetedConnection, Upload] = {}
 
     def __repr__(self) -> str:
         return f"CallerBudget({self.n_held_bytes} of {MAX_HELD_BYTES} bytes)"
@@ -118,19 +141,51 @@
             self._log.write("caller cut off", reason=reason)
 
     def add_connection(self, connection: BudgetedConnection) -> None:
-        """Add a connection; close the one that is idle longest if there are many."""
-        self._connections[connection] = None
-        self.idle[connection] = None
-        if len(self._connections) > self.max_connections:
-            surplus = self._least_needed()
+        """Add a connection; close another one, or else this one, if there are many."""
+        if len(self._connections) >= self.max_connections:
+            surplus = self._least_needed() or connection
             self._forget(surplus)
             surplus.cut_off("too many connections")
+            if surplus is connection:
+                return
+        self._connections[connection] = None
+        self.idle[connection] = None
 
     def remove_connection(self, connection: BudgetedConnection) -> None:
         """Remove a connection that is closed."""
         self.remove_unread(connection)
         self._forget(connection)
 
+    def note_upload(self, connection: BudgetedConnection, n_bytes: int) -> None:
+        """Note how much of a large body was read."""
+        now_ms = self._clock.now_ms()
+        upload = self._uploads.get(connection)
+        if upload is None:
+            upload = self._uploads[connection] = Upload(now_ms)
+        upload.n_bytes = n_bytes
+        if n_bytes - upload.n_bytes_then >= SLOW_UPLOAD_BYTES:
+            upload.n_bytes_then, upload.progress_ms = n_bytes, now_ms
+
+    def end_upload(self, connection: BudgetedConnection) -> None:
+        """Forget a body that was read whole, dropped or given up."""
+        self._uploads.pop(connection, None)
+
+    def make_room(self, needy: BudgetedConnection | None = None) -> bool:
+        """Return whether bodies and answers fit, if need be without slow uploads.
+
+        :param needy: the connection that needs the room, which is not closed for it.
+        """
+        if self.n_held_bytes <= MAX_HELD_BYTES:
+            return True
+        slow_ms = self._clock.now_ms() - SLOW_UPLOAD_MS
+        slow = [each for each in self._uploads.items() if each[1].progress_ms < slow_ms]
+        for connection, _ in sorted(slow, key=lambda each: -each[1].n_bytes):
+            if connection is not needy:
+                connection.refuse(503, "slow upload")
+            if self.n_held_bytes <= MAX_HELD_BYTES:
+                return True
+        return False
+
     def add_unread(self, connection: BudgetedConnection, n_bytes: int) -> None:
         """Count an answer that was written and not taken at once."""
         unread = self._unread.get(connection)
@@ -162,7 +217,7 @@
         Those without progress are first, then the largest. The last one is kept: a
         single answer fits, whatever else is held.
         """
-        if self.n_held_bytes <= MAX_HELD_BYTES or len(self._unread) < 2:
+        if self.make_room() or len(self._unread) < 2:
             return
         stalled_ms = self._clock.now_ms() - STALLED_MS
         by_need = sorted(
@@ -179,17 +234,22 @@
             self.remove_unread(connection)
             connection.cut_off("unread answers")
 
-    def _least_needed(self) -> BudgetedConnection:
-        """Return the connection to close: idle, not reading answers, or the oldest."""
+    def _least_needed(self) -> BudgetedConnection | None:
+        """Return the connection to close, or None if all have requests in work.
+
+        The longest idle one is first, then answers without progress, then the oldest
+        with an unfinished request.
+        """
         for connection in self.idle:
             return connection
-        if self._unread:
-            return min(self._unread, key=lambda each: self._unread[each].progress_ms)
-        newest = next(reversed(self._connections))
-        for n_scanned, connection in enumerate(self._connections):
-            if not connection.is_handling or n_scanned >= MAX_SCANNED_CONNECTIONS:
-                return newest if connection.is_handling else connection
-        return newest
+        stalled_ms = self._clock.now_ms() - STALLED_MS
+        for connection, unread in self._unread.items():
+            if unread.progress_ms <= stalled_ms:
+                return connection
+        for connection in islice(self._connections, MAX_SCANNED_CONNECTIONS):
+            if not connection.is_handling:
+                return connection
+        return None
 
     def _forget(self, connection: BudgetedConnection) -> None:
         self._connections.pop(connection, None)
--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -3,21 +3,18 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
 from typing import cast
 
-from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.route_table import CallerLimits
 
-from .caller_budget import CallerBudget
-from .caller_messages import CallerResponse, Handler, response_head
-from .parse_queue import ParseQueue
+from .caller_messages import CallerResponse, response_head
 from .request_reader import (
     HEAD_SLICE_BYTES,
     ReadRequest,
     RejectedError,
     RequestReader,
 )
+from .server_state import ServerState
 
 DEFAULT_LIMITS = CallerLimits(16_384, 64 * 1024 * 1024, 3_000.0, 15_000.0)
 MAX_READ_BYTES = 256 * 1024  # read at once by the event loop
@@ -29,47 +26,6 @@
 logger = logging.getLogger("ibisspoke")
 
 
-class ServerState:
-    """State shared by all connections of one listener.
-
-    :param limits: returns the caller limits in force.
-    :param budget: shared by all listeners of a node.
-    :param parsing: shared by them, too.
-    """
-
-    def __init__(
-        self,
-        handler: Handler,
-        clock: Clock,
-        limits: Callable[[], CallerLimits],
-        budget: CallerBudget | None = None,
-        parsing: ParseQueue | None = None,
-    ) -> None:
-        self.handler = handler
-        self.clock = clock
-        self.limits = limits
-        self.budget = CallerBudget(clock) if budget is None else budget
-        self.parsing = ParseQueue(clock) if parsing is None else parsing
-        self.is_stopping = False
-        self.connections: set[CallerConnection] = set()
-        self.n_active = 0
-
-    def __repr__(self) -> str:
-        return f"ServerState(n_active={self.n_active})"
-
-    @property
-    def n_held_bytes(self) -> int:
-        """Size of the bodies of all requests that are read or handled."""
-        return self.budget.n_body_bytes
-
-    def tick(self) -> None:
-        """Close connections that have exceeded a timeout."""
-        now_ms = self.clock.now_ms()
-        limits = self.limits()
-        for connection in list(self.connections):
-            connection.check_timeouts(now_ms, limits)
-
-
 class CallerConnection(asyncio.Protocol):
     """A connection of a caller; pipelined requests are answered in order.
 
@@ -79,9 +35,7 @@
     def __init__(self, state: ServerState) -> None:
         self._state = state
         self._budget = state.budget
-        self._reader = RequestReader(
-            state.limits, state.clock, state.budget, self._on_request, self._continue
-        )
+        self._reader = RequestReader(state.limits, state.clock, state.budget, self)
         self._transport: asyncio.Transport | None = None
         self._pipelined: deque[ReadRequest] = deque()
         self._task: asyncio.Task[None] | None = None
@@ -142,14 +96,12 @@
         try:
             self._reader.feed(data)
         except RejectedError as error:
-            self._budget.count(error.reason)
-            self._reject(error.status)
+            self.refuse(error.status, error.reason)
 
     def _keep_unparsed(self, data: bytes, n_parsed: int) -> None:
         self._drop_unparsed()
         if self._budget.is_exhausted:
-            self._budget.count("out of memory")
-            self._reject(503)
+            self.refuse(503, "out of memory")
             return
         self._unparsed, self._n_parsed = data, n_parsed
         self._budget.n_input_bytes += len(data)
@@ -217,6 +169,16 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def refuse(self, status: int, reason: str) -> None:
+        """Close the connection after the responses to the requests that were read.
+
+        :param status: of the response to the unfinished request.
+        """
+        self._budget.count(reason)
+        self._reader.close()
+        self._drop_unparsed()
+        self._reject(status)
+
     def pause_writing(self) -> None:
         """Stop reading and handling requests until the caller takes the responses."""
         self._is_unread = True
@@ -239,8 +201,7 @@
         if since_ms is not None:
             is_late = now_ms - since_ms > limits.header_timeout_ms
             if not self._reader.is_in_body and is_late:
-                self._budget.count("head too slow")
-                self._reject(408)
+                self.refuse(408, "head too slow")
             return
         bound_ms = limits.idle_timeout_ms + IDLE_GRACE_MS
         if self._state.is_stopping:
@@ -248,11 +209,12 @@
         if now_ms - self._last_active_ms > bound_ms:
             self._transport.close()
 
-    def _continue(self) -> None:
+    def send_continue(self) -> None:
+        """Send "100 Continue"."""
         if self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _on_request(self, read: ReadRequest) -> None:
+    def receive(self, read: ReadRequest) -> None:
         """Queue a request, and handle it if no other is being handled."""
         if self._pipelined and self._budget.is_exhausted:
             self._forget(read)
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -15,7 +15,7 @@
 
 from .caller_budget import CallerBudget
 from .caller_messages import CallerRequest, CallerResponse, Handler
-from .caller_server import DEFAULT_LIMITS, ServerState
+from .caller_server import DEFAULT_LIMITS
 from .config_replies import ConfigReplies
 from .config_requester import ConfigRequester
 from .config_state import ConfigState, Decoder
@@ -35,6 +35,7 @@
 from .record_copies import RecordCopies
 from .request_admission import RequestAdmission
 from .request_handler import RequestHandler
+from .server_state import ServerState
 from .settings import NodeSettings
 from .status_exchange import StatusExchange
 from .status_receiver import StatusReceiver
--- a/packages/mesh/ibisspoke_mesh/node_process.py
+++ b/packages/mesh/ibisspoke_mesh/node_process.py
@@ -6,9 +6,10 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
-from .caller_server import CallerConnection, ServerState
+from .caller_server import CallerConnection
 from .node import TICK_MS, Node
 from .peer_server import PeerConnection
+from .server_state import ServerState
 
 BACKLOG_CONNECTIONS = 1_024  # callers open many connections at once after an outage
 # Of each caller's connection. The kernel would let them grow to several MB, which
--- a/packages/mesh/ibisspoke_mesh/request_reader.py
+++ b/packages/mesh/ibisspoke_mesh/request_reader.py
@@ -1,16 +1,15 @@
 """Reads the requests of one connection, within the limits on what a caller may send."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import httptools
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.route_table import CallerLimits
 
-from . import caller_budget
 from .body_parts import BodyParts
-from .caller_budget import CallerBudget
+from .caller_budget import BudgetedConnection, CallerBudget
 from .caller_messages import CallerRequest
 
 # Parsed at once; the requests in it are kept, and may be as small as 18 bytes.
@@ -50,12 +49,20 @@
     n_head_bytes: int
 
 
+class RequestReceiver(BudgetedConnection, Protocol):
+    """Takes the requests of a connection."""
+
+    def receive(self, read: ReadRequest) -> None:
+        """Take a complete request, which stays counted in the budget from now on."""
+
+    def send_continue(self) -> None:
+        """Tell the caller to send the body that it holds back."""
+
+
 class RequestReader:
     """Parses requests, and counts what the unfinished one takes in the budget.
 
-    :param on_request: called with each complete request, which is then counted in the
-        budget until the receiver subtracts it.
-    :param send_continue: called when the caller waits for "100 Continue".
+    :param receiver: subtracts complete requests from the budget when they have ended.
     :ivar reading_since_ms: when the first byte of the unfinished request was received.
     :ivar is_costly: whether parsing more of it takes long, compared with its size.
     """
@@ -65,14 +72,12 @@
         limits: Callable[[], CallerLimits],
         clock: Clock,
         budget: CallerBudget,
-        on_request: Callable[[ReadRequest], None],
-        send_continue: Callable[[], None],
+        receiver: RequestReceiver,
     ) -> None:
         self._limits = limits
         self._clock = clock
         self._budget = budget
-        self._on_request = on_request
-        self._send_continue = send_continue
+        self._receiver = receiver
         self._body = BodyParts()
         self.on_body = self._body.staged.append  # called by the parser
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(
@@ -127,6 +132,7 @@
         self._parser = None  # refers to this object, and keeps an unfinished header
         self._body.clear()
         self._set_counted(0, 0)
+        self._budget.end_upload(self._receiver)
 
     def _parse(self, data: bytes | memoryview) -> None:
         """Parse received bytes, also those after an offer to change the protocol."""
@@ -185,7 +191,7 @@
             return
         self.is_in_body = True
         if self._expects_continue:
-            self._send_continue()
+            self._receiver.send_continue()
 
     def on_message_complete(self) -> None:
         """Pass the request on."""
@@ -205,12 +211,13 @@
             self._is_dropped,
         )
         self._set_counted(len(body), n_head_bytes)
+        self._budget.end_upload(self._receiver)
         self._n_body_counted = self._n_input_counted = 0  # by the receiver from now on
         self.reading_since_ms = None
         self.is_in_body = self.is_costly = False
         self._n_unfinished_bytes = 0
         keeps_alive = self._parser.should_keep_alive()
-        self._on_request(ReadRequest(request, keeps_alive, n_head_bytes))
+        self._receiver.receive(ReadRequest(request, keeps_alive, n_head_bytes))
 
     def _reset(self) -> None:
         self._target = b""
@@ -268,13 +275,15 @@
         budget = self._budget
         has_others = budget.n_held_bytes > n_body
         is_large = n_body > SMALL_BODY_BYTES
+        if is_large:
+            budget.note_upload(self._receiver, n_body)
         if has_others and (
-            (is_large and budget.n_held_bytes > caller_budget.MAX_HELD_BYTES)
-            or budget.is_exhausted
+            (is_large and not budget.make_room(self._receiver)) or budget.is_exhausted
         ):
             self._is_dropped = True
             self._body.clear()
             self._n_staged = 0
+            budget.end_upload(self._receiver)
             self._set_counted(0, self._n_input_counted)
             budget.count("bodies too large together")
 
