Bound the rate of requests to a cold upstream

Cause: an upstream that has just started, or has become cold again, crashes at a rate well above the one that it tolerates, and nodes sent to it by its slots.

The node beside it starts at most coldPerS requests (rounded up) in any 1,050 ms while it is cold or may be: during the time that its heartbeats tell, and after a new process, an absence, a reset of all connections, an answer 421 or a start of the node until a later heartbeat says 0. Attempts that would wait too long are refused as not run, and the reported limit follows the rate. It applies where the settings have cold_overage or cold_slack, and the service has coldPerS.

--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -125,6 +125,7 @@
             settings.heartbeat_ms,
             settings.drain_ms,
         )
+        self.dispatcher.apply_settings(settings)
         self.dispatcher.on_change = self._publish_change
         self.fleet.own_load = self.dispatcher.load
         self.rate_homes = RateHomes(self.fleet, self.rates, clock)
@@ -315,6 +316,7 @@
         self.log.write("settings reloaded", service=settings.service)
         self.settings = settings
         self.request_handler.settings = self.admission.settings = settings
+        self.dispatcher.apply_settings(settings)
         self._set_retry_budget()
 
     async def stop(self) -> None:
@@ -363,6 +365,7 @@
             limits_by_name, self.clock.now_ms(), self.settings.config_ms
         )
         self.status_receiver.set_organisations(list(limits_by_name))
+        self.dispatcher.pace.apply_configuration(table.cold_starts_by_service)
         self.admission.splitter.keep_only(table.routes)
         self._set_retry_budget()
         # later, as a read that brought the configuration is then known as its proof
--- a/packages/mesh/ibisspoke_mesh/node_gauges.py
+++ b/packages/mesh/ibisspoke_mesh/node_gauges.py
@@ -15,12 +15,15 @@
     peers = list(node.fleet.peers_by_id.values())
     n_alive = sum(peer.is_alive(now_ms) for peer in peers)
     draining = UpstreamState.DRAINING
+    cold = node.dispatcher.pace.cold
     return {
         "config_version": node.config.version,
         "config_proof_age_seconds": node.config.proof_age_ms() / 1000.0,
         "requests_running": load.n_running,
         "requests_queued": load.n_queued,
         "upstream_limit": load.limit,
+        "upstream_cold": cold is not None and cold.is_bounding(now_ms),
+        "upstream_cold_rate": (cold.n_allowed or 0) if cold is not None else 0,
         "upstream_service_seconds": load.service_ms / 1000.0,
         "upstream_pressure": max((p for _, p in load.pressures), default=0.0),
         "peers_alive": n_alive,
--- a/packages/mesh/ibisspoke_mesh/settings.py
+++ b/packages/mesh/ibisspoke_mesh/settings.py
@@ -1,7 +1,7 @@
 """Settings of a node, read from TOML and validated."""
 
 from pathlib import Path
-from typing import Annotated, Any, NamedTuple, TypedDict
+from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from result import Err, Ok, Result
@@ -11,6 +11,7 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535, description="a port, 1 to 65535")]
 Text = Annotated[str, msgspec.Meta(min_length=1, description="a text, not empty")]
 Positive = Annotated[float, msgspec.Meta(gt=0, description="a number above 0")]
+NotNegative = Annotated[float, msgspec.Meta(ge=0, description="0 or a number above it")]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1, description="a number from 0 to 1")]
 
 
@@ -50,7 +51,11 @@
 
 
 class BoundsSection(TypedDict):
-    """Bounds that are guaranteed to users."""
+    """Bounds that are guaranteed to users.
+
+    A cold upstream gets at most ``cold_overage`` times its rate plus ``cold_slack``
+    requests in a second; without both, its rate is not bounded.
+    """
 
     stop_s: Positive
     key_withdrawal_ms: Positive
@@ -58,6 +63,8 @@
     retry_ratio: Share
     retry_window_s: Positive
     retry_slack: Positive
+    cold_overage: NotRequired[NotNegative]
+    cold_slack: NotRequired[NotNegative]
 
 
 KEY_PROOF_MARGIN_MS = 900.0  # for started work, a late timer and a round trip
@@ -72,6 +79,9 @@
         keys to be accepted.
     :param retry_slack: retries of a service in a window over the whole fleet that are
         allowed regardless of the ratio.
+    :param cold_overage: requests that a cold upstream may get in a second, as a
+        multiple of the rate that it tolerates; None for no bound.
+    :param cold_slack: further requests that it may get in a second.
     """
 
     id: str
@@ -95,6 +105,8 @@
     retry_ratio: float
     retry_window_ms: float
     retry_slack: float
+    cold_overage: float | None = None
+    cold_slack: float | None = None
 
 
 _SCHEMAS: dict[str, Any] = {
@@ -181,4 +193,6 @@
         retry_ratio=bounds["retry_ratio"],
         retry_window_ms=bounds["retry_window_s"] * 1000.0,
         retry_slack=bounds["retry_slack"],
+        cold_overage=bounds.get("cold_overage"),
+        cold_slack=bounds.get("cold_slack"),
     )
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -28,8 +28,11 @@
 from .dialect import Dialect
 from .frames import Attempt, Outcome, OutcomeKind
 from .metrics import NodeMetrics
+from .settings import NodeSettings
+from .upstream_pace import UpstreamPace
 from .upstream_pool import Result as UpstreamResult
 from .upstream_pool import (
+    UpstreamFailure,
     UpstreamPool,
     UpstreamRequest,
     UpstreamResponse,
@@ -41,6 +44,7 @@
 NESTED_HALF_LIFE_MS = 1_000.0  # longer than a parent runs after its nested call failed
 NESTED_STARVED_SHARE = 0.04  # above it, upstream failures are attributed to starvation
 WRONG_UPSTREAM_RETRY_MS = 50.0
+MISDIRECTED = 421  # status of an upstream that the request was not meant for
 # After its deadline, until an attempt is cut off that may run only once: the upstream
 # stops at the deadline by itself and may still tell the outcome.
 OVERDUE_MS = 500.0
@@ -54,6 +58,7 @@
     :param service: service of the upstream, by the settings.
     :param heartbeat_ms: interval of the upstream's heartbeats.
     :param drain_ms: how long a leaving upstream continues to serve.
+    :ivar pace: limits the requests to an upstream that is cold.
     """
 
     def __init__(
@@ -69,10 +74,12 @@
     ) -> None:
         self.service = service
         self.upstream = UpstreamTracker()
+        self.pace = UpstreamPace(clock, log)
         self.queue = UpstreamQueue(0, clock.now_ms())
         self.on_change: Callable[[], None] = lambda: None
         self.is_stopping = False
         self._pool = pool
+        pool.on_all_reset = lambda: self.pace.expect_restart("connections reset")
         self._dialect = dialect
         self._clock = clock
         self._log = log
@@ -109,6 +116,18 @@
         """Whether no attempt is queued or running."""
         return not len(self._pending)
 
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Apply the settings of the pace."""
+        self.pace.apply_settings(settings)
+        self.pace.attach(self.queue)
+
+    def expect_cold(self) -> None:
+        """Count the upstream as cold until a heartbeat that arrives later tells.
+
+        It got no requests for a while, for example in an evacuation.
+        """
+        self.pace.expect_cold("expected")
+
     def load(self) -> Load:
         """Return the load of the upstream, for balancing by other nodes."""
         return self.queue.load(self._clock.now_ms())
@@ -132,6 +151,7 @@
             self._draining_since_ms = None
             self.cold_until_ms = now_ms + announcement.cold_ms
         self.queue.limit = announcement.n_slots
+        self.pace.heartbeat(announcement.service, announcement.cold_ms, not same)
         self._track_draining(self.upstream.state)
         if not same or state is not self.upstream.state:
             self._log.write(
@@ -206,7 +226,7 @@
         )
         error = self.queue.offer(offer)
         if error is not None:
-            wait_ms = self.queue.wait_ms(attempt.rank)
+            wait_ms = self.queue.retry_after_ms(attempt.rank, now_ms)
             self._refuse(attempt, on_outcome, error, wait_ms)
             return number
         pending = PendingAttempt(attempt, now_ms, offer.expires_ms, on_outcome)
@@ -240,6 +260,7 @@
             return True
         self._pending.pop(number)
         was_sent = self._pool.cancel(number)
+        self.pace.ended(number, was_sent)
         now_ms = self._clock.now_ms()
         self.queue.finish(number, now_ms, Ending.DROPPED)
         self._count_ended(pending, Ending.DROPPED, now_ms)
@@ -257,7 +278,7 @@
         for offer, error in self.queue.tick(now_ms):
             pending = self._pending.pop(offer.id)
             if pending is not None:
-                wait_ms = self.queue.wait_ms(offer.rank)
+                wait_ms = self.queue.retry_after_ms(offer.rank, now_ms)
                 self._refuse(pending.attempt, pending.on_outcome, error, wait_ms)
         for number in self._pending.overdue(now_ms - OVERDUE_MS):
             self._cut_off(number, now_ms)
@@ -271,7 +292,7 @@
         """End an attempt that the upstream neither answers nor stops."""
         pending = self._pending.pop(number)
         assert pending is not None
-        self._pool.cancel(number)
+        self.pace.ended(number, self._pool.cancel(number))
         self.queue.finish(number, now_ms, Ending.FAILED)
         self._count_ended(pending, Ending.FAILED, now_ms)
         reason = "the upstream went on after the deadline"
@@ -295,7 +316,7 @@
                 self._refuse(
                     pending.attempt, pending.on_outcome, error, WRONG_UPSTREAM_RETRY_MS
                 )
-        return UpstreamQueue(limit, self._clock.now_ms())
+        return self.pace.attach(UpstreamQueue(limit, self._clock.now_ms()))
 
     def _track_draining(self, state: UpstreamState) -> None:
         if state is UpstreamState.DRAINING and self._draining_since_ms is None:
@@ -303,6 +324,7 @@
 
     def _mark_absent(self, why: str, silent_ms: float) -> None:
         self.upstream.mark_absent()
+        self.pace.expect_restart(why)
         self._pool.close_idle()
         self._log.write(
             "upstream absent",
@@ -340,7 +362,12 @@
             self._finish(number, queue, result)
 
         request = UpstreamRequest(
-            attempt.request_id, head, attempt.body, attempt.is_head_request, on_result
+            attempt.request_id,
+            head,
+            attempt.body,
+            attempt.is_head_request,
+            on_result,
+            lambda: self.pace.sent(number),
         )
         self._pool.send(number, request)
 
@@ -360,8 +387,11 @@
         queue.finish(number, now_ms, ending)
         if isinstance(result, UpstreamResponse):
             self._last_seen_ms = now_ms
-        elif not result.was_sent and self.upstream.state is UpstreamState.READY:
-            self._mark_absent(result.reason, now_ms - self._last_seen_ms)
+            self.pace.ended(number, was_sent=True)
+            if result.status == MISDIRECTED:
+                self.pace.misdirected(number)
+        else:
+            self._handle_failure(number, result, now_ms)
         if pending is not None:
             if pending.started_ms is not None:
                 running_ms = now_ms - pending.started_ms
@@ -380,6 +410,16 @@
             pending.on_outcome(outcome)
         self._start_ready()
 
+    def _handle_failure(
+        self, number: int, failure: UpstreamFailure, now_ms: float
+    ) -> None:
+        self.pace.ended(number, failure.was_sent)
+        if failure.was_sent:
+            return
+        self.pace.expect_restart(failure.reason)
+        if self.upstream.state is UpstreamState.READY:
+            self._mark_absent(failure.reason, now_ms - self._last_seen_ms)
+
     def rank_of(self, request_id: bytes) -> tuple[int, int] | None:
         """Return the rank of a request that is running at the upstream, or None."""
         pending = self._pending.find_started(request_id)
--- /dev/null
+++ b/packages/mesh/ibisspoke_mesh/upstream_pace.py
@@ -0,0 +1,114 @@
+"""The pace of an upstream that is cold, as the events of its dispatcher tell."""
+
+from collections.abc import Mapping
+
+from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.cold_rate import ColdBound, ColdRate
+from ibisspoke_policy.route_table import ColdStart
+from ibisspoke_policy.upstream_queue import UpstreamQueue
+
+from .decision_log import DecisionLog
+from .settings import NodeSettings
+
+
+class UpstreamPace:
+    """Holds what limits the requests to an upstream besides its slots.
+
+    It outlives the queues, since requests to an earlier process of the upstream count
+    in the bound too.
+
+    :ivar cold: the bound of a cold upstream; None where the settings state none.
+    """
+
+    def __init__(self, clock: Clock, log: DecisionLog) -> None:
+        self.cold: ColdRate | None = None
+        self._clock = clock
+        self._log = log
+        self._bound: ColdBound | None = None
+        self._cold_starts_by_service: Mapping[str, ColdStart] | None = None
+        self._service = ""
+        self._was_cold = False
+
+    def __repr__(self) -> str:
+        return f"UpstreamPace({self.cold!r})"
+
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Apply new settings."""
+        overage, slack = settings.cold_overage, settings.cold_slack
+        if overage is None and slack is None:
+            self._bound = self.cold = None
+            return
+        # A part that is missing must not raise the bound.
+        self._bound = ColdBound(1.0 if overage is None else overage, slack or 0.0)
+        if self.cold is None:
+            self.cold = ColdRate(self._clock.now_ms())
+        self._update_rate()
+
+    def apply_configuration(
+        self, cold_starts_by_service: Mapping[str, ColdStart]
+    ) -> None:
+        """Apply a new version of the configuration."""
+        self._cold_starts_by_service = cold_starts_by_service
+        self._update_rate()
+
+    def attach(self, queue: UpstreamQueue) -> UpstreamQueue:
+        """Make a queue keep the limits, and return it."""
+        queue.cold = self.cold
+        return queue
+
+    def heartbeat(self, service: str, cold_ms: float, is_new_process: bool) -> None:
+        """Handle a heartbeat."""
+        self._service = service
+        self._update_rate()
+        if self.cold is not None:
+            self.cold.heartbeat(cold_ms, is_new_process, self._clock.now_ms())
+        self._log_change("heartbeat")
+
+    def expect_cold(self, why: str) -> None:
+        """Count the upstream as cold until a later heartbeat says that it is not."""
+        if self.cold is not None:
+            self.cold.expect(self._clock.now_ms())
+        self._log_change(why)
+
+    def expect_restart(self, why: str) -> None:
+        """Handle a sign that the process of the upstream may have been replaced."""
+        if self.cold is not None:
+            self.cold.expect_restart(self._clock.now_ms())
+        self._log_change(why)
+
+    def sent(self, number: int) -> None:
+        """Record that the bytes of an attempt were written."""
+        if self.cold is not None:
+            self.cold.record_sent(number, self._clock.now_ms())
+
+    def ended(self, number: int, was_sent: bool) -> None:
+        """Record that a started attempt has ended."""
+        if self.cold is not None:
+            self.cold.end(number, was_sent, self._clock.now_ms())
+
+    def misdirected(self, number: int) -> None:
+        """Record that an attempt was answered by another process than was meant."""
+        if self.cold is not None:
+            self.cold.discount(number)
+        self.expect_restart("answered by another process")
+
+    def _update_rate(self) -> None:
+        if self.cold is None or self._bound is None:
+            return
+        if self._cold_starts_by_service is not None:
+            self.cold.n_allowed = self._bound.n_allowed(
+                self._cold_starts_by_service, self._service
+            )
+
+    def _log_change(self, why: str) -> None:
+        """Write a line if the upstream has become cold, or is no longer cold."""
+        cold = self.cold
+        is_cold = cold is not None and cold.is_bounding(self._clock.now_ms())
+        if cold is not None and is_cold is not self._was_cold:
+            self._was_cold = is_cold
+            self._log.write(
+                "upstream cold" if is_cold else "upstream no longer cold",
+                service=self._service,
+                n_allowed_per_s=cold.n_allowed,
+                why=why,
+            )
--- a/packages/mesh/ibisspoke_mesh/upstream_pool.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pool.py
@@ -58,6 +58,7 @@
     """A request to the upstream, encoded.
 
     :param body: apart from the head, since it may be large and is held elsewhere too.
+    :param on_sent: called when it is written to a connection, before its result.
     """
 
     id: bytes
@@ -65,6 +66,7 @@
     body: bytes
     is_head_request: bool
     on_result: OnResult
+    on_sent: Callable[[], None] = lambda: None
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -79,6 +81,7 @@
         self._answer: UpstreamResponse | None = None
         self._answered_id: bytes | None = None
         self._closes = False
+        self._is_closed_here = False
         self._is_reusable = False
         self._has_answered = False
         self._size = AnswerSize()
@@ -92,6 +95,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, and enable liveness checks."""
         self._transport = cast(asyncio.Transport, transport)
+        self._pool.add_open(self)
         enable_liveness_checks(transport)
 
     @property
@@ -108,10 +112,12 @@
             self._transport.writelines((request.head, request.body))
         else:
             self._transport.write(request.head)
+        request.on_sent()
 
     def abort(self) -> None:
         """Close immediately, and drop the request without a result."""
         self._request = None
+        self._is_closed_here = True
         self._drop_body()
         if self._transport is not None:
             self._transport.abort()
@@ -142,11 +148,14 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete a response that ends with the connection, or fail the request."""
-        self._pool.remove(self)
+        ends_with_close = exc is None and self._in_body and self._ends_with_connection
+        is_whole = (
+            self._request is not None and ends_with_close and self._matches_request()
+        )
+        self._pool.remove(self, is_reset=not is_whole and not self._is_closed_here)
         if self._request is None:
             return
-        ends_with_close = exc is None and self._in_body and self._ends_with_connection
-        if ends_with_close and self._matches_request():
+        if is_whole:
             self._complete(reusable=False)
             self._deliver(reusable=False)
         else:
@@ -266,6 +275,7 @@
         self._has_answered = True
         assert self._transport is not None
         if not reusable or self._transport.get_write_buffer_size():
+            self._is_closed_here = True
             self._transport.close()  # once the rest of the request has been written
         elif self.is_open:
             self._pool.add_idle(self, self._idle_timeout_ms)
@@ -274,6 +284,7 @@
 
     def _fail(self, reason: str) -> None:
         request, self._request = self._request, None
+        self._is_closed_here = True
         self._drop_body()
         if self._transport is not None:
             self._transport.abort()
@@ -286,6 +297,8 @@
 
     :param host: IP address of the upstream.
     :ivar n_buffered_bytes: size of the bodies of all unfinished answers.
+    :ivar on_all_reset: called when the upstream closes the last open connection, which
+        happens when its process ends.
     """
 
     def __init__(self, host: str, port: int, dialect: Dialect, clock: Clock) -> None:
@@ -297,6 +310,8 @@
         self._idle: list[UpstreamConnection] = []
         self._busy: dict[object, UpstreamConnection] = {}
         self._opening: dict[object, asyncio.Task[None]] = {}
+        self._open: set[UpstreamConnection] = set()
+        self.on_all_reset: Callable[[], None] = lambda: None
         self.n_opened = 0
 
     def __repr__(self) -> str:
@@ -340,10 +355,20 @@
         if len(self._idle) > MAX_IDLE_CONNECTIONS:
             self._idle.pop(0).abort()
 
-    def remove(self, connection: UpstreamConnection) -> None:
-        """Remove a closed connection."""
+    def add_open(self, connection: UpstreamConnection) -> None:
+        """Add a connection that has been opened."""
+        self._open.add(connection)
+
+    def remove(self, connection: UpstreamConnection, is_reset: bool) -> None:
+        """Remove a closed connection.
+
+        :param is_reset: whether the upstream closed it, other than to end an answer.
+        """
+        self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
+        if is_reset and not self._open:
+            self.on_all_reset()
 
     def limit_buffered_bytes(self) -> None:
         """Cut off the largest unfinished answers while all are too large together."""
--- a/packages/policy/ibisspoke_policy/route_table.py
+++ b/packages/policy/ibisspoke_policy/route_table.py
@@ -1,5 +1,6 @@
 """Routes and organisations of one version of the configuration."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 
@@ -56,11 +57,23 @@
     idle_timeout_ms: float
 
 
+class ColdStart(NamedTuple):
+    """How a service's upstreams are after a start.
+
+    :param duration_ms: how long they are cold.
+    :param per_s: requests per second that one tolerates while cold; 0 for no bound.
+    """
+
+    duration_ms: float
+    per_s: float
+
+
 class RouteTable:
     """One immutable version of the configuration.
 
     :param version: increases with each change.
     :param owners_by_key: organisations by key; empty if no keys are in use.
+    :param cold_starts_by_service: only services that have one.
     """
 
     def __init__(
@@ -70,12 +83,14 @@
         owners_by_key: dict[str, KeyOwner],
         limits: CallerLimits,
         has_organisations: bool,
+        cold_starts_by_service: Mapping[str, ColdStart] | None = None,
     ) -> None:
         self.version = version
         self.routes = routes
         self.owners_by_key = owners_by_key
         self.limits = limits
         self.has_organisations = has_organisations
+        self.cold_starts_by_service = dict(cold_starts_by_service or {})
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
             self._routes_by_host.setdefault(route.host.lower(), []).append(route)
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from .cold_rate import ColdRate
 from .decaying_share import DecayingShare
 from .route_pressure import RoutePressures
 from .service_times import ServiceTimes
@@ -30,6 +31,7 @@
     LEAVING = "leaving"
     EXPIRED = "expired"
     PREEMPTED = "preempted"
+    COLD = "cold"  # the rate of a cold upstream leaves no room for it in time
 
 
 class Offer(NamedTuple):
@@ -121,10 +123,12 @@
     """Decide which requests run at the upstream of this VM, and when.
 
     :param limit: number of requests that may run concurrently.
+    :ivar cold: bounds the rate while the upstream is cold; None for no bound.
     """
 
-    def __init__(self, limit: int, now_ms: float) -> None:
+    def __init__(self, limit: int, now_ms: float, cold: ColdRate | None = None) -> None:
         self.limit = limit
+        self.cold = cold
         self.is_leaving = False
         self.service_times = ServiceTimes()
         self._failures = DecayingShare(OUTCOME_WEIGHT, FAILURE_HALF_LIFE_MS)
@@ -158,6 +162,9 @@
     def load(self, now_ms: float) -> Load:
         """Return the load to report to other nodes."""
         closed = self.is_leaving or self.is_stalled(now_ms)
+        limit = self.limit
+        if limit > 0 and self.cold is not None and self.cold.is_bounding(now_ms):
+            limit = min(limit, self.cold.concurrency(self.service_times.overall_ms))
         is_known = self.service_times.has_answers and (
             self._running_by_id
             or now_ms - self._last_progress_ms < SERVICE_TIME_VALIDITY_MS
@@ -165,7 +172,7 @@
         return Load(
             self.n_running,
             self.n_queued,
-            0 if closed else self.limit,
+            0 if closed else limit,
             self.service_times.overall_ms if is_known else 0.0,
             self._failures.at(now_ms),
             self._pressures.reported(now_ms),
@@ -194,6 +201,18 @@
             n_ahead, sum(entry.work_ms for entry in self._queue[:n_ahead])
         )
 
+    def cold_wait_ms(self, rank: tuple[int, int], now_ms: float) -> float:
+        """Return how long a new request would wait since the upstream is cold."""
+        if self.cold is None:
+            return 0.0
+        return self.cold.wait_ms(
+            bisect.bisect_right(self._queue, (rank, math.inf)), now_ms
+        )
+
+    def retry_after_ms(self, rank: tuple[int, int], now_ms: float) -> float:
+        """Return when a refused request of ``rank`` may find room."""
+        return max(self.wait_ms(rank), self.cold_wait_ms(rank, now_ms))
+
     def _expected_wait_ms(self, n_ahead: int, work_ms: float) -> float:
         """Return the expected wait of a request behind ``n_ahead`` others.
 
@@ -210,6 +229,8 @@
             return QueueError.LEAVING
         if self.limit <= 0 or self.is_stalled(now_ms):
             return QueueError.STALLED
+        if not self._is_wait_acceptable(offer, self.cold_wait_ms(offer.rank, now_ms)):
+            return QueueError.COLD
         if not self._is_wait_acceptable(offer, self.wait_ms(offer.rank)):
             return QueueError.FULL
         work_ms = self.service_times.expected_ms(offer.route)
@@ -221,7 +242,13 @@
         """Return the next request to run, counting it as running."""
         if not self._queue or self.n_running >= self.limit:
             return None
-        offer = self._queue.pop(self._next_index()).offer
+        if self.cold is not None:
+            if self.cold.wait_ms(0, now_ms) > 0.0:
+                return None
+            offer = self._queue.pop(self._next_index(now_ms)).offer
+            self.cold.start(offer.id, now_ms)
+        else:
+            offer = self._queue.pop(self._next_index(now_ms)).offer
         if not self._running_by_id:
             self._last_progress_ms = now_ms
         self._running_by_id[offer.id] = _Running(offer, now_ms)
@@ -244,12 +271,15 @@
         if ending is Ending.ANSWERED:
             self.service_times.add(running.offer.route, took_ms)
 
-    def _next_index(self) -> int:
+    def _next_index(self, now_ms: float) -> int:
         """Return the index of the request to run next.
 
         The least urgent requests get a minimum share of the upstream's time, so that
-        they do not starve.
+        they do not starve. A cold upstream takes few requests for some seconds, and the
+        others can run elsewhere, so that only the most urgent ones run there.
         """
+        if self.cold is not None and self.cold.is_bounding(now_ms):
+            return 0
         lowest_priority = self._queue[-1].rank[0]
         if lowest_priority == self._queue[0].rank[0]:
             return 0
@@ -277,6 +307,9 @@
         for entry in self._queue:
             wait_ms = self._expected_wait_ms(len(kept), work_ahead_ms)
             error = self._removal_reason(entry.offer, wait_ms, is_stalled, now_ms)
+            if error is None and self.cold is not None:
+                cold_wait_ms = self.cold.wait_ms(len(kept), now_ms)
+                error = self._cold_removal_reason(entry.offer, cold_wait_ms, now_ms)
             if error is None:
                 kept.append(entry)
                 work_ahead_ms += entry.work_ms
@@ -305,6 +338,26 @@
                 return QueueError.PREEMPTED
         return None
 
+    def _cold_removal_reason(
+        self, offer: Offer, wait_ms: float, now_ms: float
+    ) -> QueueError | None:
+        """Return why the rate of a cold upstream removes a request from the queue.
+
+        An upstream may become cold while requests are queued for it.
+
+        :param wait_ms: its expected remaining wait.
+        """
+        if wait_ms <= 0.0:
+            return None
+        if now_ms <= offer.arrived_ms + EARLY_REFUSAL_SHARE * offer.objective_ms:
+            wait_ms += now_ms - offer.arrived_ms
+            return None if self._is_wait_acceptable(offer, wait_ms) else QueueError.COLD
+        # Later, a wait that was accepted must not end for a small error of estimates.
+        ready_ms = now_ms + wait_ms + self.service_times.expected_ms(offer.route)
+        is_late = ready_ms > offer.expires_ms
+        is_long = wait_ms > MAX_WAIT_SHARE * offer.objective_ms
+        return QueueError.COLD if is_late or is_long else None
+
     def _is_wait_acceptable(self, offer: Offer, wait_ms: float) -> bool:
         if wait_ms <= 0.0:
             return True
--- a/review/standins/machine.py
+++ b/review/standins/machine.py
@@ -27,6 +27,7 @@
     "budgetSlack": 48,
 }
 READY_TIMEOUT_S = 20.0
+SECTION = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)\|json\}\}")
 
 
@@ -184,11 +185,21 @@
 def _rendered(fields: dict[str, Any]) -> str:
     """Return the settings of the template in the deploy folder."""
 
-    def value(found: re.Match[str]) -> str:
+    def value(path: str) -> Any:
         node: Any = fields
-        for word in found[1].split("."):
-            node = node[int(word)] if isinstance(node, list) else node[word]
-        return json.dumps(node)
+        for word in path.split("."):
+            node = node[int(word)] if isinstance(node, list) else node.get(word)
+            if node is None:
+                return None
+        return node
+
+    def section(found: re.Match[str]) -> str:
+        is_present = value(found[2]) not in (None, False)
+        return found[3] if is_present is (found[1] == "#") else ""
+
+    def placeholder(found: re.Match[str]) -> str:
+        present = value(found[1])
+        return "" if present is None else json.dumps(present)
 
     template = (ROOT / "deploy" / "node.toml").read_text()
-    return PLACEHOLDER.sub(value, template)
+    return PLACEHOLDER.sub(placeholder, SECTION.sub(section, template))
