Limit the concurrency of upstreams that start or recover

Cause: an upstream that has just started, or returns from an absence, a stall or a run of failures, got as many requests at once as it has slots, and was overloaded again or answered late.

StartRamp begins with an eighth of the slots and doubles after each round of answers that come in about the usual time of their route; failed, rejected and slow answers halve it. It ends at the slots. Other nodes are told the limit in force. It is used where the settings ask for it: [pace] ramp = true, or the word in ramp_contract is among the deployment's contracts, as templates cannot search lists.

--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -25,6 +25,7 @@
     "requests_running": "Requests at the upstream of this VM.",
     "requests_queued": "Requests that wait for it.",
     "upstream_limit": "Requests that may run there at once, as told to other nodes.",
+    "upstream_ramp_limit": "Requests that its start leaves room for; its slots later.",
     "upstream_cold": "Whether it counts as cold, so that its rate is bounded.",
     "upstream_cold_rate": "Requests in a second while it is cold; 0 for no bound.",
     "upstream_service_seconds": "Average time that one takes.",
--- a/packages/mesh/ibisspoke_mesh/node_gauges.py
+++ b/packages/mesh/ibisspoke_mesh/node_gauges.py
@@ -22,6 +22,7 @@
         "requests_running": load.n_running,
         "requests_queued": load.n_queued,
         "upstream_limit": load.limit,
+        "upstream_ramp_limit": node.dispatcher.queue.limit_in_force,
         "upstream_cold": cold is not None and cold.is_bounding(now_ms),
         "upstream_cold_rate": (cold.n_allowed or 0) if cold is not None else 0,
         "upstream_service_seconds": load.service_ms / 1000.0,
--- a/packages/mesh/ibisspoke_mesh/settings.py
+++ b/packages/mesh/ibisspoke_mesh/settings.py
@@ -67,6 +67,18 @@
     cold_slack: NotRequired[NotNegative]
 
 
+class PaceSection(TypedDict):
+    """Limits on the pace of upstreams; the section may be missing.
+
+    The limit after a start is used if ``ramp`` is true, or if a word in ``contracts``
+    is ``ramp_contract``. A template can copy lists of words, but not search them.
+    """
+
+    ramp: NotRequired[bool]
+    ramp_contract: NotRequired[Text]
+    contracts: NotRequired[list[str | list[str]]]
+
+
 KEY_PROOF_MARGIN_MS = 900.0  # for started work, a late timer and a round trip
 
 
@@ -82,6 +94,7 @@
     :param cold_overage: requests that a cold upstream may get in a second, as a
         multiple of the rate that it tolerates; None for no bound.
     :param cold_slack: further requests that it may get in a second.
+    :param has_start_ramp: whether upstreams that start or recover get a lower limit.
     """
 
     id: str
@@ -107,6 +120,7 @@
     retry_slack: float
     cold_overage: float | None = None
     cold_slack: float | None = None
+    has_start_ramp: bool = False
 
 
 _SCHEMAS: dict[str, Any] = {
@@ -115,6 +129,7 @@
     "upstream": UpstreamSection,
     "store": StoreSection,
     "bounds": BoundsSection,
+    "pace": PaceSection,
 }
 _ADDRESSES = {
     "listen": ("callers", "peers", "readiness", "announcements"),
@@ -195,4 +210,12 @@
         retry_slack=bounds["retry_slack"],
         cold_overage=bounds.get("cold_overage"),
         cold_slack=bounds.get("cold_slack"),
+        has_start_ramp=_has_start_ramp(sections["pace"]),
     )
+
+
+def _has_start_ramp(pace: PaceSection) -> bool:
+    words: list[str] = []
+    for entry in pace.get("contracts", []):
+        words += [entry] if isinstance(entry, str) else entry
+    return pace.get("ramp", False) or pace.get("ramp_contract") in words
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -9,7 +9,8 @@
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.decaying_share import DecayingShare
-from ibisspoke_policy.upstream_queue import Ending, Load, Offer, UpstreamQueue
+from ibisspoke_policy.offer import Offer
+from ibisspoke_policy.upstream_queue import Ending, Load, UpstreamQueue
 from ibisspoke_policy.upstream_tracker import (
     Announcement,
     UpstreamProcess,
@@ -58,7 +59,7 @@
     :param service: service of the upstream, by the settings.
     :param heartbeat_ms: interval of the upstream's heartbeats.
     :param drain_ms: how long a leaving upstream continues to serve.
-    :ivar pace: limits the requests to an upstream that is cold.
+    :ivar pace: limits the requests to an upstream that starts, recovers or is cold.
     """
 
     def __init__(
@@ -151,7 +152,7 @@
             self._draining_since_ms = None
             self.cold_until_ms = now_ms + announcement.cold_ms
         self.queue.limit = announcement.n_slots
-        self.pace.heartbeat(announcement.service, announcement.cold_ms, not same)
+        self.pace.heartbeat(announcement, not same)
         self._track_draining(self.upstream.state)
         if not same or state is not self.upstream.state:
             self._log.write(
@@ -287,6 +288,7 @@
         if ready and silent_ms > MAX_MISSED_HEARTBEATS * self._heartbeat_ms:
             self._mark_absent("no heartbeat", silent_ms)
         self._start_ready()
+        self.pace.log_ramp(self.queue)
 
     def _cut_off(self, number: int, now_ms: float) -> None:
         """End an attempt that the upstream neither answers nor stops."""
@@ -302,7 +304,7 @@
             reason=reason,
             kind=OutcomeKind.TIMED_OUT.name,
             n_running=self.queue.n_running,
-            limit=self.queue.limit,
+            limit=self.queue.limit_in_force,
         )
         pending.on_outcome(Outcome(OutcomeKind.TIMED_OUT, reason=reason))
 
@@ -310,6 +312,7 @@
         """Return a queue for a new upstream, and refuse what the old one holds."""
         old = self.queue
         old.is_leaving = True
+        old.ramp = None  # its running requests tell nothing about the new upstream
         for offer, error in old.tick(self._clock.now_ms()):
             pending = self._pending.pop(offer.id)
             if pending is not None:
@@ -324,7 +327,7 @@
 
     def _mark_absent(self, why: str, silent_ms: float) -> None:
         self.upstream.mark_absent()
-        self.pace.expect_restart(why)
+        self.pace.mark_absent(why)
         self._pool.close_idle()
         self._log.write(
             "upstream absent",
@@ -405,7 +408,7 @@
                     reason=outcome.reason,
                     kind=outcome.kind.name,
                     n_running=queue.n_running,
-                    limit=queue.limit,
+                    limit=queue.limit_in_force,
                 )
             pending.on_outcome(outcome)
         self._start_ready()
--- a/packages/mesh/ibisspoke_mesh/upstream_pace.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pace.py
@@ -1,15 +1,23 @@
-"""The pace of an upstream that is cold, as the events of its dispatcher tell."""
+"""The pace of an upstream that starts, recovers or is cold.
+
+Translates the events of the dispatcher for the policies that limit the requests.
+"""
 
 from collections.abc import Mapping
 
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.cold_rate import ColdBound, ColdRate
 from ibisspoke_policy.route_table import ColdStart
+from ibisspoke_policy.start_ramp import RampReason, StartRamp
 from ibisspoke_policy.upstream_queue import UpstreamQueue
+from ibisspoke_policy.upstream_tracker import Announcement
 
 from .decision_log import DecisionLog
 from .settings import NodeSettings
 
+# Upstreams that a starting node finds running are past their start: one takes 1 to 3 s.
+STARTED_BEFORE_MS = 10_000.0
+
 
 class UpstreamPace:
     """Holds what limits the requests to an upstream besides its slots.
@@ -18,22 +26,32 @@
     in the bound too.
 
     :ivar cold: the bound of a cold upstream; None where the settings state none.
+    :ivar ramp: the limit after a start; None where the settings do not ask for it.
     """
 
     def __init__(self, clock: Clock, log: DecisionLog) -> None:
         self.cold: ColdRate | None = None
+        self.ramp: StartRamp | None = None
         self._clock = clock
         self._log = log
         self._bound: ColdBound | None = None
         self._cold_starts_by_service: Mapping[str, ColdStart] | None = None
         self._service = ""
         self._was_cold = False
+        self._was_absent = False
+        self._has_process = False
+        self._n_ramp_changes = 0
 
     def __repr__(self) -> str:
-        return f"UpstreamPace({self.cold!r})"
+        return f"UpstreamPace({self.cold!r}, {self.ramp!r})"
 
     def apply_settings(self, settings: NodeSettings) -> None:
         """Apply new settings."""
+        if not settings.has_start_ramp:
+            self.ramp = None
+        elif self.ramp is None:
+            self.ramp = StartRamp()
+            self._n_ramp_changes = 0
         overage, slack = settings.cold_overage, settings.cold_slack
         if overage is None and slack is None:
             self._bound = self.cold = None
@@ -53,21 +71,38 @@
 
     def attach(self, queue: UpstreamQueue) -> UpstreamQueue:
         """Make a queue keep the limits, and return it."""
-        queue.cold = self.cold
+        queue.cold, queue.ramp = self.cold, self.ramp
         return queue
 
-    def heartbeat(self, service: str, cold_ms: float, is_new_process: bool) -> None:
+    def heartbeat(self, announcement: Announcement, is_new_process: bool) -> None:
         """Handle a heartbeat."""
-        self._service = service
+        self._service = announcement.service
         self._update_rate()
+        now_ms = self._clock.now_ms()
         if self.cold is not None:
-            self.cold.heartbeat(cold_ms, is_new_process, self._clock.now_ms())
+            self.cold.heartbeat(announcement.cold_ms, is_new_process, now_ms)
+        if is_new_process and self._is_start(announcement):
+            self._restart_ramp(RampReason.STARTED)
+        elif self._was_absent:
+            self._restart_ramp(RampReason.RETURNED)
+        self._has_process, self._was_absent = True, False
         self._log_change("heartbeat")
 
+    def _is_start(self, announcement: Announcement) -> bool:
+        """Return whether a process that is new to this node has just started."""
+        age_ms = self._clock.wall_ms() - announcement.start_ms
+        return self._has_process or age_ms < STARTED_BEFORE_MS
+
+    def mark_absent(self, why: str) -> None:
+        """Handle the absence of the upstream."""
+        self._was_absent = True
+        self.expect_restart(why)
+
     def expect_cold(self, why: str) -> None:
         """Count the upstream as cold until a later heartbeat says that it is not."""
         if self.cold is not None:
             self.cold.expect(self._clock.now_ms())
+        self._restart_ramp(RampReason.RETURNED)
         self._log_change(why)
 
     def expect_restart(self, why: str) -> None:
@@ -92,6 +127,26 @@
             self.cold.discount(number)
         self.expect_restart("answered by another process")
 
+    def log_ramp(self, queue: UpstreamQueue) -> None:
+        """Write a line if the limit after a start has changed."""
+        ramp = self.ramp
+        if ramp is None or ramp.n_changes == self._n_ramp_changes:
+            return
+        self._n_ramp_changes = ramp.n_changes
+        self._log.write(
+            "upstream ramp",
+            service=self._service,
+            limit=ramp.limit(queue.limit),
+            n_slots=queue.limit,
+            n_running=queue.n_running,
+            n_queued=queue.n_queued,
+            why=ramp.reason,
+        )
+
+    def _restart_ramp(self, reason: RampReason) -> None:
+        if self.ramp is not None:
+            self.ramp.restart(reason, self._clock.now_ms())
+
     def _update_rate(self) -> None:
         if self.cold is None or self._bound is None:
             return
--- a/packages/mesh/tests/test_upstream_pace.py
+++ b/packages/mesh/tests/test_upstream_pace.py
@@ -316,3 +316,145 @@
     vm.pass_time(2_000.0)
     vm.submit(3)
     assert vm.pool.n_written == 0
+
+
+def limit_of(vm: Vm) -> int:
+    """Return the limit that other nodes are told."""
+    return vm.dispatcher.load().limit
+
+
+async def serve(vm: Vm, duration_ms: float, took_ms: float = 50.0) -> None:
+    """Keep all slots in use, with answers that take ``took_ms``."""
+    for _ in range(int(duration_ms / took_ms)):
+        vm.submit(vm.n_slots - len(vm.pool.requests_by_token))
+        vm.pass_time(took_ms)
+        vm.answer(len(vm.pool.requests_by_token))
+        vm.heartbeat()
+        await asyncio.sleep(0)
+
+
+async def test_a_new_process_starts_with_a_part_of_its_slots():
+    # Load: full traffic as the process of the upstream is replaced.
+    vm = Vm(has_start_ramp=True)
+    await vm.warm_up()
+    assert limit_of(vm) == 64
+    await serve(vm, 1_000.0)
+    vm.heartbeat(start_ms=2_000)
+    vm.submit(64)
+    assert limit_of(vm) == 8
+    assert len(vm.pool.requests_by_token) == 8
+    await serve_new(vm, 1_500.0)
+    assert limit_of(vm) == 64
+
+
+async def serve_new(vm: Vm, duration_ms: float) -> None:
+    """Serve as the process that has replaced the first one."""
+    for _ in range(int(duration_ms / 50.0)):
+        vm.submit(vm.n_slots)
+        vm.pass_time(50.0)
+        vm.answer(len(vm.pool.requests_by_token))
+        vm.heartbeat(start_ms=2_000)
+        await asyncio.sleep(0)
+
+
+RAMP_ONLY = {"has_start_ramp": True, "cold_overage": None, "cold_slack": None}
+
+
+async def test_an_upstream_that_returns_starts_with_a_part_of_its_slots():
+    # Failure: no heartbeat for 10 s, and then the same process again.
+    vm = Vm(**RAMP_ONLY)
+    await vm.warm_up()
+    vm.pass_time(10_000.0)
+    assert vm.dispatcher.state == "absent"
+    vm.heartbeat()
+    assert limit_of(vm) == 8
+
+
+async def test_a_refused_connection_starts_the_ramp_when_it_is_back():
+    # Failure: the listener of the upstream is closed for a moment.
+    vm = Vm(**RAMP_ONLY)
+    await vm.warm_up()
+    vm.submit(1)
+    vm.pool.end(REFUSED)
+    vm.heartbeat()
+    assert limit_of(vm) == 8
+
+
+async def test_the_end_of_an_evacuation_starts_the_ramp():
+    vm = Vm(**RAMP_ONLY)
+    await vm.warm_up()
+    vm.dispatcher.expect_cold()
+    assert limit_of(vm) == 8
+
+
+@pytest.mark.parametrize(("age_ms", "limit"), [(2_000, 8), (60_000, 64)])
+async def test_a_node_that_starts_slows_only_a_young_upstream_down(age_ms, limit):
+    # Failure: the node's process is replaced, beside an upstream that goes on.
+    vm = Vm(has_start_ramp=True)
+    vm.clock.advance(100_000.0)
+    vm.heartbeat(start_ms=int(vm.clock.wall_ms()) - age_ms)
+    assert limit_of(vm) == limit
+
+
+async def test_a_cold_upstream_also_keeps_the_limit_of_its_start():
+    # Both limits apply: the rate bounds a second, the ramp what runs at once.
+    vm = Vm(has_start_ramp=True)
+    await vm.warm_up()
+    vm.dispatcher.pace.apply_configuration({"shop": ColdStart(1.0, 20.0)})
+    vm.pass_time(2_000.0)
+    vm.heartbeat(cold_ms=60_000.0, start_ms=2_000)
+    vm.submit(64)
+    assert len(vm.pool.requests_by_token) == 8
+    for _ in range(4):
+        vm.answer(len(vm.pool.requests_by_token))
+        vm.submit(64)
+    assert vm.pool.n_written == 20
+
+
+async def test_a_deployment_without_a_ramp_uses_all_slots_at_once():
+    # It is served as before: no limit at a new process, nor after an absence.
+    vm = Vm(cold_overage=None, cold_slack=None)
+    await vm.warm_up()
+    vm.heartbeat(start_ms=2_000)
+    assert limit_of(vm) == 64
+    vm.pass_time(10_000.0)
+    vm.heartbeat(start_ms=2_000)
+    assert limit_of(vm) == 64
+    assert vm.dispatcher.pace.ramp is None
+    assert vm.dispatcher.pace.cold is None
+
+
+async def test_the_old_process_does_not_count_for_the_new_one():
+    # Failure: what ran at the process that ended fails after the new one has begun.
+    vm = Vm(has_start_ramp=True)
+    await vm.warm_up()
+    vm.submit(40)
+    vm.heartbeat(start_ms=2_000)
+    for _ in range(40):
+        vm.pool.end(UpstreamFailure("reset", was_sent=True))
+    assert limit_of(vm) == 8
+
+
+async def test_each_change_of_the_limit_is_logged_within_a_bound(caplog):
+    # Failure: an upstream that is replaced again and again floods the log.
+    caplog.set_level("INFO", "ibisspoke")
+    vm = Vm(has_start_ramp=True)
+    await vm.warm_up()
+    for number in range(200):
+        vm.heartbeat(start_ms=2_000 + number)
+        vm.pass_time(10.0)
+    lines = [line for line in caplog.records if line.message == "upstream ramp"]
+    assert 12 <= len(lines) <= 22  # 12 at once and 4 a second
+    assert (lines[0].limit, lines[0].n_slots, lines[0].why) == (8, 64, "started")
+
+
+async def test_settings_switch_the_ramp_while_the_node_runs():
+    vm = Vm(has_start_ramp=True)
+    await vm.warm_up()
+    vm.heartbeat(start_ms=2_000)
+    vm.dispatcher.apply_settings(vm.settings._replace(has_start_ramp=False))
+    assert limit_of(vm) == 64
+    vm.dispatcher.apply_settings(vm.settings)
+    assert limit_of(vm) == 64
+    vm.heartbeat(start_ms=3_000)
+    assert limit_of(vm) == 8
--- a/packages/policy/ibisspoke_policy/service_times.py
+++ b/packages/policy/ibisspoke_policy/service_times.py
@@ -38,6 +38,10 @@
         average = self._average_by_route.get(route)
         return average.value_ms if average is not None else self.overall_ms
 
+    def is_known(self, route: str) -> bool:
+        """Return whether a request of ``route`` was answered before."""
+        return route in self._average_by_route
+
     def add(self, route: str, took_ms: float) -> None:
         """Record an answered request."""
         average = self._average_by_route.get(route)
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -7,49 +7,20 @@
 
 from .cold_rate import ColdRate
 from .decaying_share import DecayingShare
+from .offer import Offer, QueueError, is_early, is_too_cold, is_wait_acceptable
 from .route_pressure import RoutePressures
 from .service_times import ServiceTimes
+from .start_ramp import RampReason, Running, StartRamp
+from .time_shares import TimeShares
 
 OUTCOME_WEIGHT = 0.08  # of one outcome in the shares; averages about the last 12
 FAILURE_HALF_LIFE_MS = 1_000.0  # then an upstream that was avoided is tried again
 SERVICE_TIME_VALIDITY_MS = 2_000.0  # after the last end of a request
 MIN_LESS_URGENT_TIME_SHARE = 0.15  # of the upstream's time
-MIN_RECORDED_TIME_MS = 2_000.0  # with less, the shares are not meaningful
-TIME_SHARE_HALF_LIFE_MS = 2_000.0
-# Share of the objective; a refusal within it costs the caller nothing.
-EARLY_REFUSAL_SHARE = 0.125
-MAX_WAIT_SHARE = 0.5  # of the objective that may be spent in the queue
 MIN_STALL_MS = 2_000.0
 STALL_SERVICE_TIME_FACTOR = 6.0  # without an answer, before it counts as stalled
 
 
-class QueueError(StrEnum):
-    """Why a request was not queued or was removed from the queue."""
-
-    FULL = "full"
-    STALLED = "stalled"
-    LEAVING = "leaving"
-    EXPIRED = "expired"
-    PREEMPTED = "preempted"
-    COLD = "cold"  # the rate of a cold upstream leaves no room for it in time
-
-
-class Offer(NamedTuple):
-    """A request that is to run at the upstream.
-
-    :param rank: lower ranks run first; the first part is the priority.
-    :param expires_ms: deadline, in the monotonic time of this process.
-    :param objective_ms: the latency objective, which limits the wait.
-    """
-
-    id: int
-    route: str
-    rank: tuple[int, int]
-    arrived_ms: float
-    expires_ms: float
-    objective_ms: float
-
-
 class Load(NamedTuple):
     """Load of an upstream, as its node reports it to other nodes.
 
@@ -78,29 +49,6 @@
     DROPPED = "dropped"  # the caller no longer waited
 
 
-class _TimeShares:
-    """Shares of the upstream's time by priority, from decaying sums."""
-
-    def __init__(self, now_ms: float) -> None:
-        self._at_ms = now_ms
-        self._by_priority: dict[int, float] = {}
-
-    def add(self, priority: int, took_ms: float, now_ms: float) -> None:
-        """Record the time that one request took."""
-        decay = 0.5 ** (max(0.0, now_ms - self._at_ms) / TIME_SHARE_HALF_LIFE_MS)
-        self._at_ms = now_ms
-        for key in self._by_priority:
-            self._by_priority[key] *= decay
-        self._by_priority[priority] = self._by_priority.get(priority, 0.0) + took_ms
-
-    def share(self, priority: int) -> float:
-        """Return the share of the time that requests of ``priority`` used."""
-        total = sum(self._by_priority.values())
-        if total < MIN_RECORDED_TIME_MS:
-            return 1.0
-        return self._by_priority.get(priority, 0.0) / total
-
-
 class _Queued(NamedTuple):
     """A request in the queue; sorts by rank, then by arrival.
 
@@ -124,16 +72,24 @@
 
     :param limit: number of requests that may run concurrently.
     :ivar cold: bounds the rate while the upstream is cold; None for no bound.
+    :ivar ramp: limits the requests after a start; None for no such limit.
     """
 
-    def __init__(self, limit: int, now_ms: float, cold: ColdRate | None = None) -> None:
+    def __init__(
+        self,
+        limit: int,
+        now_ms: float,
+        cold: ColdRate | None = None,
+        ramp: StartRamp | None = None,
+    ) -> None:
         self.limit = limit
         self.cold = cold
+        self.ramp = ramp
         self.is_leaving = False
         self.service_times = ServiceTimes()
         self._failures = DecayingShare(OUTCOME_WEIGHT, FAILURE_HALF_LIFE_MS)
         self._pressures = RoutePressures()
-        self._time_shares = _TimeShares(now_ms)
+        self._time_shares = TimeShares(now_ms)
         self._queue: list[_Queued] = []
         self._running_by_id: dict[int, _Running] = {}
         self._last_progress_ms = now_ms
@@ -157,12 +113,17 @@
     @property
     def is_saturated(self) -> bool:
         """Whether all slots of the upstream are taken."""
-        return len(self._running_by_id) >= self.limit
+        return len(self._running_by_id) >= self.limit_in_force
+
+    @property
+    def limit_in_force(self) -> int:
+        """Number of requests that may run concurrently now."""
+        return self.limit if self.ramp is None else self.ramp.limit(self.limit)
 
     def load(self, now_ms: float) -> Load:
         """Return the load to report to other nodes."""
         closed = self.is_leaving or self.is_stalled(now_ms)
-        limit = self.limit
+        limit = self.limit_in_force
         if limit > 0 and self.cold is not None and self.cold.is_bounding(now_ms):
             limit = min(limit, self.cold.concurrency(self.service_times.overall_ms))
         is_known = self.service_times.has_answers and (
@@ -218,9 +179,10 @@
 
         :param work_ms: total expected service time of these.
         """
-        if self.n_running + n_ahead < self.limit:
+        limit = self.limit_in_force
+        if self.n_running + n_ahead < limit:
             return 0.0
-        return (self.service_times.overall_ms + work_ms) / self.limit
+        return (self.service_times.overall_ms + work_ms) / limit
 
     def offer(self, offer: Offer) -> QueueError | None:
         """Queue a request, or return the reason for refusing it."""
@@ -240,7 +202,7 @@
 
     def start_next(self, now_ms: float) -> Offer | None:
         """Return the next request to run, counting it as running."""
-        if not self._queue or self.n_running >= self.limit:
+        if not self._queue or self.n_running >= self.limit_in_force:
             return None
         if self.cold is not None:
             if self.cold.wait_ms(0, now_ms) > 0.0:
@@ -256,6 +218,7 @@
 
     def finish(self, offer_id: int, now_ms: float, ending: Ending) -> None:
         """Count a request as ended."""
+        was_stalled = self.ramp is not None and self.is_stalled(now_ms)
         running = self._running_by_id.pop(offer_id, None)
         if running is None:
             return
@@ -270,6 +233,27 @@
         self._pressures.add(running.offer.route, has_starved, now_ms)
         if ending is Ending.ANSWERED:
             self.service_times.add(running.offer.route, took_ms)
+        if ending in (Ending.ANSWERED, Ending.FAILED):
+            self._update_ramp(running, ending is Ending.FAILED, was_stalled, now_ms)
+
+    def _update_ramp(
+        self, ended: _Running, is_failed: bool, was_stalled: bool, now_ms: float
+    ) -> None:
+        if self.ramp is None:
+            return
+        if was_stalled:
+            self.ramp.restart(RampReason.STALLED, now_ms)
+        request = Running(ended.offer.route, ended.started_ms)
+        self.ramp.add(request, is_failed, self.limit, now_ms)
+        self._tick_ramp(now_ms)
+
+    def _tick_ramp(self, now_ms: float) -> None:
+        if self.ramp is not None:
+            running = (
+                Running(other.offer.route, other.started_ms)
+                for other in self._running_by_id.values()
+            )
+            self.ramp.tick(running, self.limit, now_ms)
 
     def _next_index(self, now_ms: float) -> int:
         """Return the index of the request to run next.
@@ -300,6 +284,7 @@
 
     def tick(self, now_ms: float) -> list[tuple[Offer, QueueError]]:
         """Remove and return requests that can no longer succeed by waiting."""
+        self._tick_ramp(now_ms)
         removed: list[tuple[Offer, QueueError]] = []
         kept: list[_Queued] = []
         work_ahead_ms = 0.0
@@ -309,7 +294,8 @@
             error = self._removal_reason(entry.offer, wait_ms, is_stalled, now_ms)
             if error is None and self.cold is not None:
                 cold_wait_ms = self.cold.wait_ms(len(kept), now_ms)
-                error = self._cold_removal_reason(entry.offer, cold_wait_ms, now_ms)
+                if is_too_cold(entry.offer, cold_wait_ms, entry.work_ms, now_ms):
+                    error = QueueError.COLD
             if error is None:
                 kept.append(entry)
                 work_ahead_ms += entry.work_ms
@@ -331,38 +317,12 @@
             return QueueError.EXPIRED
         if is_stalled:
             return QueueError.STALLED
-        early_until_ms = offer.arrived_ms + EARLY_REFUSAL_SHARE * offer.objective_ms
-        if now_ms <= early_until_ms:
+        if is_early(offer, now_ms):
             waited_ms = now_ms - offer.arrived_ms
             if not self._is_wait_acceptable(offer, wait_ms + waited_ms):
                 return QueueError.PREEMPTED
         return None
 
-    def _cold_removal_reason(
-        self, offer: Offer, wait_ms: float, now_ms: float
-    ) -> QueueError | None:
-        """Return why the rate of a cold upstream removes a request from the queue.
-
-        An upstream may become cold while requests are queued for it.
-
-        :param wait_ms: its expected remaining wait.
-        """
-        if wait_ms <= 0.0:
-            return None
-        if now_ms <= offer.arrived_ms + EARLY_REFUSAL_SHARE * offer.objective_ms:
-            wait_ms += now_ms - offer.arrived_ms
-            return None if self._is_wait_acceptable(offer, wait_ms) else QueueError.COLD
-        # Later, a wait that was accepted must not end for a small error of estimates.
-        ready_ms = now_ms + wait_ms + self.service_times.expected_ms(offer.route)
-        is_late = ready_ms > offer.expires_ms
-        is_long = wait_ms > MAX_WAIT_SHARE * offer.objective_ms
-        return QueueError.COLD if is_late or is_long else None
-
     def _is_wait_acceptable(self, offer: Offer, wait_ms: float) -> bool:
-        if wait_ms <= 0.0:
-            return True
-        ready_ms = (
-            offer.arrived_ms + wait_ms + self.service_times.expected_ms(offer.route)
-        )
-        bound_ms = max(EARLY_REFUSAL_SHARE, MAX_WAIT_SHARE) * offer.objective_ms
-        return wait_ms <= bound_ms and ready_ms <= offer.expires_ms
+        service_ms = self.service_times.expected_ms(offer.route)
+        return is_wait_acceptable(offer, wait_ms, service_ms)
--- a/tests/fleet/test_cold_upstreams.py
+++ b/tests/fleet/test_cold_upstreams.py
@@ -159,3 +159,39 @@
         await asyncio.sleep(0.15)
         await _announce_cold(vm, 0)
         assert not cold.is_cold(vm.node.clock.now_ms())
+
+
+@pytest.mark.parametrize(
+    ("contracts", "expected"),
+    [
+        ({"contracts": ["spread", "health"]}, True),
+        ({"contracts": ["spread", "healthy"]}, False),
+        ({"contracts": []}, False),
+        ({}, False),
+    ],
+)
+def test_the_template_asks_for_the_ramp_where_the_contracts_do(contracts, expected):
+    assert settings_of({**VALUES, **contracts}).has_start_ramp is expected
+
+
+def test_settings_without_a_pace_ask_for_no_ramp():
+    template = (ROOT / "deploy" / "node.toml").read_text()
+    text = render(template, VALUES).partition("[pace]")[0]
+    assert not parse_settings("node.toml", text).ok_value.has_start_ramp
+    text += "[pace]\nramp = true\n"
+    assert parse_settings("node.toml", text).ok_value.has_start_ramp
+
+
+async def test_the_metrics_page_tells_the_limits():
+    async with running_fleet(
+        1, cold_overage=1.5, cold_slack=8.0, has_start_ramp=True
+    ) as fleet:
+        vm = fleet.vms[0]
+        await fleet.configure(2, services=COLD)
+        await until(lambda: vm.node.dispatcher.pace.cold.n_allowed == 3)
+        await _announce_cold(vm, 60_000)
+        page = (await vm.node.serve_metrics(None)).body.decode()
+        assert "ibisspoke_upstream_cold 1.0" in page
+        assert "ibisspoke_upstream_cold_rate 3.0" in page
+        assert "ibisspoke_upstream_ramp_limit 8.0" in page
+        assert "ibisspoke_upstream_limit 1.0" in page
