--- a/packages/mesh/ibisspoke_mesh/settings.py
+++ b/packages/mesh/ibisspoke_mesh/settings.py
@@ -1,7 +1,7 @@
 """Settings of a node, read from TOML and validated."""
 
 from pathlib import Path
-from typing import Annotated, Any, NamedTuple, TypedDict
+from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from result import Err, Ok, Result
@@ -11,6 +11,7 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535, description="a port, 1 to 65535")]
 Text = Annotated[str, msgspec.Meta(min_length=1, description="a text, not empty")]
 Positive = Annotated[float, msgspec.Meta(gt=0, description="a number above 0")]
+NotNegative = Annotated[float, msgspec.Meta(ge=0, description="0 or a number above it")]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1, description="a number from 0 to 1")]
 
 
@@ -50,7 +51,11 @@
 
 
 class BoundsSection(TypedDict):
-    """Bounds that are guaranteed to users."""
+    """Bounds that are guaranteed to users.
+
+    A cold upstream gets at most ``cold_overage`` times its rate plus ``cold_slack``
+    requests in a second; without both, its rate is not bounded.
+    """
 
     stop_s: Positive
     key_withdrawal_ms: Positive
@@ -58,6 +63,20 @@
     retry_ratio: Share
     retry_window_s: Positive
     retry_slack: Positive
+    cold_overage: NotRequired[NotNegative]
+    cold_slack: NotRequired[NotNegative]
+
+
+class PaceSection(TypedDict):
+    """Limits on the pace of upstreams; the section may be missing.
+
+    The limit after a start is used if ``ramp`` is true, or if a word in ``contracts``
+    is ``ramp_contract``. A template can copy lists of words, but not search them.
+    """
+
+    ramp: NotRequired[bool]
+    ramp_contract: NotRequired[Text]
+    contracts: NotRequired[list[str | list[str]]]
 
 
 class LimitsSection(TypedDict, total=False):
@@ -82,6 +101,10 @@
     :param retry_slack: retries of a service in a window over the whole fleet that are
         allowed regardless of the ratio.
     :param max_descriptors: how many descriptors the process may have.
+    :param cold_overage: requests that a cold upstream may get in a second, as a
+        multiple of the rate that it tolerates; None for no bound.
+    :param cold_slack: further requests that it may get in a second.
+    :param has_start_ramp: whether upstreams that start or recover get a lower limit.
     """
 
     id: str
@@ -106,6 +129,9 @@
     retry_window_ms: float
     retry_slack: float
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
+    cold_overage: float | None = None
+    cold_slack: float | None = None
+    has_start_ramp: bool = False
 
 
 _SCHEMAS: dict[str, Any] = {
@@ -115,6 +141,7 @@
     "store": StoreSection,
     "bounds": BoundsSection,
     "limits": LimitsSection,
+    "pace": PaceSection,
 }
 _ADDRESSES = {
     "listen": ("callers", "peers", "readiness", "announcements"),
@@ -196,4 +223,14 @@
         max_descriptors=sections["limits"].get(
             "max_descriptors", DEFAULT_MAX_DESCRIPTORS
         ),
+        cold_overage=bounds.get("cold_overage"),
+        cold_slack=bounds.get("cold_slack"),
+        has_start_ramp=_has_start_ramp(sections["pace"]),
     )
+
+
+def _has_start_ramp(pace: PaceSection) -> bool:
+    words: list[str] = []
+    for entry in pace.get("contracts", []):
+        words += [entry] if isinstance(entry, str) else entry
+    return pace.get("ramp", False) or pace.get("ramp_contract") in words
--- a/packages/policy/ibisspoke_policy/upstream_queue.py
+++ b/packages/policy/ibisspoke_policy/upstream_queue.py
@@ -5,49 +5,22 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from .cold_rate import ColdRate
 from .decaying_share import DecayingShare
+from .offer import Offer, QueueError, is_early, is_too_cold, is_wait_acceptable
 from .route_pressure import RoutePressures
 from .service_times import ServiceTimes
+from .start_ramp import RampReason, Running, StartRamp
+from .time_shares import TimeShares
 
 OUTCOME_WEIGHT = 0.08  # of one outcome in the shares; averages about the last 12
 FAILURE_HALF_LIFE_MS = 1_000.0  # then an upstream that was avoided is tried again
 SERVICE_TIME_VALIDITY_MS = 2_000.0  # after the last end of a request
 MIN_LESS_URGENT_TIME_SHARE = 0.15  # of the upstream's time
-MIN_RECORDED_TIME_MS = 2_000.0  # with less, the shares are not meaningful
-TIME_SHARE_HALF_LIFE_MS = 2_000.0
-# Share of the objective; a refusal within it costs the caller nothing.
-EARLY_REFUSAL_SHARE = 0.125
-MAX_WAIT_SHARE = 0.5  # of the objective that may be spent in the queue
 MIN_STALL_MS = 2_000.0
 STALL_SERVICE_TIME_FACTOR = 6.0  # without an answer, before it counts as stalled
 
 
-class QueueError(StrEnum):
-    """Why a request was not queued or was removed from the queue."""
-
-    FULL = "full"
-    STALLED = "stalled"
-    LEAVING = "leaving"
-    EXPIRED = "expired"
-    PREEMPTED = "preempted"
-
-
-class Offer(NamedTuple):
-    """A request that is to run at the upstream.
-
-    :param rank: lower ranks run first; the first part is the priority.
-    :param expires_ms: deadline, in the monotonic time of this process.
-    :param objective_ms: the latency objective, which limits the wait.
-    """
-
-    id: int
-    route: str
-    rank: tuple[int, int]
-    arrived_ms: float
-    expires_ms: float
-    objective_ms: float
-
-
 class Load(NamedTuple):
     """Load of an upstream, as its node reports it to other nodes.
 
@@ -76,29 +49,6 @@
     DROPPED = "dropped"  # the caller no longer waited
 
 
-class _TimeShares:
-    """Shares of the upstream's time by priority, from decaying sums."""
-
-    def __init__(self, now_ms: float) -> None:
-        self._at_ms = now_ms
-        self._by_priority: dict[int, float] = {}
-
-    def add(self, priority: int, took_ms: float, now_ms: float) -> None:
-        """Record the time that one request took."""
-        decay = 0.5 ** (max(0.0, now_ms - self._at_ms) / TIME_SHARE_HALF_LIFE_MS)
-        self._at_ms = now_ms
-        for key in self._by_priority:
-            self._by_priority[key] *= decay
-        self._by_priority[priority] = self._by_priority.get(priority, 0.0) + took_ms
-
-    def share(self, priority: int) -> float:
-        """Return the share of the time that requests of ``priority`` used."""
-        total = sum(self._by_priority.values())
-        if total < MIN_RECORDED_TIME_MS:
-            return 1.0
-        return self._by_priority.get(priority, 0.0) / total
-
-
 class _Queued(NamedTuple):
     """A request in the queue; sorts by rank, then by arrival.
 
@@ -121,15 +71,25 @@
     """Decide which requests run at the upstream of this VM, and when.
 
     :param limit: number of requests that may run concurrently.
+    :ivar cold: bounds the rate while the upstream is cold; None for no bound.
+    :ivar ramp: limits the requests after a start; None for no such limit.
     """
 
-    def __init__(self, limit: int, now_ms: float) -> None:
+    def __init__(
+        self,
+        limit: int,
+        now_ms: float,
+        cold: ColdRate | None = None,
+        ramp: StartRamp | None = None,
+    ) -> None:
         self.limit = limit
+        self.cold = cold
+        self.ramp = ramp
         self.is_leaving = False
         self.service_times = ServiceTimes()
         self._failures = DecayingShare(OUTCOME_WEIGHT, FAILURE_HALF_LIFE_MS)
         self._pressures = RoutePressures()
-        self._time_shares = _TimeShares(now_ms)
+        self._time_shares = TimeShares(now_ms)
         self._queue: list[_Queued] = []
         self._running_by_id: dict[int, _Running] = {}
         self._last_progress_ms = now_ms
@@ -153,11 +113,19 @@
     @property
     def is_saturated(self) -> bool:
         """Whether all slots of the upstream are taken."""
-        return len(self._running_by_id) >= self.limit
+        return len(self._running_by_id) >= self.limit_in_force
+
+    @property
+    def limit_in_force(self) -> int:
+        """Number of requests that may run concurrently now."""
+        return self.limit if self.ramp is None else self.ramp.limit(self.limit)
 
     def load(self, now_ms: float) -> Load:
         """Return the load to report to other nodes."""
         closed = self.is_leaving or self.is_stalled(now_ms)
+        limit = self.limit_in_force
+        if limit > 0 and self.cold is not None and self.cold.is_bounding(now_ms):
+            limit = min(limit, self.cold.concurrency(self.service_times.overall_ms))
         is_known = self.service_times.has_answers and (
             self._running_by_id
             or now_ms - self._last_progress_ms < SERVICE_TIME_VALIDITY_MS
@@ -165,7 +133,7 @@
         return Load(
             self.n_running,
             self.n_queued,
-            0 if closed else self.limit,
+            0 if closed else limit,
             self.service_times.overall_ms if is_known else 0.0,
             self._failures.at(now_ms),
             self._pressures.reported(now_ms),
@@ -194,14 +162,27 @@
             n_ahead, sum(entry.work_ms for entry in self._queue[:n_ahead])
         )
 
+    def cold_wait_ms(self, rank: tuple[int, int], now_ms: float) -> float:
+        """Return how long a new request would wait since the upstream is cold."""
+        if self.cold is None:
+            return 0.0
+        return self.cold.wait_ms(
+            bisect.bisect_right(self._queue, (rank, math.inf)), now_ms
+        )
+
+    def retry_after_ms(self, rank: tuple[int, int], now_ms: float) -> float:
+        """Return when a refused request of ``rank`` may find room."""
+        return max(self.wait_ms(rank), self.cold_wait_ms(rank, now_ms))
+
     def _expected_wait_ms(self, n_ahead: int, work_ms: float) -> float:
         """Return the expected wait of a request behind ``n_ahead`` others.
 
         :param work_ms: total expected service time of these.
         """
-        if self.n_running + n_ahead < self.limit:
+        limit = self.limit_in_force
+        if self.n_running + n_ahead < limit:
             return 0.0
-        return (self.service_times.overall_ms + work_ms) / self.limit
+        return (self.service_times.overall_ms + work_ms) / limit
 
     def offer(self, offer: Offer) -> QueueError | None:
         """Queue a request, or return the reason for refusing it."""
@@ -210,6 +191,8 @@
             return QueueError.LEAVING
         if self.limit <= 0 or self.is_stalled(now_ms):
             return QueueError.STALLED
+        if not self._is_wait_acceptable(offer, self.cold_wait_ms(offer.rank, now_ms)):
+            return QueueError.COLD
         if not self._is_wait_acceptable(offer, self.wait_ms(offer.rank)):
             return QueueError.FULL
         work_ms = self.service_times.expected_ms(offer.route)
@@ -219,9 +202,15 @@
 
     def start_next(self, now_ms: float) -> Offer | None:
         """Return the next request to run, counting it as running."""
-        if not self._queue or self.n_running >= self.limit:
+        if not self._queue or self.n_running >= self.limit_in_force:
             return None
-        offer = self._queue.pop(self._next_index()).offer
+        if self.cold is not None:
+            if self.cold.wait_ms(0, now_ms) > 0.0:
+                return None
+            offer = self._queue.pop(self._next_index(now_ms)).offer
+            self.cold.start(offer.id, now_ms)
+        else:
+            offer = self._queue.pop(self._next_index(now_ms)).offer
         if not self._running_by_id:
             self._last_progress_ms = now_ms
         self._running_by_id[offer.id] = _Running(offer, now_ms)
@@ -229,6 +218,7 @@
 
     def finish(self, offer_id: int, now_ms: float, ending: Ending) -> None:
         """Count a request as ended."""
+        was_stalled = self.ramp is not None and self.is_stalled(now_ms)
         running = self._running_by_id.pop(offer_id, None)
         if running is None:
             return
@@ -243,13 +233,37 @@
         self._pressures.add(running.offer.route, has_starved, now_ms)
         if ending is Ending.ANSWERED:
             self.service_times.add(running.offer.route, took_ms)
+        if ending in (Ending.ANSWERED, Ending.FAILED):
+            self._update_ramp(running, ending is Ending.FAILED, was_stalled, now_ms)
 
-    def _next_index(self) -> int:
+    def _update_ramp(
+        self, ended: _Running, is_failed: bool, was_stalled: bool, now_ms: float
+    ) -> None:
+        if self.ramp is None:
+            return
+        if was_stalled:
+            self.ramp.restart(RampReason.STALLED, now_ms)
+        request = Running(ended.offer.route, ended.started_ms)
+        self.ramp.add(request, is_failed, self.limit, now_ms)
+        self._tick_ramp(now_ms)
+
+    def _tick_ramp(self, now_ms: float) -> None:
+        if self.ramp is not None:
+            running = (
+                Running(other.offer.route, other.started_ms)
+                for other in self._running_by_id.values()
+            )
+            self.ramp.tick(running, self.limit, now_ms)
+
+    def _next_index(self, now_ms: float) -> int:
         """Return the index of the request to run next.
 
         The least urgent requests get a minimum share of the upstream's time, so that
-        they do not starve.
+        they do not starve. A cold upstream takes few requests for some seconds, and the
+        others can run elsewhere, so that only the most urgent ones run there.
         """
+        if self.cold is not None and self.cold.is_bounding(now_ms):
+            return 0
         lowest_priority = self._queue[-1].rank[0]
         if lowest_priority == self._queue[0].rank[0]:
             return 0
@@ -270,6 +284,7 @@
 
     def tick(self, now_ms: float) -> list[tuple[Offer, QueueError]]:
         """Remove and return requests that can no longer succeed by waiting."""
+        self._tick_ramp(now_ms)
         removed: list[tuple[Offer, QueueError]] = []
         kept: list[_Queued] = []
         work_ahead_ms = 0.0
@@ -277,6 +292,10 @@
         for entry in self._queue:
             wait_ms = self._expected_wait_ms(len(kept), work_ahead_ms)
             error = self._removal_reason(entry.offer, wait_ms, is_stalled, now_ms)
+            if error is None and self.cold is not None:
+                cold_wait_ms = self.cold.wait_ms(len(kept), now_ms)
+                if is_too_cold(entry.offer, cold_wait_ms, entry.work_ms, now_ms):
+                    error = QueueError.COLD
             if error is None:
                 kept.append(entry)
                 work_ahead_ms += entry.work_ms
@@ -298,18 +317,12 @@
             return QueueError.EXPIRED
         if is_stalled:
             return QueueError.STALLED
-        early_until_ms = offer.arrived_ms + EARLY_REFUSAL_SHARE * offer.objective_ms
-        if now_ms <= early_until_ms:
+        if is_early(offer, now_ms):
             waited_ms = now_ms - offer.arrived_ms
             if not self._is_wait_acceptable(offer, wait_ms + waited_ms):
                 return QueueError.PREEMPTED
         return None
 
     def _is_wait_acceptable(self, offer: Offer, wait_ms: float) -> bool:
-        if wait_ms <= 0.0:
-            return True
-        ready_ms = (
-            offer.arrived_ms + wait_ms + self.service_times.expected_ms(offer.route)
-        )
-        bound_ms = max(EARLY_REFUSAL_SHARE, MAX_WAIT_SHARE) * offer.objective_ms
-        return wait_ms <= bound_ms and ready_ms <= offer.expires_ms
+        service_ms = self.service_times.expected_ms(offer.route)
+        return is_wait_acceptable(offer, wait_ms, service_ms)
