--- a/tests/fleet/test_odd_rows.py
+++ b/tests/fleet/test_odd_rows.py
@@ -4,6 +4,7 @@
 no longer find each other and refuse what other services should run.
 """
 
+import asyncio
 import json
 from contextlib import AsyncExitStack
 
@@ -275,3 +276,19 @@
         for vm in vms:
             assert node not in vm.node.fleet.peers_by_id
         assert vms[0].node.metrics.bad_rows["members", "record"] >= 1
+
+
+async def test_a_live_upstream_outlasts_a_departure_of_another_writer(store):
+    # Guards against an upstream that gets no requests because a row says that it left.
+    await run_once()
+    record = decode_record(store.value("members", OWN))
+    departed = ((record.instance, record.born_ms),)
+    changes = {"state": "draining", "is_leaving": True, "departures": departed}
+    await store.put("members", OWN, usurper(encode_record(record), **changes))
+    async with AsyncExitStack() as stack:
+        vms = await start_all(stack)
+        async with asyncio.timeout(15.0):
+            while vms[0].node.dispatcher.state != "ready":
+                await vms[0].upstream.announce()
+                await asyncio.sleep(0.5)
+        await assert_whole(vms)
