Evacuate a data centre by a row of the store

The operator had no way to keep requests from the upstreams of a data centre. A row evacuate/DATA_CENTRE in the table of the configuration now does this until it is removed.

The node beside an upstream refuses new and queued attempts as not run and tells other nodes that the upstream is absent. The rows spread with the configuration: watchers read them with their long poll, and nodes compare the position of the last change in statuses and digests. A node that starts is not ready, and sends nothing to its upstream, until it knows the configuration and the evacuations.

The merge rules also cover a store that was restored from a copy; nothing raises the era yet.

--- a/packages/mesh/ibisspoke_mesh/_pending_attempts.py
+++ b/packages/mesh/ibisspoke_mesh/_pending_attempts.py
@@ -88,6 +88,14 @@
                 del self._number_by_request_id[request_id]
         return pending
 
+    def queued(self) -> list[int]:
+        """Return the numbers of the attempts that were not started."""
+        return [
+            number
+            for number, pending in self._by_number.items()
+            if pending.started_ms is None
+        ]
+
     def overdue(self, now_ms: float) -> list[int]:
         """Return the numbers of started attempts whose deadline was before a time."""
         return [
--- a/packages/mesh/ibisspoke_mesh/config_replies.py
+++ b/packages/mesh/ibisspoke_mesh/config_replies.py
@@ -46,8 +46,8 @@
 
     def _reply(self, requester: Requester) -> None:
         request = self._waiting[requester]
-        reply = self._config.reply()
-        if reply is None or reply.version <= request.version:
+        reply = self._config.reply_to(request)
+        if reply is None:
             return
         del self._waiting[requester]
         age_ms = self._config.proof_age_ms()
--- a/packages/mesh/ibisspoke_mesh/config_state.py
+++ b/packages/mesh/ibisspoke_mesh/config_state.py
@@ -3,14 +3,17 @@
 import zlib
 from collections.abc import Callable
 
+import msgspec
 from result import Err, Result
 
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.evacuations import EvacuationPosition
 from ibisspoke_policy.freshness import ConfigFreshness
 from ibisspoke_policy.route_table import RouteTable
 
 from .decision_log import DecisionLog
-from .frames import ConfigReply
+from .evacuation_state import EvacuationState
+from .frames import ConfigReply, ConfigRequest
 from .store import Changes
 
 COMPRESSION_LEVEL = 1  # zlib level; shrinks 300 KB to a tenth in a few milliseconds
@@ -23,9 +26,12 @@
 class ConfigState:
     """Holds the newest configuration received from the store or from other nodes.
 
+    The evacuations come with it, as their rows are in the same table.
+
     :param key: key of the row that holds the configuration.
     :param decode: decodes the row's value to a route table, or returns an error.
     :param on_adopted: called with the route table after each change.
+    :param evacuations: None if the platform has no evacuations.
     """
 
     def __init__(
@@ -35,7 +41,9 @@
         clock: Clock,
         log: DecisionLog,
         on_adopted: Callable[[RouteTable], None],
+        evacuations: EvacuationState | None = None,
     ) -> None:
+        self.evacuations = evacuations or EvacuationState("", clock, log)
         self.table: RouteTable | None = None
         self.freshness = ConfigFreshness()
         self.key = key
@@ -52,6 +60,16 @@
     def __repr__(self) -> str:
         return f"ConfigState({self.table!r})"
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether both the configuration and the evacuations are known."""
+        return self.table is not None and self.evacuations.is_known
+
+    @property
+    def known(self) -> tuple[int, EvacuationPosition]:
+        """What nodes compare to find out which of them is behind."""
+        return self.version, self.evacuations.position
+
     @property
     def version(self) -> int:
         """The version in force; 0 before any is known."""
@@ -65,6 +83,7 @@
         Only a snapshot of the whole table proves that the configuration is current: a
         watch may miss changes for a while.
         """
+        self.evacuations.apply_changes(changes, is_snapshot, started_ms)
         is_read = True
         for row in changes.rows:
             if row.key == self.key:
@@ -73,7 +92,9 @@
             self.freshness.record_read(self.version, started_ms)
 
     def apply_reply(self, reply: ConfigReply) -> None:
-        """Apply a configuration that another node sent, and its proof."""
+        """Apply what another node sent: configuration, proof and evacuations."""
+        if reply.evacuations is not None:
+            self.evacuations.apply_report(reply.evacuations)
         if reply.version > self.version:
             self._apply_document(reply)
         if reply.echo and reply.proof_age_ms is not None:
@@ -104,6 +125,20 @@
             self._reply = ConfigReply(self.version, self.row_version, compressed)
         return self._reply
 
+    def reply_to(self, request: ConfigRequest) -> ConfigReply | None:
+        """Return what a node lacks by its request, or None."""
+        reply = self.reply()
+        if reply is None:
+            return None
+        has_news = request.evacuations is not None and request.evacuations.lacks(
+            self.evacuations.position
+        )
+        if reply.version <= request.version:
+            if not has_news:
+                return None
+            reply = msgspec.structs.replace(reply, compressed=b"")
+        return msgspec.structs.replace(reply, evacuations=self.evacuations.report())
+
     def record_proof(self, version: int, started_ms: float) -> None:
         """Record that ``version`` was the newest one at ``started_ms``."""
         self.freshness.record_read(version, started_ms)
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ibisspoke_policy.decoding import decode_untrusted
+from ibisspoke_policy.evacuations import EvacuationPosition, EvacuationReport
 from ibisspoke_policy.upstream_queue import Load
 
 LENGTH = struct.Struct("!I")
@@ -120,19 +121,23 @@
 
     :param nonce: time of sending, to be echoed with the age of the receiver's proof; 0
         from an earlier version.
+    :param evacuations: position up to which evacuations are known; a later one is a
+        reason to reply as well. None from an earlier version.
     """
 
     version: int
     nonce: int = 0
+    evacuations: EvacuationPosition | None = None
 
 
 class ConfigReply(msgspec.Struct, array_like=True, tag=9):
-    """The configuration in force, as stored.
+    """The configuration in force, as stored, and the evacuations.
 
     :param row_version: store version of the row that holds the document.
-    :param compressed: the document, compressed by zlib.
+    :param compressed: the document, compressed by zlib; empty if the receiver has it.
     :param echo: nonce of the request; 0 from an earlier version.
     :param proof_age_ms: age of the sender's proof for the version; None without one.
+    :param evacuations: None from an earlier version, or if they are not known.
     """
 
     version: int
@@ -140,6 +145,7 @@
     compressed: bytes
     echo: int = 0
     proof_age_ms: int | None = None
+    evacuations: EvacuationReport | None = None
 
 
 class RateRequest(msgspec.Struct, array_like=True, tag=10):
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -26,6 +26,8 @@
 from .config_verifier import ConfigVerifier
 from .decision_log import DecisionLog, PipeHandler
 from .dialect import Dialect
+from .evacuation_gate import EvacuationGate
+from .evacuation_state import EvacuationState
 from .fleet import Fleet
 from .member_record import MemberRecord
 from .member_rows import MemberRows
@@ -71,6 +73,8 @@
     :param config_table: table of the row that holds the configuration.
     :param announcements: returns the handler of the upstream's heartbeats and
         departures, given the dispatcher and :meth:`Node.keep_departures`.
+    :param evacuation_prefix: of the keys in the table of the configuration that name
+        evacuated data centres; empty if the platform has no evacuations.
     """
 
     dialect: Dialect
@@ -81,6 +85,7 @@
     announcements: Callable[
         [UpstreamDispatcher, Callable[[], Awaitable[bool]]], Handler
     ]
+    evacuation_prefix: str = ""
 
 
 class Node:
@@ -109,8 +114,14 @@
         self.rates = SharedRates(clock.now_ms(), settings.data_centre)
         # Slots of rates follow the wall clock of the start, whatever its later steps.
         self._slot_origin_ms = clock.wall_ms() - clock.boot_ms()
+        self.evacuations = EvacuationState(adapter.evacuation_prefix, clock, self.log)
         self.config = ConfigState(
-            adapter.config_key, adapter.decode_config, clock, self.log, self._on_adopted
+            adapter.config_key,
+            adapter.decode_config,
+            clock,
+            self.log,
+            self._on_adopted,
+            self.evacuations,
         )
         self.config_replies = ConfigReplies(self.config)
         self.fleet = Fleet(settings, own, clock, self.log, rng, self.config.apply_reply)
@@ -125,8 +136,11 @@
             settings.heartbeat_ms,
             settings.drain_ms,
         )
-        self.dispatcher.on_change = self._publish_change
         self.fleet.own_load = self.dispatcher.load
+        self.evacuation_gate = EvacuationGate(
+            self.config, self.dispatcher, self.fleet, settings.data_centre
+        )
+        self.dispatcher.on_change = self._publish_change
         self.rate_homes = RateHomes(self.fleet, self.rates, clock)
         self.calls = PeerCalls(
             own,
@@ -214,6 +228,7 @@
         self.traffic_log = TrafficLog(metrics, clock, self.log)
         self.servers: list[ServerState] = []
         self.callers = self.server(self.request_handler.handle)
+        self.evacuations.on_change = self._on_evacuations_changed
         self._publish_change()
 
     def __repr__(self) -> str:
@@ -228,7 +243,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers on this VM may send requests to this node."""
-        return self.config.table is not None and self._stopping_ms is None
+        return self.config.is_complete and self._stopping_ms is None
 
     async def keep_departures(self) -> bool:
         """Wait for a short time until the departures outlast this process.
@@ -273,7 +288,7 @@
                 await self.rows.previous_record_known.wait()
         started_ms = self._config_requested_ms = self.clock.now_ms()
         while (
-            self.config.table is None
+            not self.config.is_complete
             and not self.ranks.is_watcher
             and self.clock.now_ms() - started_ms < STARTUP_WAIT_MS
         ):
@@ -291,7 +306,7 @@
         """
         waited_ms = self.clock.now_ms() - self._config_requested_ms
         is_settled = bool(self.fleet.peers_by_id) or waited_ms > SETTLING_MS
-        if self.config.table is None and not self.watch.has_read:
+        if not self.config.is_complete and not self.watch.has_read:
             return self.ranks.is_watcher or waited_ms > STARTUP_WAIT_MS
         return is_settled and self.ranks.is_watcher
 
@@ -305,6 +320,7 @@
         self.fleet.tick()
         self.status.tick()
         self.config.tick(self.settings.key_proof_ms)
+        self.evacuation_gate.tick()
         self.log.tick()
         self.traffic_log.tick()
         for server in self.servers:
@@ -365,9 +381,16 @@
         self.status_receiver.set_organisations(list(limits_by_name))
         self.admission.splitter.keep_only(table.routes)
         self._set_retry_budget()
+        self.evacuation_gate.update()
         # later, as a read that brought the configuration is then known as its proof
         asyncio.get_running_loop().call_soon(self.config_replies.send_waiting)
 
+    def _on_evacuations_changed(self) -> None:
+        self.evacuation_gate.update()
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.config_replies.send_waiting)
+        loop.call_soon(self.status.tick)  # watchers announce it at once
+
     def _set_retry_budget(self) -> None:
         settings, n_nodes = self.settings, len(self.fleet.peers_by_id) + 1
         self.retries.configure(settings.retry_ratio, settings.retry_slack, n_nodes)
--- a/packages/mesh/ibisspoke_mesh/node_gauges.py
+++ b/packages/mesh/ibisspoke_mesh/node_gauges.py
@@ -18,6 +18,8 @@
     return {
         "config_version": node.config.version,
         "config_proof_age_seconds": node.config.proof_age_ms() / 1000.0,
+        "evacuations": len(node.evacuations.in_force),
+        "evacuated": node.settings.data_centre in node.evacuations.in_force,
         "requests_running": load.n_running,
         "requests_queued": load.n_queued,
         "upstream_limit": load.limit,
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple, cast
 
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.evacuations import EvacuationPosition
 from ibisspoke_policy.upstream_queue import Load
 
 from .decision_log import DecisionLog
@@ -142,7 +143,7 @@
         self._opening_since_ms = 0.0
         self._pending: dict[int, _PendingCall] = {}
         self._incarnation = 0
-        self._wanted_config_version: int | None = None
+        self._wanted_config: tuple[int, EvacuationPosition] | None = None
         self._rate_answers: dict[int, asyncio.Future[bool | None]] = {}
         self._failed_ms = float("-inf")
         self.unreachable_until_ms = 0.0
@@ -214,14 +215,14 @@
         finally:
             self._rate_answers.pop(stream, None)
 
-    def request_config(self, version: int) -> None:
-        """Request a configuration newer than ``version``."""
+    def request_config(self, version: int, evacuations: EvacuationPosition) -> None:
+        """Request a newer configuration than ``version``, or newer evacuations."""
         if self._connection is not None:
-            self._send(ConfigRequest(version, self._nonce()))
+            self._send(ConfigRequest(version, self._nonce(), evacuations))
             return
         elapsed_ms = self.clock.now_ms() - self._failed_ms
         if elapsed_ms >= CONFIG_RECONNECT_DELAY_MS:
-            self._wanted_config_version = version
+            self._wanted_config = (version, evacuations)
             self._start_opening()
 
     def _nonce(self) -> int:
@@ -338,9 +339,10 @@
         connection.received_ms = self.clock.now_ms()
         self._connection = connection
         self._incarnation = hello.incarnation
-        if self._wanted_config_version is not None:
-            self._send(ConfigRequest(self._wanted_config_version, self._nonce()))
-            self._wanted_config_version = None
+        if self._wanted_config is not None:
+            version, evacuations = self._wanted_config
+            self._send(ConfigRequest(version, self._nonce(), evacuations))
+            self._wanted_config = None
         for stream, pending in list(self._pending.items()):
             if pending.lost_ms is not None and not pending.ended.done():
                 self._recover(stream, pending, transport)
--- a/packages/mesh/ibisspoke_mesh/status_exchange.py
+++ b/packages/mesh/ibisspoke_mesh/status_exchange.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.evacuations import UNKNOWN_POSITION
 from ibisspoke_policy.shared_rate import SharedRates
 
 from .config_state import ConfigState
@@ -102,7 +103,7 @@
         self._usages_sent_ms = 0.0
         self._n_reported_by_organisation: dict[str, int] = {}
         self._records_requested_ms = 0.0
-        self._sent_version = 0
+        self._sent_known = (0, UNKNOWN_POSITION)
         self._relayed_ms_by_node: dict[str, float] = {}
         self._proof_requested_ms = 0.0
 
@@ -147,13 +148,13 @@
             return
         has_news = self._has_usage_news()
         interval_ms = USAGE_INTERVAL_MS if has_news else STATUS_INTERVAL_MS
-        is_version_new = self._has_new_version()
-        if is_version_new:
+        is_known_new = self._has_news()
+        if is_known_new:
             targets = self._fleet.own_data_centre_peers()
         else:
             targets = self._status_targets(now_ms)
         for peer in targets:
-            if is_version_new or now_ms - peer.status_sent_ms >= interval_ms:
+            if is_known_new or now_ms - peer.status_sent_ms >= interval_ms:
                 self._send(peer)
         self._relay.tick()
         self._request_proof(now_ms)
@@ -261,13 +262,13 @@
         address = (peer.record.node, peer.record.status_port)
         self._transport.sendto(encode(request), address)
 
-    def _has_new_version(self) -> bool:
-        """Return whether this node, as a watcher, has a new version to announce.
+    def _has_news(self) -> bool:
+        """Return whether this node, as a watcher, has news of the operator to announce.
 
-        Relays announce it with their digests.
+        Relays announce them with their digests.
         """
-        is_new = self._config.version > self._sent_version
-        self._sent_version = self._config.version
+        is_new = self._config.known != self._sent_known
+        self._sent_known = self._config.known
         return is_new and self._ranks.is_watcher
 
     def _request_proof(self, now_ms: float) -> None:
@@ -344,6 +345,7 @@
             self._config.version,
             self._has_lost_store(),
             pack_usages(usages),
+            self._config.evacuations.reported_position,
         )
 
     def _own_load(self) -> NodeLoad:
--- a/packages/mesh/ibisspoke_mesh/status_messages.py
+++ b/packages/mesh/ibisspoke_mesh/status_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ibisspoke_policy.decoding import decode_untrusted
+from ibisspoke_policy.evacuations import EvacuationPosition
 from ibisspoke_policy.shared_rate import Usage
 from ibisspoke_policy.upstream_queue import Load
 
@@ -29,6 +30,8 @@
     :param has_lost_store: whether the node cannot reach the store to wait for changes.
     :param usages: what the node has counted of organisations; None from an earlier
         version, which expects statuses from each node of its data centre.
+    :param evacuations: position up to which the node knows the evacuations; None if
+        there were never any, and from an earlier version.
     """
 
     node: str
@@ -41,6 +44,7 @@
     version: int
     has_lost_store: bool
     usages: list[PackedUsages] | None = None
+    evacuations: EvacuationPosition | None = None
 
 
 class Status(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -102,11 +106,13 @@
 
     :param node: the relay.
     :param version: version of the configuration in force at the relay.
+    :param evacuations: position up to which the relay knows the evacuations.
     """
 
     node: str
     version: int
     sections: list[Section]
+    evacuations: EvacuationPosition | None = None
 
 
 class RecordRequest(msgspec.Struct, array_like=True, frozen=True, tag=4):
--- a/packages/mesh/ibisspoke_mesh/status_receiver.py
+++ b/packages/mesh/ibisspoke_mesh/status_receiver.py
@@ -77,7 +77,9 @@
         peer.has_lost_store = status.has_lost_store
         if peer.distance.same_data_centre and status.usages is not None:
             self._add_usages(status, now_ms)
-        self._config_requester.on_version_reported(peer, status.version)
+        self._config_requester.on_version_reported(
+            peer, status.version, status.evacuations
+        )
         return peer
 
     def apply_digest(self, digest: Digest) -> list[str]:
@@ -101,7 +103,9 @@
         if relay is not None:
             relay.mark_seen(now_ms)
             relay.digest_ms = now_ms
-            self._config_requester.on_version_reported(relay, digest.version)
+            self._config_requester.on_version_reported(
+                relay, digest.version, digest.evacuations
+            )
         return unknown
 
     def extend_silent(self) -> None:
--- a/packages/mesh/ibisspoke_mesh/status_relay.py
+++ b/packages/mesh/ibisspoke_mesh/status_relay.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ibisspoke_policy.clock import Clock
+from ibisspoke_policy.evacuations import EvacuationPosition
 from ibisspoke_policy.shared_rate import SharedRates, Usage
 
 from ._digest_sections import datagrams, node_load, split_section
@@ -95,7 +96,7 @@
         self._send = send
         self._sent_ms_by_target: dict[str, float] = {}
         self._usages_sent_ms_by_target: dict[str, float] = {}
-        self._sent_version_by_target: dict[str, int] = {}
+        self._sent_known_by_target: dict[str, tuple[int, EvacuationPosition]] = {}
         self._changed_ms_by_node: dict[str, float] = {}
         self._entered_ms_by_data_centre: dict[str, float] = {}
         self._position_by_data_centre: dict[str, int] = {}
@@ -186,8 +187,8 @@
     def _is_due(self, target: _Target, now_ms: float) -> bool:
         """Return whether a digest is due, which may be before its time."""
         sent_ms = self._sent_ms_by_target.get(target.name, float("-inf"))
-        version = self._config.version
-        has_changed = self._sent_version_by_target.get(target.name) != version or any(
+        known = self._config.known
+        has_changed = self._sent_known_by_target.get(target.name) != known or any(
             changed_ms > sent_ms and self._is_of(node, target.sources)
             for node, changed_ms in self._changed_ms_by_node.items()
         )
@@ -224,7 +225,7 @@
                 n_loads = self._n_loads(target, source)
                 sections += self._sections(source, n_loads, since, now_ms)
         self._sent_ms_by_target[target.name] = now_ms
-        self._sent_version_by_target[target.name] = self._config.version
+        self._sent_known_by_target[target.name] = self._config.known
         self._send_sections(target.peers, sections)
 
     def _n_loads(self, target: _Target, source: str) -> int:
@@ -256,7 +257,9 @@
         own = self._fleet.own
         assert own is not None
         for parts in datagrams(sections):
-            self._send(peers, Digest(own.node, self._config.version, parts))
+            evacuations = self._config.evacuations.reported_position
+            digest = Digest(own.node, self._config.version, parts, evacuations)
+            self._send(peers, digest)
 
     def _sections(
         self, source: str, n_loads: int, since: _Since, now_ms: float
--- a/packages/mesh/ibisspoke_mesh/store.py
+++ b/packages/mesh/ibisspoke_mesh/store.py
@@ -12,11 +12,13 @@
 
     :param removed: keys of removed rows.
     :param version: store version of the result, from which to continue.
+    :param era: of the store; versions of different eras cannot be compared.
     """
 
     rows: list[TableRow]
     removed: list[str]
     version: int
+    era: int = 0
 
 
 class WatchedTables(TableService, Protocol):
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -72,6 +72,8 @@
         self.queue = UpstreamQueue(0, clock.now_ms())
         self.on_change: Callable[[], None] = lambda: None
         self.is_stopping = False
+        self.blocked_reason = ""
+        self._expects_cold = False
         self._pool = pool
         self._dialect = dialect
         self._clock = clock
@@ -99,9 +101,15 @@
 
     @property
     def state(self) -> UpstreamState:
-        """State of the upstream for other nodes; draining while this node stops."""
+        """State of the upstream for other nodes.
+
+        It is draining while this node stops, and absent while this node must not send
+        to it, which earlier versions understand as well.
+        """
         if self.is_stopping:
             return UpstreamState.DRAINING
+        if self.blocked_reason and self.upstream.state is UpstreamState.READY:
+            return UpstreamState.ABSENT
         return self.upstream.state
 
     @property
@@ -180,6 +188,25 @@
         )
         self.on_change()
 
+    def block(self, reason: str) -> None:
+        """Refuse all attempts that are not running, until the reason is empty."""
+        if reason == self.blocked_reason:
+            return
+        self.blocked_reason = reason
+        if reason:
+            for number in self._pending.queued():
+                pending = self._pending.pop(number)
+                assert pending is not None
+                self.queue.withdraw(number)
+                self._refuse(
+                    pending.attempt, pending.on_outcome, reason, WRONG_UPSTREAM_RETRY_MS
+                )
+        self.on_change()
+
+    def expect_cold(self) -> None:
+        """Expect the upstream to be cold until a later heartbeat tells."""
+        self._expects_cold = True
+
     def submit(self, attempt: Attempt, on_outcome: OnOutcome) -> int:
         """Queue an attempt; ``on_outcome`` is called with its outcome.
 
@@ -193,7 +220,7 @@
             )
             return number
         if self.state is not UpstreamState.READY:
-            reason = f"upstream_{self.state}"
+            reason = self.blocked_reason or f"upstream_{self.state}"
             self._refuse(attempt, on_outcome, reason, WRONG_UPSTREAM_RETRY_MS)
             return number
         offer = Offer(
--- a/packages/standins/ibisspoke_standins/fleet_store.py
+++ b/packages/standins/ibisspoke_standins/fleet_store.py
@@ -61,6 +61,10 @@
         encoded = base64.b64encode(value).decode()
         await self._apply([{"table": table, "key": key, "value": encoded}], [])
 
+    async def remove(self, table: str, key: str) -> None:
+        """Remove a row unconditionally, as an operator does."""
+        await self._apply([], [{"table": table, "key": key}])
+
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Answer a request under the active faults."""
         self.n_calls += 1
--- a/tests/fleet/fleet_harness.py
+++ b/tests/fleet/fleet_harness.py
@@ -14,6 +14,7 @@
 from ibisspoke_adapter.configuration import (
     CONFIG_KEY,
     CONFIG_TABLE,
+    EVACUATION_PREFIX,
     decode_configuration,
 )
 from ibisspoke_adapter.headers import DIALECT
@@ -117,6 +118,14 @@
         """Write a configuration to the store, as the operator does."""
         await self.store.put(CONFIG_TABLE, CONFIG_KEY, document(version, **changes))
 
+    async def evacuate(self, data_centre: str, value: bytes = b"{}") -> None:
+        """Evacuate a data centre, as the operator does."""
+        await self.store.put(CONFIG_TABLE, EVACUATION_PREFIX + data_centre, value)
+
+    async def take_back(self, data_centre: str) -> None:
+        """Take an evacuation back."""
+        await self.store.remove(CONFIG_TABLE, EVACUATION_PREFIX + data_centre)
+
     async def settled(self) -> None:
         """Wait until each node knows all others and has a configuration."""
         await until(
@@ -172,6 +181,7 @@
         CONFIG_KEY,
         decode_configuration,
         announcement_handler,
+        EVACUATION_PREFIX,
     )
     return Node(settings, adapter, Clock(), metrics)
 
