--- a/packages/standins/ibisspoke_standins/fleet_store.py
+++ b/packages/standins/ibisspoke_standins/fleet_store.py
@@ -77,6 +77,10 @@
         await self._apply([{"table": table, "key": key, "value": ""}], [])
         self._raw_by_id[table, key] = message
 
+    async def remove(self, table: str, key: str) -> None:
+        """Remove a row unconditionally, as an operator does."""
+        await self._apply([], [{"table": table, "key": key}])
+
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Answer a request under the active faults."""
         self.n_calls += 1
