--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -113,7 +113,9 @@
         self.rates = SharedRates(clock.now_ms(), settings.data_centre)
         # Slots of rates follow the wall clock of the start, whatever its later steps.
         self._slot_origin_ms = clock.wall_ms() - clock.boot_ms()
-        self.evacuations = EvacuationState(adapter.evacuation_prefix, clock, self.log)
+        self.evacuations = EvacuationState(
+            adapter.evacuation_prefix if settings.evacuation_ms else "", clock, self.log
+        )
         self.config = ConfigState(
             adapter.config_key,
             adapter.decode_config,
--- a/packages/mesh/ibisspoke_mesh/settings.py
+++ b/packages/mesh/ibisspoke_mesh/settings.py
@@ -54,7 +54,8 @@
     """Bounds that are guaranteed to users.
 
     A cold upstream gets at most ``cold_overage`` times its rate plus ``cold_slack``
-    requests in a second; without both, its rate is not bounded.
+    requests in a second; without both, its rate is not bounded. Evacuations of data
+    centres are followed only if there is a bound for them.
     """
 
     stop_s: Positive
@@ -65,18 +66,13 @@
     retry_slack: Positive
     cold_overage: NotRequired[NotNegative]
     cold_slack: NotRequired[NotNegative]
+    evacuation_ms: NotRequired[Positive]
 
 
 class PaceSection(TypedDict):
-    """Limits on the pace of upstreams; the section may be missing.
-
-    The limit after a start is used if ``ramp`` is true, or if a word in ``contracts``
-    is ``ramp_contract``. A template can copy lists of words, but not search them.
-    """
+    """Limits on the pace of upstreams; the section may be missing."""
 
     ramp: NotRequired[bool]
-    ramp_contract: NotRequired[Text]
-    contracts: NotRequired[list[str | list[str]]]
 
 
 class LimitsSection(TypedDict, total=False):
@@ -104,6 +100,8 @@
     :param cold_overage: requests that a cold upstream may get in a second, as a
         multiple of the rate that it tolerates; None for no bound.
     :param cold_slack: further requests that it may get in a second.
+    :param evacuation_ms: by when an evacuation must be in force; None if the operators
+        of the deployment evacuate no data centres.
     :param has_start_ramp: whether upstreams that start or recover get a lower limit.
     """
 
@@ -131,6 +129,7 @@
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
     cold_overage: float | None = None
     cold_slack: float | None = None
+    evacuation_ms: float | None = None
     has_start_ramp: bool = False
 
 
@@ -225,12 +224,6 @@
         ),
         cold_overage=bounds.get("cold_overage"),
         cold_slack=bounds.get("cold_slack"),
-        has_start_ramp=_has_start_ramp(sections["pace"]),
+        evacuation_ms=bounds.get("evacuation_ms"),
+        has_start_ramp=sections["pace"].get("ramp", False),
     )
-
-
-def _has_start_ramp(pace: PaceSection) -> bool:
-    words: list[str] = []
-    for entry in pace.get("contracts", []):
-        words += [entry] if isinstance(entry, str) else entry
-    return pace.get("ramp", False) or pace.get("ramp_contract") in words
