Refuse configurations whose numbers cannot be used

A priority beyond 64 bits was adopted, and no request could be sent to another node (500); an objective of 0 divided by zero in the choice of an upstream.

--- a/tests/fleet/test_odd_entries.py
+++ b/tests/fleet/test_odd_entries.py
@@ -14,6 +14,7 @@
     STORE,
     call,
     document,
+    route,
     running_fleet,
     running_vm,
     until,
@@ -164,14 +165,45 @@
     assert (await first.call()).status == 200
 
 
+def test_a_route_without_an_objective_is_measured_by_its_timeout():
+    # Guards against a division by zero in the choice of an upstream.
+    text = document(routes=[route("r", "safe", targetLatencyMs=0)])
+    assert decode_configuration(text).ok_value.routes[0].objective_ms == 1_500
+
+
+async def test_an_odd_priority_stays_out_of_force(pair):
+    # Guards against a configuration whose requests cannot be sent to other nodes.
+    first, second = pair.vms
+    odd = [route("order", "non_idempotent", priority=LARGE)]
+    await pair.configure(2, routes=odd)
+    await asyncio.sleep(0.3)
+    await first.upstream.announce("draining")
+    assert (await first.call("/order/1", method="POST", body=b"x")).status == 200
+    assert len(second.upstream.executed_requests) == 1
+
+
 @pytest.mark.parametrize(
     "text",
     [
         b'{"version":"r1","x":' + DEEP_JSON + b"}",
         document(version=LARGE),
         document(version=-1),
+        document(routes=[route("r", "safe", priority=LARGE)]),
+        document(routes=[route("r", "safe", timeoutMs=1e300)]),
+        document(routes=[route("r", "safe", targetLatencyMs=-1)]),
+        document(tenants=[{"name": "a", "apiKeys": ["k"], "priority": LARGE}]),
+        document(limits={"maxHeaderBytes": -1}),
+    ],
+    ids=[
+        "deep",
+        "large",
+        "negative",
+        "route priority",
+        "timeout",
+        "objective",
+        "organisation priority",
+        "limit",
     ],
-    ids=["deep", "large", "negative"],
 )
 def test_an_odd_configuration_is_refused(text):
     assert decode_configuration(text).is_err()
