Repeat lost calls where they cost one arrival

While answers are lost at most upstreams, reruns were allowed from 0.08 of the budget, as a rerun may repeat a tree of calls. Calls that make none of their own failed for want of it, and the trees above them with them.

The node beside an upstream reports how many calls a request made (new trailing fields of Outcome, with defaults for nodes of the version before). The calling node learns which routes make none and takes their reruns from the part for resends. A request that failed for a call that was repeated, or lacked budget, is not repeated itself. A safe request without calls whose answer does not arrive in its usual time at a slow pace is given up for a second attempt, within its attempts and the budget. Decisions moved from RequestHandler to AttemptRetries.

Takes effect with "[retries] by_calls = true" in the settings; off by default.

--- a/packages/mesh/ibisspoke_mesh/_pending_attempts.py
+++ b/packages/mesh/ibisspoke_mesh/_pending_attempts.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from ibisspoke_policy.call_trees import UNKNOWN_CALLS
+
 from .frames import Attempt, Outcome
 
 OnOutcome = Callable[[Outcome], None]
@@ -12,21 +14,26 @@
 
     :ivar has_starved: whether it failed for lack of capacity at its service or further
         downstream.
+    :ivar was_retryable: whether it was sent again, or was not only for want of budget.
     """
 
-    __slots__ = ("has_failed", "has_starved")
+    __slots__ = ("has_failed", "has_starved", "was_retryable")
 
     def __init__(self) -> None:
         self.has_failed = True
         self.has_starved = False
+        self.was_retryable = False
 
 
 class PendingAttempt:
     """An attempt that is queued or running.
 
-    :ivar n_open_calls: calls that the upstream made for it and that have not ended.
+    :ivar n_calls: calls that the upstream made for it.
+    :ivar n_open_calls: the part of them that has not ended.
+    :ivar n_unattributed_before: calls of unknown parent before it was sent.
     :ivar has_failed_call: whether one of them failed or was given up.
     :ivar has_starved: whether one of them failed for lack of capacity.
+    :ivar has_retried_call: whether one of them failed although it could be sent again.
     """
 
     __slots__ = (
@@ -34,8 +41,11 @@
         "attempt",
         "deadline_at_ms",
         "has_failed_call",
+        "has_retried_call",
         "has_starved",
+        "n_calls",
         "n_open_calls",
+        "n_unattributed_before",
         "on_outcome",
         "started_ms",
     )
@@ -52,10 +62,23 @@
         self.deadline_at_ms = deadline_at_ms
         self.on_outcome = on_outcome
         self.started_ms: float | None = None
+        self.n_calls = 0
         self.n_open_calls = 0
+        self.n_unattributed_before = 0
         self.has_failed_call = False
+        self.has_retried_call = False
         self.has_starved = False
 
+    def known_calls(self, n_unattributed: int) -> int:
+        """Return how many calls were made for it, or ``UNKNOWN_CALLS``.
+
+        :param n_unattributed: calls of unknown parent until now. Any made while it ran
+            may have been made for it.
+        """
+        if self.n_calls or n_unattributed == self.n_unattributed_before:
+            return self.n_calls
+        return UNKNOWN_CALLS
+
 
 class PendingAttempts:
     """The attempts that are queued or running."""
--- a/packages/mesh/ibisspoke_mesh/_request_progress.py
+++ b/packages/mesh/ibisspoke_mesh/_request_progress.py
@@ -6,7 +6,13 @@
 
 
 class RequestProgress:
-    """Tried nodes and best outcome of a request so far."""
+    """Tried nodes and best outcome of a request so far.
+
+    :ivar is_urgent: whether it is of the most urgent rank.
+    :ivar is_short_of_budget: whether only the budget kept it from being sent again.
+    :ivar is_replaced: whether its last attempt was given up for another one, for which
+        a retry is counted already.
+    """
 
     def __init__(self) -> None:
         self.tried_nodes: set[str] = set()
@@ -14,6 +20,14 @@
         self.best_outcome: Outcome | None = None
         self.retry_after_ms = 0.0
         self.may_have_run = False
+        self.is_urgent = False
+        self.is_short_of_budget = False
+        self.is_replaced = False
+
+    @property
+    def was_retryable(self) -> bool:
+        """Whether it was sent again, or would have been with more budget."""
+        return self.n_sent > 1 or self.is_short_of_budget
 
 
 def has_starved(outcome: Outcome) -> bool:
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -270,6 +270,20 @@
         profile.add(running_ms, pace.at(now_ms) or 1.0, n_bytes)
         pace.add(running_ms, profile.median_ms, now_ms)
 
+    def pace_of(self, node: str) -> tuple[float | None, float]:
+        """Return the recent pace of a node's upstream, and the round trip time."""
+        now_ms = self._clock.now_ms()
+        peer = self.peers_by_id.get(node)
+        if peer is None:
+            return self._own_pace.at(now_ms), LOCAL_RTT_MS
+        return peer.pace.at(now_ms), peer.distance.rtt_ms
+
+    def is_full(self, node: str) -> bool:
+        """Return whether a request sent to a node has to wait for a slot."""
+        peer = self.peers_by_id.get(node)
+        load = peer.load if peer is not None else self.own_load()
+        return load.n_queued > 0 or load.n_running >= load.limit
+
     def pressure(self, service: str, route: str) -> float:
         """Return the share of a route's requests that starve downstream.
 
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ibisspoke_policy.call_trees import UNKNOWN_CALLS
 from ibisspoke_policy.decoding import decode_untrusted
 from ibisspoke_policy.upstream_queue import Load
 
@@ -34,6 +35,10 @@
     :param has_starved: whether it failed for lack of capacity here or at a downstream
         service.
     :param running_ms: how long it ran at the upstream, without the wait for a slot.
+    :param n_calls: calls that the upstream made for it; negative if not known, as from
+        an earlier version.
+    :param has_retried_call: whether it failed because of a call that was sent again in
+        vain, or was not sent again only for want of budget.
     """
 
     kind: OutcomeKind
@@ -44,6 +49,8 @@
     retry_after_ms: float = 0.0
     has_starved: bool = False
     running_ms: float = 0.0
+    n_calls: int = UNKNOWN_CALLS
+    has_retried_call: bool = False
 
 
 class Attempt(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/mesh/ibisspoke_mesh/metrics.py
+++ b/packages/mesh/ibisspoke_mesh/metrics.py
@@ -37,6 +37,7 @@
     :ivar answers: responses of upstreams, by priority and status.
     :ivar refusals: responses of the node itself, by status and reason.
     :ivar retries: requests sent to another node, by outcome of the earlier attempt.
+    :ivar retry_decisions: retries considered, by kind and decision.
     :ivar rate_decisions: requests of organisations with a rate, by decision.
     :ivar store_calls: calls to the store, by call and outcome.
     :ivar answer_times: from the complete request to its response, by priority.
@@ -52,6 +53,7 @@
         self.answers: Counter[Labels] = Counter()
         self.refusals: Counter[Labels] = Counter()
         self.retries: Counter[Labels] = Counter()
+        self.retry_decisions: Counter[Labels] = Counter()
         self.rate_decisions: Counter[Labels] = Counter()
         self.store_calls: Counter[Labels] = Counter()
         self.answer_times: dict[str, TimeHistogram] = {}
--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -84,6 +84,12 @@
             ["outcome"],
             metrics.retries,
         )
+        yield _counter(
+            "retry_decisions",
+            "Retries considered, by kind and decision.",
+            ["kind", "decision"],
+            metrics.retry_decisions,
+        )
         yield _counter(
             "rate_decisions",
             "Requests of organisations with a rate, by who decided and how.",
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -315,6 +315,7 @@
         self.log.write("settings reloaded", service=settings.service)
         self.settings = settings
         self.request_handler.settings = self.admission.settings = settings
+        self.request_handler.retries.by_calls = settings.retries_by_calls
         self._set_retry_budget()
 
     async def stop(self) -> None:
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -13,11 +13,13 @@
     has_starved,
     preferred_outcome,
 )
+from .attempt_retries import MAX_TRIED_NODES, RESPONSE_MARGIN_MS, AttemptRetries
 from .caller_server import CallerRequest, CallerResponse
 from .decision_log import DecisionLog
 from .dialect import HOP_BY_HOP, Dialect
 from .fleet import Fleet
 from .frames import Attempt, Outcome, OutcomeKind
+from .hedged_attempt import hedged
 from .member_record import MemberRecord
 from .metrics import NodeMetrics
 from .rate_homes import RateHomes
@@ -32,11 +34,8 @@
 from .settings import NodeSettings
 from .upstream_dispatcher import UpstreamDispatcher
 
-MAX_TRIED_NODES = 4  # per request; a node's refusal costs its upstream nothing
-RESPONSE_MARGIN_MS = 25.0  # reserved so that the response arrives before the deadline
 RETRY_SPREAD_SHARE = 0.2  # of the time left, over which retries of callers are spread
 DROPPED_BODY_RETRY_MS = 500.0  # by then uploads that took the memory have mostly ended
-MIN_RETRY_TIME_MS = 100.0  # time that must be left to run a request again
 MOST_URGENT_RANK = 0  # of requests of priority 0 and the calls made for them
 UNKNOWN_PARENT_RANK = (-1, 0)  # before all others; work was spent on the parent
 
@@ -61,7 +60,10 @@
         self.settings = settings
         self._admission = admission
         self._homes = homes
-        self._retries = retries
+        self._budget = retries
+        self.retries = AttemptRetries(
+            settings.retries_by_calls, retries, fleet, clock, metrics
+        )
         self._dialect = dialect
         self._removed_headers = dialect.set_by_nodes | HOP_BY_HOP
         self._fleet = fleet
@@ -93,6 +95,7 @@
             return self._refusal_response(request_id, admitted, {})
         progress = RequestProgress()
         if not admitted.is_nested:
+            self._dispatcher.count_call(self._dialect.parent_id(request_id))
             outcome = await self._run(request, admitted, progress)
         else:
             parent_id = self._dialect.parent_id(request_id)
@@ -100,6 +103,7 @@
                 outcome = await self._run(request, admitted, progress)
                 call.has_failed = has_failed(outcome)
                 call.has_starved = has_starved(outcome)
+                call.was_retryable = progress.was_retryable
         return self._final_response(request, admitted, progress, outcome)
 
     async def _run(
@@ -157,8 +161,9 @@
         progress: RequestProgress,
     ) -> Outcome:
         head = self._request_head(request, admitted)
-        if self._rank(admitted)[0] <= MOST_URGENT_RANK:
-            self._retries.count_urgent(admitted.service, self._clock.now_ms())
+        progress.is_urgent = self._rank(admitted)[0] <= MOST_URGENT_RANK
+        if progress.is_urgent:
+            self._budget.count_urgent(admitted.service, self._clock.now_ms())
         objective_ms = admitted.route.objective_ms
         outcome = Outcome(OutcomeKind.REFUSED, reason="no upstream is known")
         while len(progress.tried_nodes) < MAX_TRIED_NODES:
@@ -177,7 +182,7 @@
             progress.retry_after_ms = max(
                 progress.retry_after_ms, outcome.retry_after_ms
             )
-            if not self._may_continue(admitted, progress, outcome):
+            if not self.retries.may_continue(admitted, progress, outcome):
                 break
             self._metrics.retries[(outcome.kind.name,)] += 1
             self._log.write(
@@ -216,15 +221,24 @@
         )
         may_have_run, progress.may_have_run = progress.may_have_run, True
         if member.node == self.settings.host:
-            outcome = await self._run_here(attempt, progress, may_have_run)
+            sent = self._run_here(attempt, progress, may_have_run)
+        else:
+            sent = self._run_there(member.node, attempt)
+        hedge = self.retries.hedge_plan(admitted, progress, member)
+        if hedge is None:
+            outcome = await sent
         else:
-            link = self._fleet.peers_by_id[member.node].link
-            outcome = await link.call(next(self._stream_ids), attempt)
-            self._metrics.link_times.add(self._clock.now_ms() - now_ms)
+            outcome = await hedged(
+                sent,
+                hedge,
+                lambda: self._fleet.is_full(member.node),
+                lambda: self.retries.try_replace(admitted, progress),
+            )
         if outcome.kind in (OutcomeKind.REFUSED, OutcomeKind.SHED):
             progress.may_have_run = may_have_run
         if outcome.kind is not OutcomeKind.REFUSED:
             progress.n_sent += 1
+        self.retries.record_calls(admitted, outcome)
         is_answered = outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500
         if is_answered and outcome.running_ms:  # absent in replies of earlier versions
             n_bytes = len(head) + len(request.body)
@@ -234,6 +248,13 @@
             )
         return outcome
 
+    async def _run_there(self, node: str, attempt: Attempt) -> Outcome:
+        now_ms = self._clock.now_ms()
+        link = self._fleet.peers_by_id[node].link
+        outcome = await link.call(next(self._stream_ids), attempt)
+        self._metrics.link_times.add(self._clock.now_ms() - now_ms)
+        return outcome
+
     async def _run_here(
         self, attempt: Attempt, progress: RequestProgress, ran_before: bool
     ) -> Outcome:
@@ -251,29 +272,6 @@
             progress.may_have_run = ran_before or may_have_run
             raise
 
-    def _may_continue(
-        self, admitted: AdmittedRequest, progress: RequestProgress, outcome: Outcome
-    ) -> bool:
-        """Return whether to try another node, and store the best outcome so far."""
-        now_ms = self._clock.now_ms()
-        if outcome.kind is OutcomeKind.REFUSED:
-            return admitted.deadline_ms - now_ms > 2 * RESPONSE_MARGIN_MS
-        if outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500:
-            return False
-        if outcome.kind is not OutcomeKind.SHED:
-            if not admitted.route.idempotent:
-                return False
-            if outcome.has_starved:
-                return False
-            progress.best_outcome = preferred_outcome(progress.best_outcome, outcome)
-        if progress.n_sent >= admitted.route.max_attempts:
-            return False
-        if admitted.deadline_ms - now_ms < MIN_RETRY_TIME_MS:
-            return False
-        has_run = outcome.kind is not OutcomeKind.SHED
-        is_urgent = self._rank(admitted)[0] <= MOST_URGENT_RANK
-        return self._retries.try_acquire(admitted.service, has_run, is_urgent, now_ms)
-
     def _rank(self, admitted: AdmittedRequest) -> tuple[int, int]:
         """Return the queue rank of a request; lower ranks run first.
 
--- a/packages/mesh/ibisspoke_mesh/settings.py
+++ b/packages/mesh/ibisspoke_mesh/settings.py
@@ -13,6 +13,8 @@
 Positive = Annotated[float, msgspec.Meta(gt=0, description="a number above 0")]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1, description="a number from 0 to 1")]
 
+Flag = Annotated[bool, msgspec.Meta(description="true or false")]
+
 
 class NodeSection(TypedDict):
     """Identity and location of the node."""
@@ -35,6 +37,12 @@
     metrics_port: Port
 
 
+class RetriesSection(TypedDict, total=False):
+    """How retries are chosen; the section may be missing."""
+
+    by_calls: Flag
+
+
 class UpstreamSection(TypedDict):
     """The upstream on this VM."""
 
@@ -72,6 +80,7 @@
         keys to be accepted.
     :param retry_slack: retries of a service in a window over the whole fleet that are
         allowed regardless of the ratio.
+    :param retries_by_calls: whether retries depend on the calls that requests cause.
     """
 
     id: str
@@ -95,6 +104,7 @@
     retry_ratio: float
     retry_window_ms: float
     retry_slack: float
+    retries_by_calls: bool = False
 
 
 _SCHEMAS: dict[str, Any] = {
@@ -103,6 +113,7 @@
     "upstream": UpstreamSection,
     "store": StoreSection,
     "bounds": BoundsSection,
+    "retries": RetriesSection,
 }
 _ADDRESSES = {
     "listen": ("callers", "peers", "readiness", "announcements"),
@@ -181,4 +192,5 @@
         retry_ratio=bounds["retry_ratio"],
         retry_window_ms=bounds["retry_window_s"] * 1000.0,
         retry_slack=bounds["retry_slack"],
+        retries_by_calls=sections["retries"].get("by_calls", False),
     )
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -82,6 +82,7 @@
         self._numbers = itertools.count(1)
         self._pending = PendingAttempts()
         self._nested_starved_share = DecayingShare(NESTED_WEIGHT, NESTED_HALF_LIFE_MS)
+        self._n_unattributed_calls = 0
         self._last_seen_ms = clock.now_ms()
         self._draining_since_ms: float | None = None
         self.cold_until_ms = 0.0
@@ -324,6 +325,7 @@
 
     def _start(self, number: int, pending: PendingAttempt, now_ms: float) -> None:
         pending.started_ms = now_ms
+        pending.n_unattributed_before = self._n_unattributed_calls
         attempt = pending.attempt
         remaining_ms = max(1, int(pending.deadline_at_ms - now_ms))
         dialect = self._dialect
@@ -366,7 +368,13 @@
             if pending.started_ms is not None:
                 running_ms = now_ms - pending.started_ms
                 self._metrics.upstream_times.add(running_ms)
-                outcome = msgspec.structs.replace(outcome, running_ms=running_ms)
+                is_exhausted = ending is Ending.CALL_FAILED and pending.has_retried_call
+                outcome = msgspec.structs.replace(
+                    outcome,
+                    running_ms=running_ms,
+                    n_calls=pending.known_calls(self._n_unattributed_calls),
+                    has_retried_call=is_exhausted,
+                )
             self._count_ended(pending, ending, now_ms)
             if outcome.kind is not OutcomeKind.ANSWERED:
                 self._log.write(
@@ -396,7 +404,10 @@
         parent = self._pending.find_started(parent_id)
         call = NestedCall()
         if parent is not None:
+            parent.n_calls += 1
             parent.n_open_calls += 1
+        else:
+            self._n_unattributed_calls += 1
         try:
             yield call
         finally:
@@ -406,6 +417,13 @@
                 parent.n_open_calls -= 1
                 parent.has_failed_call |= call.has_failed
                 parent.has_starved |= call.has_starved
+                parent.has_retried_call |= call.has_failed and call.was_retryable
+
+    def count_call(self, parent_id: bytes) -> None:
+        """Count a call that only its id shows to be one of the upstream's."""
+        parent = self._pending.find_started(parent_id)
+        if parent is not None:
+            parent.n_calls += 1
 
     def _ending(self, outcome: Outcome, pending: PendingAttempt | None) -> Ending:
         if outcome.kind is not OutcomeKind.ANSWERED:
--- a/packages/mesh/tests/test_frames.py
+++ b/packages/mesh/tests/test_frames.py
@@ -1,5 +1,6 @@
 """Frames whose bodies are sent without a copy."""
 
+import msgspec
 import pytest
 
 from ibisspoke_mesh.frames import (
@@ -15,6 +16,7 @@
     encode_frame,
     encode_parts,
 )
+from ibisspoke_policy.call_trees import UNKNOWN_CALLS
 from ibisspoke_policy.upstream_queue import Load
 
 SIZES = [0, 1, MIN_APART_BYTES - 1, MIN_APART_BYTES, MIN_APART_BYTES + 1, 1 << 20]
@@ -48,3 +50,29 @@
 
 def test_a_frame_without_a_body_is_one_part():
     assert encode_parts(Ping()) == [encode_frame(Ping())]
+
+
+class EarlierOutcome(msgspec.Struct, array_like=True, frozen=True):
+    """An outcome as nodes of the version before know it."""
+
+    kind: OutcomeKind
+    status: int = 0
+    headers: bytes = b""
+    body: bytes = b""
+    reason: str = ""
+    retry_after_ms: float = 0.0
+    has_starved: bool = False
+    running_ms: float = 0.0
+
+
+def test_nodes_of_the_version_before_read_and_send_outcomes_without_calls():
+    # Guards against links that break while a fleet is updated node by node.
+    outcome = Outcome(
+        OutcomeKind.ANSWERED, 500, running_ms=3.0, n_calls=4, has_retried_call=True
+    )
+    encode, decode = msgspec.msgpack.encode, msgspec.msgpack.decode
+    earlier = decode(encode(outcome), type=EarlierOutcome)
+    assert earlier == EarlierOutcome(OutcomeKind.ANSWERED, 500, running_ms=3.0)
+    read = decode(encode(earlier), type=Outcome)
+    assert read.n_calls == UNKNOWN_CALLS
+    assert not read.has_retried_call
--- a/packages/policy/ibisspoke_policy/retry_window.py
+++ b/packages/policy/ibisspoke_policy/retry_window.py
@@ -3,11 +3,17 @@
 from collections import deque
 
 BUCKET_MS = 500.0
-RESEND_SHARE = 0.68  # of the configured retries, for requests that did not run
+# Of the configured retries, for those that add one arrival: of requests that did not
+# run, or whose route is known to make no calls.
+RESEND_SHARE = 0.68
 RERUN_SHARE = 0.08  # less, as a rerun repeats nested calls, up to 3 deep
 # Share of the retries that is left to the most urgent requests, as a multiple of their
 # share of the requests.
 URGENT_RESERVE_FACTOR = 2.0
+# The same for reruns of requests that make no calls. Up to 5 in 100 answers are lost.
+# This leaves the urgent ones 10 retries for 100 of their requests at a ratio of 0.2; a
+# larger reserve would stay unused while whole trees fail for want of one answer.
+LEAF_RESERVE_FACTOR = 0.75
 
 
 class _Bucket:
@@ -47,17 +53,31 @@
         """Count a request, counted before, as one of the most urgent ones."""
         self._bucket(service, now_ms).n_urgent += 1
 
-    def try_acquire(self, service: str, is_urgent: bool, now_ms: float) -> bool:
+    def try_acquire(
+        self,
+        service: str,
+        is_urgent: bool,
+        now_ms: float,
+        reserve_factor: float = URGENT_RESERVE_FACTOR,
+    ) -> bool:
         """Count a retry, unless that would exceed the share.
 
         Requests that are not urgent leave a part of the share to those that are.
+
+        :param reserve_factor: that part, as a multiple of the share of urgent requests.
         """
-        if self.available(service, now_ms, is_urgent) < 1.0:
+        if self.available(service, now_ms, is_urgent, reserve_factor) < 1.0:
             return False
         self._bucket(service, now_ms).n_retries += 1
         return True
 
-    def available(self, service: str, now_ms: float, is_urgent: bool = True) -> float:
+    def available(
+        self,
+        service: str,
+        now_ms: float,
+        is_urgent: bool = True,
+        reserve_factor: float = URGENT_RESERVE_FACTOR,
+    ) -> float:
         """Return how many retries are allowed now."""
         self._bucket(service, now_ms)
         n_requests = n_urgent = n_retries = 0
@@ -69,7 +89,7 @@
                 n_urgent += bucket.n_urgent
         allowed = self.ratio * n_requests + self.slack
         if not is_urgent and n_requests:
-            allowed *= 1.0 - min(1.0, URGENT_RESERVE_FACTOR * n_urgent / n_requests)
+            allowed *= 1.0 - min(1.0, reserve_factor * n_urgent / n_requests)
         return allowed - n_retries
 
     def _bucket(self, service: str, now_ms: float) -> _Bucket:
@@ -85,8 +105,9 @@
 class RetryBudget:
     """The share of one node in the retries that all nodes together may make.
 
-    Resending a request that did not run adds one request. Rerunning a request repeats
-    all its nested calls too, so reruns get a smaller part.
+    Resending a request that did not run adds one request, and so does rerunning one
+    that makes no calls: both are taken from the larger part. Rerunning any other
+    repeats all its nested calls too, so these reruns get a smaller part.
 
     :param window_ms: length of the window in which retries are counted.
     """
@@ -120,8 +141,21 @@
         return self._resends.available(service, now_ms)
 
     def try_acquire(
-        self, service: str, has_run: bool, is_urgent: bool, now_ms: float
+        self,
+        service: str,
+        has_run: bool,
+        is_urgent: bool,
+        now_ms: float,
+        is_leaf: bool = False,
     ) -> bool:
-        """Count a retry, unless that would exceed the share."""
-        window = self._reruns if has_run else self._resends
-        return window.try_acquire(service, is_urgent, now_ms)
+        """Count a retry, unless that would exceed the share.
+
+        :param is_leaf: whether the request is known to make no calls.
+        """
+        if not has_run:
+            return self._resends.try_acquire(service, is_urgent, now_ms)
+        if is_leaf:
+            return self._resends.try_acquire(
+                service, is_urgent, now_ms, LEAF_RESERVE_FACTOR
+            )
+        return self._reruns.try_acquire(service, is_urgent, now_ms)
--- a/packages/policy/ibisspoke_policy/route_profile.py
+++ b/packages/policy/ibisspoke_policy/route_profile.py
@@ -32,6 +32,16 @@
     def __repr__(self) -> str:
         return f"RouteProfile({self.median_ms:.0f} ms, {self.n_bytes:.0f} bytes)"
 
+    @property
+    def n_answers(self) -> int:
+        """Number of answers recorded so far."""
+        return self._n
+
+    @property
+    def log_stddev(self) -> float:
+        """Standard deviation of the logarithm of the latency."""
+        return math.sqrt(self._log_variance)
+
     @property
     def median_ms(self) -> float:
         """The median latency at an upstream of usual pace."""
@@ -51,7 +61,7 @@
         """Return the share of answers that take longer than ``within_ms``."""
         if within_ms <= 0.0:
             return 1.0
-        log_stddev = max(MIN_LOG_STDDEV, math.sqrt(self._log_variance))
+        log_stddev = max(MIN_LOG_STDDEV, self.log_stddev)
         log_distance = math.log(within_ms / pace) - self._log_mean
         return 0.5 * math.erfc(log_distance / (log_stddev * math.sqrt(2.0)))
 
--- a/packages/policy/tests/test_retry_window.py
+++ b/packages/policy/tests/test_retry_window.py
@@ -74,3 +74,45 @@
     )
     assert n_reruns > 0
     assert n_resends + depth * n_reruns <= 0.2 * n_requests + 48.0 / 16
+
+
+def budget_of(n_requests: int, n_urgent: int = 0) -> RetryBudget:
+    budget = RetryBudget(10_000.0)
+    budget.configure(ratio=0.2, slack=110.0, n_nodes=79)
+    for number in range(n_requests):
+        budget.count_request("shelf", 0.0)
+        if number < n_urgent:
+            budget.count_urgent("shelf", 0.0)
+    return budget
+
+
+def n_reruns(budget: RetryBudget, n: int, is_urgent: bool, is_leaf: bool) -> int:
+    return sum(
+        budget.try_acquire("shelf", True, is_urgent, 0.0, is_leaf) for _ in range(n)
+    )
+
+
+def test_5_in_100_lost_answers_of_a_leaf_are_all_sent_again():
+    # Guards against failing most trees of 10 or more calls while answers are lost.
+    assert n_reruns(budget_of(1_000), 50, is_urgent=False, is_leaf=True) == 50
+    assert n_reruns(budget_of(1_000), 50, is_urgent=False, is_leaf=False) < 20
+
+
+def test_reruns_of_leaves_and_resends_share_one_part():
+    # Guards against more retries in all than users allow, with other reruns 4 deep.
+    budget = budget_of(1_000)
+    n_leaf = n_reruns(budget, 100, is_urgent=True, is_leaf=True)
+    n_resent = sum(budget.try_acquire("shelf", False, True, 0.0) for _ in range(1_000))
+    n_other = n_reruns(budget, 1_000, is_urgent=True, is_leaf=False)
+    assert n_leaf == 100
+    assert n_leaf + n_resent + 4 * n_other <= 0.2 * 1_000 + 110.0 / 79
+
+
+def test_a_short_budget_keeps_reruns_of_leaves_for_the_most_urgent_requests():
+    # Half of the requests are urgent, and more answers are lost than can be repeated.
+    budget = budget_of(1_000, n_urgent=500)
+    n_usual = n_reruns(budget, 500, is_urgent=False, is_leaf=True)
+    n_urgent = n_reruns(budget, 500, is_urgent=True, is_leaf=True)
+    assert n_urgent >= 0.1 * 500  # twice as many as the answers that are lost
+    assert n_usual >= 0.05 * 500  # would be 0 with the reserve of resends
+    assert n_usual + n_urgent <= 0.2 * 1_000 + 110.0 / 79
--- a/tests/fleet/test_program.py
+++ b/tests/fleet/test_program.py
@@ -190,3 +190,12 @@
         name = line.split(" = ")[0]
         if name:
             assert name in template
+
+
+def test_retries_by_calls_are_off_unless_the_settings_say_so():
+    assert not parse_settings("node.toml", SETTINGS).ok_value.retries_by_calls
+    text = f"{SETTINGS}\n[retries]\nby_calls = true\n"
+    assert parse_settings("node.toml", text).ok_value.retries_by_calls
+    (fault,) = parse_settings("node.toml", text.replace("true", "1")).err_value
+    assert "retries.by_calls" in str(fault)
+    assert "true or false" in str(fault)
