Send work where the VM is not slowed, by the load header of answers

Other programs slow a VM by up to 2.5 for about half a second at a time. Nodes saw it only through their own answers, averaged over about ten, and went on avoiding the upstream for up to 5 s.

The adapter decodes the load header; the node beside the upstream keeps the latest pace, and tells it in replies and statuses. A report fades within half a second over all nodes that it passes. It multiplies the expected time of a request, between 1 and 4; speeds of upstreams and routes are measured at the usual pace. Figures that cannot be true are ignored, counted and logged.

The pace is a trailing field of Reply, NodeStatus and NodeLoad and not of Load: nodes of the version before read Load as an array of fixed length and would drop the link. Without the fourth figure nothing changes.

Shown by mutation: without the factor, with an unbounded factor, with one that counts twice, without the normalised speeds and without the age at a relay, the tests for each fail.

--- a/packages/mesh/ibisspoke_mesh/_digest_sections.py
+++ b/packages/mesh/ibisspoke_mesh/_digest_sections.py
@@ -9,7 +9,7 @@
 from ibisspoke_policy.shared_rate import Usage
 
 from .fleet import Peer
-from .status_messages import NodeLoad, Section, pack_load, pack_usages
+from .status_messages import NodeLoad, Section, pack_load, pack_pace, pack_usages
 
 MAX_LOADS = 24  # per datagram, which fit the usual packet of 1,500 bytes
 MAX_RECORDS = 4
@@ -65,6 +65,7 @@
         pack_load(peer.load),
         max(0, int(peer.cold_until_ms - peer.last_seen_ms)),
         peer.has_lost_store,
+        vm_pace=pack_pace(peer.vm_pace.at(peer.last_seen_ms)),
     )
 
 
--- a/packages/mesh/ibisspoke_mesh/dialect.py
+++ b/packages/mesh/ibisspoke_mesh/dialect.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ibisspoke_policy.upstream_report import UpstreamReport
+
 
 class Dialect(NamedTuple):
     """Lower-case header names of a platform, supplied by its adapter.
@@ -15,6 +17,9 @@
     :param expected_instance: id of the only upstream that may run the request.
     :param signature: marks a response as the upstream's own.
     :param not_run: marks a response to a request that did not run.
+    :param load_report: tells the load of an upstream in its responses.
+    :param decode_load: returns what the value of ``load_report`` says; None if it is
+        not valid.
     :param parent_id: returns the id of the request that an upstream was serving when it
         sent the request with the given id; empty if the id does not show it.
     """
@@ -27,6 +32,8 @@
     expected_instance: bytes
     signature: bytes
     not_run: bytes
+    load_report: bytes
+    decode_load: Callable[[bytes], UpstreamReport | None]
     parent_id: Callable[[bytes], bytes]
 
     @property
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -7,6 +7,7 @@
 from ibisspoke_policy.route_profile import Pace, RouteProfiles
 from ibisspoke_policy.upstream_choice import Candidate, Distance, choose, sample
 from ibisspoke_policy.upstream_queue import Load
+from ibisspoke_policy.vm_pace import VmPace, slowdown
 
 from .decision_log import DecisionLog
 from .frames import ConfigReply
@@ -45,6 +46,7 @@
         self.digest_ms = float("-inf")
         self.load = Load(0, 0, record.n_slots, 0.0, 0.0, ())
         self.pace = Pace()
+        self.vm_pace = VmPace()
         self.n_pending_at_report = 0
         self.discovered_ms = now_ms
         self.last_seen_ms: float | None = None
@@ -76,9 +78,13 @@
         """Record that the relays of its data centre hear nothing of the node."""
         self._is_lost = True
 
-    def update_load(self, load: Load, sent_ms: float) -> None:
-        """Store the load that the node reported at ``sent_ms``."""
+    def update_load(self, load: Load, sent_ms: float, vm_pace: float = 0.0) -> None:
+        """Store the load that the node reported at ``sent_ms``.
+
+        :param vm_pace: pace of its VM; 0.0 if it was not known.
+        """
         self.load = load
+        self.vm_pace.report(vm_pace, sent_ms - self.distance.rtt_ms / 2.0)
         self.n_pending_at_report = self.link.n_pending
         self.mark_seen(sent_ms)
 
@@ -112,6 +118,7 @@
         self.profiles = RouteProfiles()
         self._own_pace = Pace()
         self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, 0.0, 0.0, ())
+        self.own_vm_pace: Callable[[], float] = lambda: 0.0
         self.own_cold_until_ms = 0.0
         self._settings = settings
         self._own_incarnation = own_incarnation
@@ -206,6 +213,7 @@
                 peer.n_pending_at_report,
                 peer.cold_until_ms > now_ms,
                 peer.pace.at(now_ms),
+                peer.vm_pace.at(now_ms),
             )
             for peer in peers
         ]
@@ -214,7 +222,10 @@
             is_cold = self.own_cold_until_ms > now_ms
             load = self.own_load()
             pace = self._own_pace.at(now_ms)
-            candidates.append(Candidate(own.node, distance, load, 0, 0, is_cold, pace))
+            vm_pace = self.own_vm_pace()
+            candidates.append(
+                Candidate(own.node, distance, load, 0, 0, is_cold, pace, vm_pace)
+            )
         chosen = choose(candidates, self.profiles.of(route), objective_ms, self._rng)
         if chosen is None:
             return None
@@ -259,6 +270,9 @@
     ) -> None:
         """Update route and node statistics by a response of a node's upstream.
 
+        They hold the times at the usual pace of its VM, of which the choice of an
+        upstream takes a multiple.
+
         :param running_ms: how long the request ran at the upstream.
         :param n_bytes: size of the request and its response.
         """
@@ -266,7 +280,8 @@
         pace = peer.pace if peer is not None else self._own_pace
         now_ms = self._clock.now_ms()
         profile = self.profiles.of(route)
-        running_ms = max(1.0, running_ms)
+        vm_pace = peer.vm_pace.at(now_ms) if peer is not None else self.own_vm_pace()
+        running_ms = max(1.0, running_ms / slowdown(vm_pace))
         profile.add(running_ms, pace.at(now_ms) or 1.0, n_bytes)
         pace.add(running_ms, profile.median_ms, now_ms)
 
@@ -376,8 +391,8 @@
             rtt_ms if same_region else OTHER_REGION_RTT_MS,
         )
 
-        def on_load(load: Load) -> None:
-            peer.update_load(load, self._clock.now_ms())
+        def on_load(load: Load, vm_pace: float) -> None:
+            peer.update_load(load, self._clock.now_ms(), vm_pace)
 
         link = PeerLink(
             record.node,
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -95,11 +95,16 @@
 
 
 class Reply(msgspec.Struct, array_like=True, tag=3):
-    """Outcome of a call, with the current load of the upstream."""
+    """Outcome of a call, with the current load of the upstream.
+
+    :param vm_pace: how long work takes on its VM, as a multiple of the usual; 0.0 if it
+        is not known. Not in the load, which earlier versions read in one length only.
+    """
 
     stream: int
     outcome: Outcome
     load: Load
+    vm_pace: float = 0.0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=4):
@@ -203,7 +208,7 @@
     if isinstance(frame, Reply) and len(frame.outcome.body) >= MIN_APART_BYTES:
         outcome = msgspec.structs.replace(frame.outcome, body=_BODY_MARK)
         return _encode_apart(
-            Reply(frame.stream, outcome, frame.load), frame.outcome.body
+            msgspec.structs.replace(frame, outcome=outcome), frame.outcome.body
         )
     return [encode_frame(frame)]
 
--- a/packages/mesh/ibisspoke_mesh/metrics.py
+++ b/packages/mesh/ibisspoke_mesh/metrics.py
@@ -38,6 +38,7 @@
     :ivar refusals: responses of the node itself, by status and reason.
     :ivar retries: requests sent to another node, by outcome of the earlier attempt.
     :ivar retry_decisions: retries considered, by kind and decision.
+    :ivar load_reports: of the upstream of this VM, by what they tell.
     :ivar rate_decisions: requests of organisations with a rate, by decision.
     :ivar store_calls: calls to the store, by call and outcome.
     :ivar answer_times: from the complete request to its response, by priority.
@@ -54,6 +55,7 @@
         self.refusals: Counter[Labels] = Counter()
         self.retries: Counter[Labels] = Counter()
         self.retry_decisions: Counter[Labels] = Counter()
+        self.load_reports: Counter[Labels] = Counter()
         self.rate_decisions: Counter[Labels] = Counter()
         self.store_calls: Counter[Labels] = Counter()
         self.answer_times: dict[str, TimeHistogram] = {}
--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -26,6 +26,7 @@
     "requests_queued": "Requests that wait for it.",
     "upstream_limit": "Requests that may run there at once.",
     "upstream_service_seconds": "Average time that one takes.",
+    "vm_pace": "How long work takes on this VM; 1 as usual, 0 unknown.",
     "upstream_pressure": "Share of requests that starve at services deeper down.",
     "peers_alive": "Nodes heard of lately.",
     "peers_draining": "Nodes whose upstream leaves.",
@@ -90,6 +91,12 @@
             ["kind", "decision"],
             metrics.retry_decisions,
         )
+        yield _counter(
+            "load_reports",
+            "Reports of its load by the upstream of this VM, by what they tell.",
+            ["state"],
+            metrics.load_reports,
+        )
         yield _counter(
             "rate_decisions",
             "Requests of organisations with a rate, by who decided and how.",
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -127,6 +127,7 @@
         )
         self.dispatcher.on_change = self._publish_change
         self.fleet.own_load = self.dispatcher.load
+        self.fleet.own_vm_pace = self.dispatcher.vm_pace
         self.rate_homes = RateHomes(self.fleet, self.rates, clock)
         self.calls = PeerCalls(
             own,
--- a/packages/mesh/ibisspoke_mesh/node_gauges.py
+++ b/packages/mesh/ibisspoke_mesh/node_gauges.py
@@ -22,6 +22,7 @@
         "requests_queued": load.n_queued,
         "upstream_limit": load.limit,
         "upstream_service_seconds": load.service_ms / 1000.0,
+        "vm_pace": node.dispatcher.vm_pace(),
         "upstream_pressure": max((p for _, p in load.pressures), default=0.0),
         "peers_alive": n_alive,
         "peers_draining": sum(peer.record.state is draining for peer in peers),
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -47,7 +47,7 @@
     incarnation: int
 
 
-OnLoad = Callable[[Load], None]
+OnLoad = Callable[[Load, float], None]
 OnConfig = Callable[[ConfigReply], None]
 
 
@@ -108,7 +108,7 @@
     never will. Nothing is known of calls to an earlier incarnation.
 
     :param rtt_ms: expected round trip time.
-    :param on_load: called with the load that each reply contains.
+    :param on_load: called with the load that each reply contains, and the VM's pace.
     :param on_config: called with each configuration that the node sends.
     :param on_waiting: called with this link when a call begins; the link is then to be
         ticked while :attr:`is_waiting` holds.
@@ -230,7 +230,7 @@
     def receive(self, frame: Frame) -> None:
         """Handle a frame of the other node."""
         if isinstance(frame, Reply):
-            self._on_load(frame.load)
+            self._on_load(frame.load, frame.vm_pace)
             pending = self._pending.get(frame.stream)
             if pending is not None and not pending.ended.done():
                 pending.ended.set_result(frame.outcome)
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -48,6 +48,9 @@
     def load(self) -> Load:
         """Return the load of the upstream."""
 
+    def vm_pace(self) -> float:
+        """Return how long work takes on its VM; 0.0 if it is not known."""
+
 
 class _CallKey(NamedTuple):
     node: str
@@ -144,7 +147,7 @@
         state.connection = connection
         state.changed_ms = self.clock.now_ms()
         if state.outcome is not None:
-            connection.send(Reply(key.stream, state.outcome, self._runner.load()))
+            self._reply(key, state.outcome, connection)
 
     def on_disconnected(self, connection: "PeerConnection") -> None:
         """Handle the loss of a connection; its calls may be recovered for a while."""
@@ -186,12 +189,18 @@
         state.outcome = outcome
         connection = state.connection
         if connection is not None:
-            connection.send(Reply(key.stream, outcome, self._runner.load()))
+            self._reply(key, outcome, connection)
         if state.idempotent and connection is not None:
             kind = OutcomeKind.FAILED  # keep no body; the request may run again
             state.outcome = Outcome(kind, reason="the answer was lost on its way")
         self._ended_ms_by_key[key] = self.clock.now_ms()
 
+    def _reply(
+        self, key: _CallKey, outcome: Outcome, connection: "PeerConnection"
+    ) -> None:
+        runner = self._runner
+        connection.send(Reply(key.stream, outcome, runner.load(), runner.vm_pace()))
+
 
 class PeerConnection(asyncio.Protocol):
     """A connection from another node."""
--- a/packages/mesh/ibisspoke_mesh/status_exchange.py
+++ b/packages/mesh/ibisspoke_mesh/status_exchange.py
@@ -27,6 +27,7 @@
     decode,
     encode,
     pack_load,
+    pack_pace,
     pack_usages,
 )
 from .status_receiver import StatusReceiver
@@ -344,6 +345,7 @@
             self._config.version,
             self._has_lost_store(),
             pack_usages(usages),
+            vm_pace=pack_pace(self._fleet.own_vm_pace()),
         )
 
     def _own_load(self) -> NodeLoad:
@@ -356,4 +358,5 @@
             pack_load(self._fleet.own_load()),
             max(0, int(self._cold_ms())),
             self._has_lost_store(),
+            vm_pace=pack_pace(self._fleet.own_vm_pace()),
         )
--- a/packages/mesh/ibisspoke_mesh/status_messages.py
+++ b/packages/mesh/ibisspoke_mesh/status_messages.py
@@ -29,6 +29,8 @@
     :param has_lost_store: whether the node cannot reach the store to wait for changes.
     :param usages: what the node has counted of organisations; None from an earlier
         version, which expects statuses from each node of its data centre.
+    :param vm_pace: pace of the VM in percent of the usual time; 0 if it is not known.
+        Not in the load, which earlier versions read in one length only.
     """
 
     node: str
@@ -41,6 +43,7 @@
     version: int
     has_lost_store: bool
     usages: list[PackedUsages] | None = None
+    vm_pace: int = 0
 
 
 class Status(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -62,6 +65,7 @@
     """What a relay knows of a node's load.
 
     :param age_ms: time since the node sent it.
+    :param vm_pace: as in :class:`NodeStatus`, at the same moment.
     """
 
     node: str
@@ -70,6 +74,7 @@
     load: PackedLoad
     cold_ms: int
     has_lost_store: bool
+    vm_pace: int = 0
 
 
 class LostNode(msgspec.Struct, array_like=True, frozen=True):
@@ -170,6 +175,16 @@
     )
 
 
+def pack_pace(pace: float) -> int:
+    """Convert a pace of a VM to percent."""
+    return round(pace * 100.0)
+
+
+def unpack_pace(packed: int) -> float:
+    """Return the pace from the result of :func:`pack_pace`."""
+    return packed / 100.0
+
+
 def pack_usages(usages: Iterable[Usage]) -> list[PackedUsages]:
     """Group usages by slot, with a checksum instead of the organisation's name."""
     by_slot: dict[int, list[tuple[int, int, int, int]]] = {}
--- a/packages/mesh/ibisspoke_mesh/status_receiver.py
+++ b/packages/mesh/ibisspoke_mesh/status_receiver.py
@@ -17,6 +17,7 @@
     NodeStatus,
     Section,
     unpack_load,
+    unpack_pace,
     unpack_usages,
 )
 from .status_messages import name_checksum as checksum
@@ -72,7 +73,8 @@
         peer = self._peer(status)
         if peer is None:
             return None
-        peer.update_load(unpack_load(status.load), now_ms)
+        vm_pace = unpack_pace(status.vm_pace)
+        peer.update_load(unpack_load(status.load), now_ms, vm_pace)
         peer.cold_until_ms = now_ms + status.cold_ms
         peer.has_lost_store = status.has_lost_store
         if peer.distance.same_data_centre and status.usages is not None:
@@ -139,7 +141,8 @@
             return load.incarnation < peer.record.incarnation
         sent_ms = now_ms - max(0, load.age_ms)
         if peer.last_seen_ms is None or sent_ms > peer.last_seen_ms:
-            peer.update_load(unpack_load(load.load), sent_ms)
+            vm_pace = unpack_pace(load.vm_pace)
+            peer.update_load(unpack_load(load.load), sent_ms, vm_pace)
             peer.cold_until_ms = sent_ms + load.cold_ms
             peer.has_lost_store = load.has_lost_store
         return True
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -27,6 +27,7 @@
 from .decision_log import DecisionLog
 from .dialect import Dialect
 from .frames import Attempt, Outcome, OutcomeKind
+from .load_reports import LoadReports
 from .metrics import NodeMetrics
 from .upstream_pool import Result as UpstreamResult
 from .upstream_pool import (
@@ -77,6 +78,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._load_reports = LoadReports(dialect, clock, log, metrics)
         self._heartbeat_ms = heartbeat_ms
         self._drain_ms = drain_ms
         self._numbers = itertools.count(1)
@@ -114,6 +116,10 @@
         """Return the load of the upstream, for balancing by other nodes."""
         return self.queue.load(self._clock.now_ms())
 
+    def vm_pace(self) -> float:
+        """Return how long work takes on this VM now; 0.0 if it is not known."""
+        return self._load_reports.pace()
+
     def announce(self, announcement: Announcement) -> None:
         """Handle a heartbeat of the upstream."""
         previous, state = self.upstream.latest, self.upstream.state
@@ -362,6 +368,7 @@
         queue.finish(number, now_ms, ending)
         if isinstance(result, UpstreamResponse):
             self._last_seen_ms = now_ms
+            self._load_reports.receive(result)
         elif not result.was_sent and self.upstream.state is UpstreamState.READY:
             self._mark_absent(result.reason, now_ms - self._last_seen_ms)
         if pending is not None:
--- a/packages/mesh/ibisspoke_mesh/upstream_pool.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pool.py
@@ -29,6 +29,7 @@
     :param is_signed: whether it is marked as the upstream's own.
     :param is_not_run: whether it is marked as a response to a request that did not run.
     :param is_encoded: whether it has a content encoding.
+    :param load_report: value of the header that tells the upstream's load, if any.
     """
 
     status: int
@@ -37,6 +38,7 @@
     is_signed: bool
     is_not_run: bool
     is_encoded: bool
+    load_report: bytes = b""
 
 
 class UpstreamFailure(NamedTuple):
@@ -179,6 +181,9 @@
             self._is_signed = True
         elif lower == dialect.not_run:
             self._is_not_run = True
+        elif lower == dialect.load_report:
+            # several are joined like one list, which has too many figures then
+            self._load_report += (b"," if self._load_report else b"") + value
         else:
             self._read_connection_header(lower, value)
         if lower not in HOP_BY_HOP:
@@ -243,6 +248,7 @@
         self._headers: list[bytes] = []
         self._drop_body()
         self._answered_id = None
+        self._load_report = b""
         self._is_signed = self._is_not_run = self._is_encoded = False
         self._closes = False
         self._in_body = False
@@ -257,6 +263,7 @@
             self._is_signed,
             self._is_not_run or self._status == 421,
             self._is_encoded,
+            self._load_report,
         )
         self._drop_body()
 
--- a/packages/mesh/tests/test_frames.py
+++ b/packages/mesh/tests/test_frames.py
@@ -32,7 +32,7 @@
 
 def reply(body: bytes) -> Reply:
     outcome = Outcome(OutcomeKind.ANSWERED, 200, b"a: b\r\n", body, running_ms=3.0)
-    return Reply(7, outcome, Load(1, 2, 3, 4.0, 0.5, (("r", 0.25),)))
+    return Reply(7, outcome, Load(1, 2, 3, 4.0, 0.5, (("r", 0.25),)), 2.5)
 
 
 @pytest.mark.parametrize("size", SIZES)
@@ -76,3 +76,22 @@
     read = decode(encode(earlier), type=Outcome)
     assert read.n_calls == UNKNOWN_CALLS
     assert not read.has_retried_call
+
+
+class EarlierReply(msgspec.Struct, array_like=True, tag=3):
+    """A reply as nodes of the version before know it."""
+
+    stream: int
+    outcome: EarlierOutcome
+    load: Load
+
+
+def test_nodes_of_the_version_before_read_and_send_replies_without_a_pace():
+    # Guards against a longer load, which these nodes refuse with the whole link.
+    encode, decode = msgspec.msgpack.encode, msgspec.msgpack.decode
+    slowed = reply(b"x")
+    assert decode(encode(slowed), type=Reply).vm_pace == 2.5
+    earlier = decode(encode(slowed), type=EarlierReply)
+    assert earlier.load == Load(1, 2, 3, 4.0, 0.5, (("r", 0.25),))
+    assert decode(encode(earlier), type=Reply).vm_pace == 0.0
+    assert len(Load._fields) == 6
--- a/packages/policy/ibisspoke_policy/upstream_choice.py
+++ b/packages/policy/ibisspoke_policy/upstream_choice.py
@@ -7,6 +7,7 @@
 
 from .route_profile import RouteProfile
 from .upstream_queue import Load
+from .vm_pace import slowdown
 
 # Costs are shares of the value of an answer that arrives in time.
 LATE_COST = 0.65  # of a late answer; to users it has a third of the value
@@ -52,7 +53,9 @@
         includes.
     :param is_cold: whether it has just started and is still slow.
     :param pace: its latency as a multiple of the usual one, measured on this node's
-        requests; None without recent ones.
+        requests, at the usual pace of its VM; None without recent ones.
+    :param vm_pace: how long work takes on its VM at this moment, as a multiple of the
+        usual, by a fresh report; 0.0 without one.
     """
 
     id: str
@@ -62,6 +65,7 @@
     n_pending_at_report: int
     is_cold: bool
     pace: float | None = None
+    vm_pace: float = 0.0
 
 
 def expected_cost(
@@ -149,7 +153,13 @@
     usual_ms = max(1.0, sum(known_ms) / len(known_ms)) if known_ms else 1.0
 
     def cost_with_jitter(candidate: Candidate) -> float:
-        pace = candidate.pace or (candidate.load.service_ms or usual_ms) / usual_ms
+        slowed = slowdown(candidate.vm_pace)
+        if candidate.pace is not None:
+            pace = candidate.pace * slowed
+        else:
+            pace = (candidate.load.service_ms or usual_ms) / usual_ms
+            if slowed > 1.0:  # the reported time includes a part of the slowdown
+                pace = max(pace, slowed)
         cost = expected_cost(candidate, profile, pace, objective_ms)
         return cost + rng.random() * JITTER_COST
 
--- a/packages/policy/tests/test_upstream_choice.py
+++ b/packages/policy/tests/test_upstream_choice.py
@@ -170,3 +170,49 @@
     slow = candidate("slow", HERE)._replace(pace=4.0)
     long_requests = candidate("long", HERE, service_ms=800.0)._replace(pace=1.0)
     assert chosen(slow, long_requests) == {"long"}
+
+
+def slowed(name: str, vm_pace: float, **changes: object) -> Candidate:
+    return candidate(name, HERE, **changes)._replace(pace=1.0, vm_pace=vm_pace)
+
+
+def test_an_upstream_whose_vm_is_slowed_is_avoided():
+    # Other programs slow its VM 2.5 times at this moment.
+    assert chosen(slowed("here", 2.5), slowed("other", 1.0)) == {"other"}
+    assert chosen(slowed("here", 0.0), slowed("other", 0.0)) == {"here", "other"}
+
+
+def test_a_slowed_upstream_is_better_than_a_long_queue_or_another_region():
+    full = slowed("full", 1.0, n_running=50, n_queued=100)
+    assert chosen(slowed("here", 2.5), full) == {"here"}
+    assert chosen(slowed("here", 2.5), candidate("far", FAR)) == {"here"}
+
+
+def test_a_vm_that_claims_to_be_fast_gets_no_more_than_others():
+    counts = picks(slowed("fast", 0.1), slowed("usual", 1.0), n_picks=2_000)
+    assert abs(counts["fast"] - counts["usual"]) < 0.1 * 2_000
+
+
+def test_a_report_does_not_count_twice_where_only_the_average_time_is_known():
+    # The average time of the upstream has risen with the slowdown already.
+    here = candidate("here", HERE, service_ms=500.0)._replace(vm_pace=2.5)
+    slower = candidate("slower", HERE)._replace(pace=3.0)
+    assert chosen(here, slower, objective_ms=500.0) == {"here"}
+
+
+def test_nodes_that_hear_of_slowed_vms_do_not_all_choose_the_same_upstream():
+    # 4 of 10 VMs are slowed, and all nodes have the same reports.
+    vms = [slowed(str(i), 2.5 if i < 4 else 1.0, n_running=20) for i in range(10)]
+    profile, picked = usual_profile(), Counter()
+    for node in range(1_000):
+        rng = random.Random(node)
+        picked[choose(sampled(vms, rng), profile, 1_500.0, rng).id] += 1
+    usual = [picked[str(i)] for i in range(4, 10)]
+    assert max(usual) < 2 * 1_000 / 10
+    assert min(usual) > max(picked[str(i)] for i in range(4))
+    assert sum(picked[str(i)] for i in range(4)) > 0.05 * 1_000
+
+
+def test_a_reported_pace_is_no_reason_to_refuse_or_fail():
+    profile, rng = usual_profile(), random.Random(1)
+    assert choose([slowed("here", 4.0)], profile, 1_500.0, rng).id == "here"
