Merge retries by calls and the load header

Bounds that only some deployments have reach the node as JSON in one setting, which the adapter reads: a template cannot leave a line out without sections, and the review's stand-in of the platform renders none.

--- a/packages/mesh/ibisspoke_mesh/caller_budget.py
+++ b/packages/mesh/ibisspoke_mesh/caller_budget.py
@@ -93,8 +93,9 @@
         cut_offs: Counter[Labels] | None = None,
         log: DecisionLog | None = None,
         n_answer_bytes: Callable[[], int] = lambda: 0,
+        max_descriptors: int = DEFAULT_MAX_DESCRIPTORS,
     ) -> None:
-        self.max_descriptors = DEFAULT_MAX_DESCRIPTORS
+        self.max_descriptors = max_descriptors
         self.n_body_bytes = 0
         self.n_input_bytes = 0
         self.n_unread_bytes = 0
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -9,6 +9,7 @@
 from ibisspoke_policy.route_table import Regions
 from ibisspoke_policy.upstream_choice import Candidate, Distance, choose, sample
 from ibisspoke_policy.upstream_queue import Load
+from ibisspoke_policy.vm_pace import VmPace, slowdown
 
 from .decision_log import DecisionLog
 from .frames import ConfigReply
@@ -54,6 +55,7 @@
         self.digest_ms = float("-inf")
         self.load = Load(0, 0, record.n_slots, 0.0, 0.0, ())
         self.pace = Pace()
+        self.vm_pace = VmPace()
         self.n_pending_at_report = 0
         self.discovered_ms = now_ms
         self.last_seen_ms: float | None = None
@@ -85,9 +87,13 @@
         """Record that the relays of its data centre hear nothing of the node."""
         self._is_lost = True
 
-    def update_load(self, load: Load, sent_ms: float) -> None:
-        """Store the load that the node reported at ``sent_ms``."""
+    def update_load(self, load: Load, sent_ms: float, vm_pace: float = 0.0) -> None:
+        """Store the load that the node reported at ``sent_ms``.
+
+        :param vm_pace: pace of its VM; 0.0 if it was not known.
+        """
         self.load = load
+        self.vm_pace.report(vm_pace, sent_ms - self.distance.rtt_ms / 2.0)
         self.n_pending_at_report = self.link.n_pending
         self.mark_seen(sent_ms)
 
@@ -97,6 +103,8 @@
 
     :ivar n_membership_changes: how often a node was added, removed or replaced.
     :ivar on_usurped: called with a record of this node that is later than its own.
+    :ivar has_vm_paces: whether any upstream has reported the pace of its VM, as those
+        do that share their VMs with other programs.
     :ivar own_load: returns the load of this node's upstream.
     :param on_config: called with a configuration that another node sent.
     """
@@ -123,6 +131,8 @@
         self._own_pace = Pace()
         self.on_usurped: Callable[[MemberRecord], None] = lambda _: None
         self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, 0.0, 0.0, ())
+        self.own_vm_pace: Callable[[], float] = lambda: 0.0
+        self.has_vm_paces = False
         self.own_cold_until_ms = 0.0
         self._settings = settings
         self._ip_version = ipaddress.ip_address(settings.host).version
@@ -260,6 +270,7 @@
                 peer.n_pending_at_report,
                 peer.cold_until_ms > now_ms,
                 peer.pace.at(now_ms),
+                peer.vm_pace.at(now_ms),
             )
             for peer in peers
         ]
@@ -268,7 +279,10 @@
             is_cold = self.own_cold_until_ms > now_ms
             load = self.own_load()
             pace = self._own_pace.at(now_ms)
-            candidates.append(Candidate(own.node, distance, load, 0, 0, is_cold, pace))
+            vm_pace = self.own_vm_pace()
+            candidates.append(
+                Candidate(own.node, distance, load, 0, 0, is_cold, pace, vm_pace)
+            )
         chosen = choose(candidates, self.profiles.of(route), objective_ms, self._rng)
         if chosen is None:
             return None
@@ -324,6 +338,9 @@
     ) -> None:
         """Update route and node statistics by a response of a node's upstream.
 
+        They hold the times at the usual pace of its VM, of which the choice of an
+        upstream takes a multiple.
+
         :param running_ms: how long the request ran at the upstream.
         :param n_bytes: size of the request and its response.
         """
@@ -331,10 +348,26 @@
         pace = peer.pace if peer is not None else self._own_pace
         now_ms = self._clock.now_ms()
         profile = self.profiles.of(route)
-        running_ms = max(1.0, running_ms)
+        vm_pace = peer.vm_pace.at(now_ms) if peer is not None else self.own_vm_pace()
+        self.has_vm_paces |= vm_pace > 0.0
+        running_ms = max(1.0, running_ms / slowdown(vm_pace))
         profile.add(running_ms, pace.at(now_ms) or 1.0, n_bytes)
         pace.add(running_ms, profile.median_ms, now_ms)
 
+    def pace_of(self, node: str) -> tuple[float | None, float]:
+        """Return the recent pace of a node's upstream, and the round trip time."""
+        now_ms = self._clock.now_ms()
+        peer = self.peers_by_id.get(node)
+        if peer is None:
+            return self._own_pace.at(now_ms), LOCAL_RTT_MS
+        return peer.pace.at(now_ms), peer.distance.rtt_ms
+
+    def is_full(self, node: str) -> bool:
+        """Return whether a request sent to a node has to wait for a slot."""
+        peer = self.peers_by_id.get(node)
+        load = peer.load if peer is not None else self.own_load()
+        return load.n_queued > 0 or load.n_running >= load.limit
+
     def pressure(
         self, service: str, route: str, regions: Regions | None = None
     ) -> float:
@@ -435,8 +468,8 @@
             rtt_ms if same_region else OTHER_REGION_RTT_MS,
         )
 
-        def on_load(load: Load) -> None:
-            peer.update_load(load, self._clock.now_ms())
+        def on_load(load: Load, vm_pace: float) -> None:
+            peer.update_load(load, self._clock.now_ms(), vm_pace)
 
         link = PeerLink(
             record.node,
--- a/packages/mesh/ibisspoke_mesh/frames.py
+++ b/packages/mesh/ibisspoke_mesh/frames.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ibisspoke_policy.call_trees import UNKNOWN_CALLS
 from ibisspoke_policy.decoding import decode_untrusted
 from ibisspoke_policy.evacuations import EvacuationPosition, EvacuationReport
 from ibisspoke_policy.upstream_queue import Load
@@ -36,6 +37,10 @@
     :param has_starved: whether it failed for lack of capacity here or at a downstream
         service.
     :param running_ms: how long it ran at the upstream, without the wait for a slot.
+    :param n_calls: calls that the upstream made for it; negative if not known, as from
+        an earlier version.
+    :param has_retried_call: whether it failed because of a call that was sent again in
+        vain, or was not sent again only for want of budget.
     """
 
     kind: OutcomeKind
@@ -46,6 +51,8 @@
     retry_after_ms: float = 0.0
     has_starved: bool = False
     running_ms: float = 0.0
+    n_calls: int = UNKNOWN_CALLS
+    has_retried_call: bool = False
 
 
 class Attempt(msgspec.Struct, array_like=True, frozen=True):
@@ -90,11 +97,16 @@
 
 
 class Reply(msgspec.Struct, array_like=True, tag=3):
-    """Outcome of a call, with the current load of the upstream."""
+    """Outcome of a call, with the current load of the upstream.
+
+    :param vm_pace: how long work takes on its VM, as a multiple of the usual; 0.0 if it
+        is not known. Not in the load, which earlier versions read in one length only.
+    """
 
     stream: int
     outcome: Outcome
     load: Load
+    vm_pace: float = 0.0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=4):
@@ -203,7 +215,7 @@
     if isinstance(frame, Reply) and len(frame.outcome.body) >= MIN_APART_BYTES:
         outcome = msgspec.structs.replace(frame.outcome, body=_BODY_MARK)
         return _encode_apart(
-            Reply(frame.stream, outcome, frame.load), frame.outcome.body
+            msgspec.structs.replace(frame, outcome=outcome), frame.outcome.body
         )
     return [encode_frame(frame)]
 
--- a/packages/mesh/ibisspoke_mesh/metrics.py
+++ b/packages/mesh/ibisspoke_mesh/metrics.py
@@ -37,6 +37,8 @@
     :ivar answers: responses of upstreams, by priority and status.
     :ivar refusals: responses of the node itself, by status and reason.
     :ivar retries: requests sent to another node, by outcome of the earlier attempt.
+    :ivar retry_decisions: retries considered, by kind and decision.
+    :ivar load_reports: of the upstream of this VM, by what they tell.
     :ivar rate_decisions: requests of organisations with a rate, by decision.
     :ivar cut_offs: connections of callers that were cut off, and bodies that were
         dropped, by reason.
@@ -56,6 +58,8 @@
         self.answers: Counter[Labels] = Counter()
         self.refusals: Counter[Labels] = Counter()
         self.retries: Counter[Labels] = Counter()
+        self.retry_decisions: Counter[Labels] = Counter()
+        self.load_reports: Counter[Labels] = Counter()
         self.rate_decisions: Counter[Labels] = Counter()
         self.cut_offs: Counter[Labels] = Counter()
         self.store_calls: Counter[Labels] = Counter()
--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -31,6 +31,7 @@
     "upstream_cold": "Whether it counts as cold, so that its rate is bounded.",
     "upstream_cold_rate": "Requests in a second while it is cold; 0 for no bound.",
     "upstream_service_seconds": "Average time that one takes.",
+    "vm_pace": "How long work takes on this VM; 1 as usual, 0 unknown.",
     "upstream_pressure": "Share of requests that starve at services deeper down.",
     "peers_alive": "Nodes heard of lately.",
     "peers_draining": "Nodes whose upstream leaves.",
@@ -95,6 +96,18 @@
             ["outcome"],
             metrics.retries,
         )
+        yield _counter(
+            "retry_decisions",
+            "Retries considered, by kind and decision.",
+            ["kind", "decision"],
+            metrics.retry_decisions,
+        )
+        yield _counter(
+            "load_reports",
+            "Reports of its load by the upstream of this VM, by what they tell.",
+            ["state"],
+            metrics.load_reports,
+        )
         yield _counter(
             "rate_decisions",
             "Requests of organisations with a rate, by who decided and how.",
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -146,6 +146,7 @@
             self.config, self.dispatcher, self.fleet, settings.data_centre
         )
         self.dispatcher.on_change = self._publish_change
+        self.fleet.own_vm_pace = self.dispatcher.vm_pace
         self.rate_homes = RateHomes(self.fleet, self.rates, clock)
         self.calls = PeerCalls(
             own,
@@ -234,9 +235,12 @@
         self.traffic_log = TrafficLog(metrics, clock, self.log)
         self.servers: list[ServerState] = []
         self.budget = CallerBudget(
-            clock, metrics.cut_offs, self.log, lambda: self.pool.n_buffered_bytes
+            clock,
+            metrics.cut_offs,
+            self.log,
+            lambda: self.pool.n_buffered_bytes,
+            settings.max_descriptors,
         )
-        self.budget.max_descriptors = settings.max_descriptors
         self.parsing = ParseQueue(clock)
         self.callers = self.server(self.request_handler.handle)
         self.evacuations.on_change = self._on_evacuations_changed
@@ -331,6 +335,8 @@
         self.calls.tick()
         self.fleet.own_cold_until_ms = self.dispatcher.cold_until_ms
         self.fleet.tick()
+        if self.fleet.has_vm_paces:
+            self.dispatcher.note_shared_vms()
         self.region_check.tick()
         self.status.tick()
         self.config.tick(self.settings.key_proof_ms)
@@ -348,6 +354,7 @@
         self.request_handler.settings = self.admission.settings = settings
         self.budget.max_descriptors = settings.max_descriptors
         self.dispatcher.apply_settings(settings)
+        self.request_handler.retries.by_calls = settings.retries_by_calls
         self._set_retry_budget()
 
     async def stop(self) -> None:
--- a/packages/mesh/ibisspoke_mesh/node_gauges.py
+++ b/packages/mesh/ibisspoke_mesh/node_gauges.py
@@ -28,6 +28,7 @@
         "upstream_cold": cold is not None and cold.is_bounding(now_ms),
         "upstream_cold_rate": (cold.n_allowed or 0) if cold is not None else 0,
         "upstream_service_seconds": load.service_ms / 1000.0,
+        "vm_pace": node.dispatcher.vm_pace(),
         "upstream_pressure": max((p for _, p in load.pressures), default=0.0),
         "peers_alive": n_alive,
         "peers_draining": sum(peer.record.state is draining for peer in peers),
--- a/packages/mesh/ibisspoke_mesh/settings.py
+++ b/packages/mesh/ibisspoke_mesh/settings.py
@@ -14,6 +14,8 @@
 NotNegative = Annotated[float, msgspec.Meta(ge=0, description="0 or a number above it")]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1, description="a number from 0 to 1")]
 
+Flag = Annotated[bool, msgspec.Meta(description="true or false")]
+
 
 class NodeSection(TypedDict):
     """Identity and location of the node."""
@@ -36,6 +38,12 @@
     metrics_port: Port
 
 
+class RetriesSection(TypedDict, total=False):
+    """How retries are chosen; the section may be missing."""
+
+    by_calls: Flag
+
+
 class UpstreamSection(TypedDict):
     """The upstream on this VM."""
 
@@ -103,6 +111,7 @@
     :param evacuation_ms: by when an evacuation must be in force; None if the operators
         of the deployment evacuate no data centres.
     :param has_start_ramp: whether upstreams that start or recover get a lower limit.
+    :param retries_by_calls: whether retries depend on the calls that requests cause.
     """
 
     id: str
@@ -131,6 +140,7 @@
     cold_slack: float | None = None
     evacuation_ms: float | None = None
     has_start_ramp: bool = False
+    retries_by_calls: bool = False
 
 
 _SCHEMAS: dict[str, Any] = {
@@ -141,6 +151,7 @@
     "bounds": BoundsSection,
     "limits": LimitsSection,
     "pace": PaceSection,
+    "retries": RetriesSection,
 }
 _ADDRESSES = {
     "listen": ("callers", "peers", "readiness", "announcements"),
@@ -226,4 +237,5 @@
         cold_slack=bounds.get("cold_slack"),
         evacuation_ms=bounds.get("evacuation_ms"),
         has_start_ramp=sections["pace"].get("ramp", False),
+        retries_by_calls=sections["retries"].get("by_calls", False),
     )
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -28,6 +28,7 @@
 from .decision_log import DecisionLog
 from .dialect import Dialect
 from .frames import Attempt, Outcome, OutcomeKind
+from .load_reports import LoadReports
 from .metrics import NodeMetrics
 from .settings import NodeSettings
 from .upstream_pace import UpstreamPace
@@ -86,11 +87,13 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._load_reports = LoadReports(dialect, clock, log, metrics)
         self._heartbeat_ms = heartbeat_ms
         self._drain_ms = drain_ms
         self._numbers = itertools.count(1)
         self._pending = PendingAttempts()
         self._nested_starved_share = DecayingShare(NESTED_WEIGHT, NESTED_HALF_LIFE_MS)
+        self._n_unattributed_calls = 0
         self._last_seen_ms = clock.now_ms()
         self._draining_since_ms: float | None = None
         self.cold_until_ms = 0.0
@@ -129,6 +132,11 @@
         self.pace.apply_settings(settings)
         self.pace.attach(self.queue)
 
+    def note_shared_vms(self) -> None:
+        """Handle that upstreams share their VMs with other programs."""
+        self.pace.note_shared_vms()
+        self.pace.attach(self.queue)
+
     def expect_cold(self) -> None:
         """Count the upstream as cold until a heartbeat that arrives later tells.
 
@@ -140,6 +148,10 @@
         """Return the load of the upstream, for balancing by other nodes."""
         return self.queue.load(self._clock.now_ms())
 
+    def vm_pace(self) -> float:
+        """Return how long work takes on this VM now; 0.0 if it is not known."""
+        return self._load_reports.pace()
+
     def announce(self, announcement: Announcement) -> None:
         """Handle a heartbeat of the upstream."""
         previous, state = self.upstream.latest, self.upstream.state
@@ -371,6 +383,7 @@
 
     def _start(self, number: int, pending: PendingAttempt, now_ms: float) -> None:
         pending.started_ms = now_ms
+        pending.n_unattributed_before = self._n_unattributed_calls
         attempt = pending.attempt
         remaining_ms = max(1, int(pending.deadline_at_ms - now_ms))
         dialect = self._dialect
@@ -412,6 +425,7 @@
         queue.finish(number, now_ms, ending)
         if isinstance(result, UpstreamResponse):
             self._last_seen_ms = now_ms
+            self._load_reports.receive(result)
             self.pace.ended(number, was_sent=True)
             if result.status == MISDIRECTED:
                 self.pace.misdirected(number)
@@ -421,7 +435,13 @@
             if pending.started_ms is not None:
                 running_ms = now_ms - pending.started_ms
                 self._metrics.upstream_times.add(running_ms)
-                outcome = msgspec.structs.replace(outcome, running_ms=running_ms)
+                is_exhausted = ending is Ending.CALL_FAILED and pending.has_retried_call
+                outcome = msgspec.structs.replace(
+                    outcome,
+                    running_ms=running_ms,
+                    n_calls=pending.known_calls(self._n_unattributed_calls),
+                    has_retried_call=is_exhausted,
+                )
             self._count_ended(pending, ending, now_ms)
             if outcome.kind is not OutcomeKind.ANSWERED:
                 self._log.write(
@@ -461,7 +481,10 @@
         parent = self._pending.find_started(parent_id)
         call = NestedCall()
         if parent is not None:
+            parent.n_calls += 1
             parent.n_open_calls += 1
+        else:
+            self._n_unattributed_calls += 1
         try:
             yield call
         finally:
@@ -471,6 +494,13 @@
                 parent.n_open_calls -= 1
                 parent.has_failed_call |= call.has_failed
                 parent.has_starved |= call.has_starved
+                parent.has_retried_call |= call.has_failed and call.was_retryable
+
+    def count_call(self, parent_id: bytes) -> None:
+        """Count a call that only its id shows to be one of the upstream's."""
+        parent = self._pending.find_started(parent_id)
+        if parent is not None:
+            parent.n_calls += 1
 
     def _ending(self, outcome: Outcome, pending: PendingAttempt | None) -> Ending:
         if outcome.kind is not OutcomeKind.ANSWERED:
--- a/packages/mesh/ibisspoke_mesh/upstream_pace.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pace.py
@@ -26,7 +26,7 @@
     in the bound too.
 
     :ivar cold: the bound of a cold upstream; None where the settings state none.
-    :ivar ramp: the limit after a start; None where the settings do not ask for it.
+    :ivar ramp: the limit after a start; None where nothing asks for it.
     """
 
     def __init__(self, clock: Clock, log: DecisionLog) -> None:
@@ -40,6 +40,9 @@
         self._was_cold = False
         self._was_absent = False
         self._has_process = False
+        self._start_ms = 0.0
+        self._is_ramp_set = False
+        self._is_vm_shared = False
         self._n_ramp_changes = 0
 
     def __repr__(self) -> str:
@@ -47,11 +50,8 @@
 
     def apply_settings(self, settings: NodeSettings) -> None:
         """Apply new settings."""
-        if not settings.has_start_ramp:
-            self.ramp = None
-        elif self.ramp is None:
-            self.ramp = StartRamp()
-            self._n_ramp_changes = 0
+        self._is_ramp_set = settings.has_start_ramp
+        self._update_ramp()
         overage, slack = settings.cold_overage, settings.cold_slack
         if overage is None and slack is None:
             self._bound = self.cold = None
@@ -62,6 +62,16 @@
             self.cold = ColdRate(self._clock.now_ms())
         self._update_rate()
 
+    def note_shared_vms(self) -> None:
+        """Handle that the upstreams of the fleet share their VMs with other programs.
+
+        How much an upstream can do at once then changes by the moment, and a recovering
+        one is flooded more easily.
+        """
+        if not self._is_vm_shared:
+            self._is_vm_shared = True
+            self._update_ramp()
+
     def apply_configuration(
         self, cold_starts_by_service: Mapping[str, ColdStart]
     ) -> None:
@@ -77,6 +87,7 @@
     def heartbeat(self, announcement: Announcement, is_new_process: bool) -> None:
         """Handle a heartbeat."""
         self._service = announcement.service
+        self._start_ms = announcement.start_ms
         self._update_rate()
         now_ms = self._clock.now_ms()
         if self.cold is not None:
@@ -143,6 +154,15 @@
             why=ramp.reason,
         )
 
+    def _update_ramp(self) -> None:
+        if not self._is_ramp_set and not self._is_vm_shared:
+            self.ramp = None
+        elif self.ramp is None:
+            self.ramp = StartRamp()
+            self._n_ramp_changes = 0
+            if self._clock.wall_ms() - self._start_ms < STARTED_BEFORE_MS:
+                self._restart_ramp(RampReason.STARTED)
+
     def _restart_ramp(self, reason: RampReason) -> None:
         if self.ramp is not None:
             self.ramp.restart(reason, self._clock.now_ms())
--- a/tests/fleet/test_cold_upstreams.py
+++ b/tests/fleet/test_cold_upstreams.py
@@ -12,7 +12,7 @@
 from test_odd_entries import heartbeat
 
 from ibisspoke_adapter.configuration import decode_configuration
-from ibisspoke_mesh.settings import parse_settings
+from ibisspoke_adapter.settings import parse_platform_settings
 from ibisspoke_policy.route_table import ColdStart
 from ibisspoke_standins.settings_template import render
 
@@ -50,7 +50,7 @@
 def settings_of(values):
     """Return the settings that the deploy template gives for a deployment."""
     template = (ROOT / "deploy" / "node.toml").read_text()
-    parsed = parse_settings("node.toml", render(template, values))
+    parsed = parse_platform_settings("node.toml", render(template, values))
     assert parsed.is_ok(), parsed
     return parsed.ok_value
 
@@ -174,10 +174,19 @@
 
 def test_settings_without_a_pace_ask_for_no_ramp():
     template = (ROOT / "deploy" / "node.toml").read_text()
-    text = render(template, VALUES).partition("[pace]")[0]
-    assert not parse_settings("node.toml", text).ok_value.has_start_ramp
+    text = render(template, VALUES).partition("[platform]")[0]
+    assert not parse_platform_settings("node.toml", text).ok_value.has_start_ramp
     text += "[pace]\nramp = true\n"
-    assert parse_settings("node.toml", text).ok_value.has_start_ramp
+    assert parse_platform_settings("node.toml", text).ok_value.has_start_ramp
+
+
+@pytest.mark.parametrize("bounds", ["{", "[]", '{"coldSlack": "8"}'])
+def test_bounds_that_cannot_be_read_are_an_error_of_the_settings(bounds):
+    template = (ROOT / "deploy" / "node.toml").read_text()
+    text = render(template, VALUES).partition("[platform]")[0]
+    text += f"[platform]\nbounds = '{bounds}'\n"
+    faults = parse_platform_settings("node.toml", text).err_value
+    assert [fault.place for fault in faults] == ["platform.bounds"]
 
 
 async def test_the_metrics_page_tells_the_limits():
