--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -80,7 +80,8 @@
             self._feed(data)
         else:
             self._feed_slices(data)
-        self._update_reading()
+        if self._unparsed or len(self._pipelined) > MAX_PIPELINED_REQUESTS:
+            self._update_reading()
 
     def _feed_slices(self, data: bytes) -> None:
         view, start = memoryview(data), 0
@@ -195,6 +196,8 @@
         """Close the connection if it is idle or its headers arrive too slowly."""
         if self._task is not None or self._transport is None or self._pipelined:
             return
+        if self._transport.is_closing():
+            return
         if self._is_paused and not self._state.is_stopping:
             return
         since_ms = self._reader.reading_since_ms
@@ -274,7 +277,8 @@
             self._budget.idle[self] = None
         if self._unparsed and self._may_parse:
             self._state.parsing.add(self)
-        self._update_reading()
+        if self._is_paused:
+            self._update_reading()
 
     @property
     def _has_read_all(self) -> bool:
--- a/packages/mesh/ibisspoke_mesh/request_reader.py
+++ b/packages/mesh/ibisspoke_mesh/request_reader.py
@@ -8,13 +8,15 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.route_table import CallerLimits
 
+from . import caller_budget
 from .body_parts import BodyParts
 from .caller_budget import BudgetedConnection, CallerBudget
 from .caller_messages import CallerRequest
 
 # Parsed at once; the requests in it are kept, and may be as small as 18 bytes.
 HEAD_SLICE_BYTES = 4 * 1024
-BODY_SLICE_BYTES = 16 * 1024
+CHUNKS_SLICE_BYTES = 16 * 1024  # of a chunked body; a chunk may be as small as 6 bytes
+BODY_SLICE_BYTES = 64 * 1024  # of a body of known length
 SMALL_BODY_BYTES = 64 * 1024  # taken as long as anything can be kept
 REQUEST_COST_BYTES = 1_000  # that a request takes beside its head and body
 HEADER_COST_BYTES = 200  # that a header takes beside its name and value
@@ -97,7 +99,13 @@
     @property
     def slice_bytes(self) -> int:
         """How many bytes to feed at once."""
-        return BODY_SLICE_BYTES if self.is_in_body else HEAD_SLICE_BYTES
+        if not self.is_in_body:
+            return HEAD_SLICE_BYTES
+        for lower, _, value in self._headers:
+            if lower == b"content-length" and value.isdigit():
+                n_left = int(value) - self._n_body_bytes
+                return max(1, min(n_left, BODY_SLICE_BYTES))
+        return CHUNKS_SLICE_BYTES
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parse received bytes.
@@ -198,10 +206,8 @@
         assert self._parser is not None
         if self._parser.should_upgrade():
             return
-        if self._body.staged:
-            self._count_body()
-        body = self._body.join()
         n_head_bytes = REQUEST_COST_BYTES + self._n_kept_bytes
+        body = self._take_body()
         request = CallerRequest(
             self._parser.get_method(),
             self._target,
@@ -210,19 +216,34 @@
             self._clock.now_ms(),
             self._is_dropped,
         )
-        self._set_counted(len(body), n_head_bytes)
-        self._budget.end_upload(self._receiver)
-        self._n_body_counted = self._n_input_counted = 0  # by the receiver from now on
+        # counted for the receiver from now on
+        self._budget.n_body_bytes += len(body) - self._n_body_counted
+        self._budget.n_input_bytes += n_head_bytes - self._n_input_counted
+        self._n_body_counted = self._n_input_counted = 0
         self.reading_since_ms = None
         self.is_in_body = self.is_costly = False
         self._n_unfinished_bytes = 0
         keeps_alive = self._parser.should_keep_alive()
         self._receiver.receive(ReadRequest(request, keeps_alive, n_head_bytes))
 
+    def _take_body(self) -> bytes:
+        """Return the whole body, after the last part of it was counted."""
+        staged = self._body.staged
+        if not staged and not self._n_body_bytes:
+            return b""
+        if len(staged) == 1 and not self._n_body_bytes and not self._is_dropped:
+            n_body = len(staged[0])
+            if n_body <= min(SMALL_INPUT_BYTES, self._limits().max_body_bytes):
+                return staged.pop()  # arrived whole; always taken
+        self._count_body()
+        self._budget.end_upload(self._receiver)
+        return self._body.join()
+
     def _reset(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes, bytes]] = []
         self._n_head_bytes = 0
+        self._max_head_bytes = self._limits().max_header_bytes
         self._n_framing_bytes = 0
         self._n_body_bytes = 0
         self._n_staged = 0
@@ -239,7 +260,7 @@
 
     def _count_head_bytes(self, n_bytes: int) -> None:
         self._n_head_bytes += n_bytes
-        if self._n_head_bytes > self._limits().max_header_bytes:
+        if self._n_head_bytes > self._max_head_bytes:
             raise RejectedError(431, "head too large")
 
     def _check_body(self, n_received: int) -> None:
@@ -271,13 +292,16 @@
             raise RejectedError(413, "body too large")
         if self._is_dropped:
             return
-        self._set_counted(n_body, self._n_input_counted)
         budget = self._budget
-        has_others = budget.n_held_bytes > n_body
+        budget.n_body_bytes += n_body - self._n_body_counted
+        self._n_body_counted = n_body
         is_large = n_body > SMALL_BODY_BYTES
         if is_large:
             budget.note_upload(self._receiver, n_body)
-        if has_others and (
+        n_held = budget.n_held_bytes
+        if n_held + budget.n_input_bytes <= caller_budget.MAX_HELD_BYTES:
+            return
+        if n_held > n_body and (
             (is_large and not budget.make_room(self._receiver)) or budget.is_exhausted
         ):
             self._is_dropped = True
--- a/tests/fleet/test_program.py
+++ b/tests/fleet/test_program.py
@@ -190,3 +190,12 @@
         name = line.split(" = ")[0]
         if name:
             assert name in template
+
+
+def test_the_limit_on_descriptors_is_optional_and_checked():
+    assert parse_settings("node.toml", SETTINGS).ok_value.max_descriptors == 4_100
+    text = SETTINGS + "\n[limits]\nmax_descriptors = "
+    assert parse_settings("node.toml", f"{text}900").ok_value.max_descriptors == 900
+    for value in ("10", '"many"'):
+        (fault,) = parse_settings("node.toml", text + value).err_value
+        assert "limits.max_descriptors" in str(fault)
