--- a/tests/fleet/test_program.py
+++ b/tests/fleet/test_program.py
@@ -199,3 +199,12 @@
     (fault,) = parse_settings("node.toml", text.replace("true", "1")).err_value
     assert "retries.by_calls" in str(fault)
     assert "true or false" in str(fault)
+
+
+def test_the_limit_on_descriptors_is_optional_and_checked():
+    assert parse_settings("node.toml", SETTINGS).ok_value.max_descriptors == 4_100
+    text = SETTINGS + "\n[limits]\nmax_descriptors = "
+    assert parse_settings("node.toml", f"{text}900").ok_value.max_descriptors == 900
+    for value in ("10", '"many"'):
+        (fault,) = parse_settings("node.toml", text + value).err_value
+        assert "limits.max_descriptors" in str(fault)
