Check what nodes learn of the calls of requests

By mutation: without the count of calls whose parent is not known, a search whose calls name no request is taken for one that makes none, and the new test fails.

--- a/tests/fleet/test_lost_answers.py
+++ b/tests/fleet/test_lost_answers.py
@@ -46,15 +46,20 @@
         return await upstreams.answer(upstream, request, writer)
 
 
-def searching(first: Vm) -> Behaviour:
-    """Return a behaviour that calls the reads, and fails if one of them fails."""
+def searching(first: Vm, parent: str | None = None) -> Behaviour:
+    """Return a behaviour that calls the reads, and fails if one of them fails.
+
+    :param parent: named in the ids of the calls instead of the search.
+    """
 
     async def search(
         upstream: FleetUpstream, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
         upstream.executed_requests.append(request)
         reads = [
-            first.call("/inner/", request_id=f"{request.id}.{number}", key=None)
+            first.call(
+                "/inner/", request_id=f"{parent or request.id}.{number}", key=None
+            )
             for number in range(N_READS)
         ]
         answers = await asyncio.gather(*reads)
@@ -127,6 +132,24 @@
             assert vm.node.metrics.retry_decisions["rerun", "no budget"] > 0
 
 
+async def test_nodes_learn_what_requests_cause():
+    async with searches() as fleet:
+        await learn(fleet)
+        known = fleet.vms[0].node.request_handler.retries.call_trees
+        assert known.is_leaf("stock", "inner")
+        assert known.mean_calls("shop", "lookup") == pytest.approx(N_READS)
+
+
+async def test_calls_that_name_no_running_request_make_no_leaf_of_any():
+    # Guards against repeating trees whose calls cannot be told apart.
+    async with searches() as fleet:
+        for vm in fleet.vms[::2]:
+            vm.upstream.behaviour = searching(vm, parent="nobody")
+        await learn(fleet)
+        known = fleet.vms[0].node.request_handler.retries.call_trees
+        assert known.mean_calls("shop", "lookup") is None
+
+
 async def test_a_search_is_not_repeated_for_a_read_that_was():
     async with searches() as fleet:
         lose(fleet, upstreams.answer)
