Keep paces out of range away from other nodes

A pace that is not a number or infinite ended the making of a relay's digest, and a huge one was passed on. Such a pace now counts as unknown where it is received. The new test failed for three of its four values before; -1.0 was harmless.

--- a/packages/mesh/tests/test_vm_pace_of_peers.py
+++ b/packages/mesh/tests/test_vm_pace_of_peers.py
@@ -3,12 +3,14 @@
 The load: other programs slow a VM 2.5 times for about half a second at a time.
 """
 
+import math
+
 import pytest
 from model_fleet import ModelNode, data_centres, record
 
 from ibisspoke_mesh._digest_sections import node_load
 from ibisspoke_mesh.fleet import Peer
-from ibisspoke_mesh.status_messages import Digest, Section, unpack_pace
+from ibisspoke_mesh.status_messages import Digest, Section, encode, unpack_pace
 from ibisspoke_policy.clock import ManualClock
 from ibisspoke_policy.upstream_queue import Load
 from ibisspoke_policy.vm_pace import aged_pace, slowdown
@@ -56,6 +58,16 @@
     assert peer.pace.at(clock.now_ms()) > 1.1
 
 
+@pytest.mark.parametrize("vm_pace", [math.nan, math.inf, -1.0, (2**64 - 1) / 100.0])
+def test_a_pace_out_of_range_is_not_passed_on(clock, vm_pace):
+    # Guards against a number of one node that stops the statuses of a relay.
+    relay, peer = node_with_peer(clock)
+    peer.update_load(LOAD, clock.now_ms(), vm_pace)
+    load = node_load(peer, clock.now_ms())
+    assert load.vm_pace == 0
+    encode(Digest(relay.own.node, 0, [Section("dc0", 0, [load], [], [], [])]))
+
+
 def test_a_relay_passes_a_pace_on_with_its_age(clock):
     # Guards against reports that look fresh because a relay has just sent them.
     relay, peer = node_with_peer(clock)
--- a/packages/policy/ibisspoke_policy/vm_pace.py
+++ b/packages/policy/ibisspoke_policy/vm_pace.py
@@ -6,6 +6,8 @@
 
 import math
 
+from .upstream_report import MAX_PACE
+
 VALIDITY_MS = 500.0  # after that, the slowdown has mostly ended
 # Mean time that a slowdown of 500 ms still lasts when it is reported.
 MEAN_LEFT_MS = 250.0
@@ -48,9 +50,12 @@
         return f"VmPace({self._pace:.2f} at {self._at_ms:.0f} ms)"
 
     def report(self, pace: float, at_ms: float) -> None:
-        """Store a reported pace, unless a later one is known."""
+        """Store a reported pace, unless a later one is known.
+
+        One out of range counts as unknown, since it would be passed on to other nodes.
+        """
         if at_ms >= self._at_ms:
-            self._pace = pace
+            self._pace = pace if 0.0 <= pace <= MAX_PACE else 0.0
             self._at_ms = at_ms
 
     def at(self, now_ms: float) -> float:
