--- a/packages/mesh/ibisspoke_mesh/_digest_sections.py
+++ b/packages/mesh/ibisspoke_mesh/_digest_sections.py
@@ -8,7 +8,7 @@
 
 from ibisspoke_policy.shared_rate import Usage
 
-from .fleet import Peer
+from .peer import Peer
 from .status_messages import NodeLoad, Section, pack_load, pack_pace, pack_usages
 
 MAX_LOADS = 24  # per datagram, which fit the usual packet of 1,500 bytes
--- a/packages/mesh/ibisspoke_mesh/config_requester.py
+++ b/packages/mesh/ibisspoke_mesh/config_requester.py
@@ -4,7 +4,7 @@
 from ibisspoke_policy.evacuations import UNKNOWN_POSITION, EvacuationPosition
 
 from .config_state import ConfigState
-from .fleet import Peer
+from .peer import Peer
 
 REQUEST_TIMEOUT_MS = 250.0  # a few round trips in the region and 100 KB of document
 # Time to wait for a node of the own region; traffic between regions is costly.
--- a/packages/mesh/ibisspoke_mesh/digest_spread.py
+++ b/packages/mesh/ibisspoke_mesh/digest_spread.py
@@ -5,7 +5,8 @@
 
 from ibisspoke_policy.clock import Clock
 
-from .fleet import Fleet, Peer
+from .fleet import Fleet
+from .peer import Peer
 from .status_messages import ForwardedDigest, encode
 from .status_timeouts import MAX_DIRECT
 
--- a/packages/mesh/ibisspoke_mesh/node_ranks.py
+++ b/packages/mesh/ibisspoke_mesh/node_ranks.py
@@ -7,7 +7,8 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.rendezvous import ranked, score
 
-from .fleet import Fleet, Peer
+from .fleet import Fleet
+from .peer import Peer
 
 WATCH_TOPIC = "configuration"
 RELAY_TOPIC = "status"
--- a/packages/mesh/ibisspoke_mesh/rate_homes.py
+++ b/packages/mesh/ibisspoke_mesh/rate_homes.py
@@ -7,7 +7,8 @@
 from ibisspoke_policy.rendezvous import preferred
 from ibisspoke_policy.shared_rate import Home, SharedRates
 
-from .fleet import Fleet, Peer
+from .fleet import Fleet
+from .peer import Peer
 
 REFRESH_MS = 250.0  # half of the status interval
 REGION_TIMEOUT_MS = 100.0  # a reply takes a few milliseconds in the region
--- a/packages/mesh/ibisspoke_mesh/record_copies.py
+++ b/packages/mesh/ibisspoke_mesh/record_copies.py
@@ -8,7 +8,8 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.upstream_tracker import UpstreamProcess
 
-from .fleet import Fleet, Peer
+from .fleet import Fleet
+from .peer import Peer
 
 Departures = tuple[UpstreamProcess, ...]
 
--- a/packages/mesh/ibisspoke_mesh/status_exchange.py
+++ b/packages/mesh/ibisspoke_mesh/status_exchange.py
@@ -14,9 +14,10 @@
 from .config_state import ConfigState
 from .decision_log import DecisionLog
 from .digest_spread import Address, DigestSpread
-from .fleet import Fleet, Peer
+from .fleet import Fleet
 from .member_record import MemberRecord
 from .node_ranks import NodeRanks
+from .peer import Peer
 from .status_messages import (
     Digest,
     ForwardedDigest,
--- a/packages/mesh/ibisspoke_mesh/status_receiver.py
+++ b/packages/mesh/ibisspoke_mesh/status_receiver.py
@@ -8,7 +8,8 @@
 
 from ._known_sums import KnownSums
 from .config_requester import ConfigRequester
-from .fleet import Fleet, Peer
+from .fleet import Fleet
+from .peer import Peer
 from .record_copies import Departures
 from .status_messages import (
     Digest,
--- a/packages/mesh/ibisspoke_mesh/status_relay.py
+++ b/packages/mesh/ibisspoke_mesh/status_relay.py
@@ -10,9 +10,10 @@
 
 from ._digest_sections import datagrams, node_load, split_section
 from .config_state import ConfigState
-from .fleet import Fleet, Peer
+from .fleet import Fleet
 from .member_record import MemberRecord
 from .node_ranks import N_RELAYS, NodeRanks
+from .peer import Peer
 from .status_messages import (
     Digest,
     LostNode,
--- a/packages/mesh/tests/test_fleet_size.py
+++ b/packages/mesh/tests/test_fleet_size.py
@@ -7,8 +7,8 @@
 import pytest
 from model_fleet import ModelNode, data_centres, record
 
-from ibisspoke_mesh.fleet import Peer
 from ibisspoke_mesh.node_ranks import N_WATCHERS
+from ibisspoke_mesh.peer import Peer
 from ibisspoke_mesh.rate_homes import RateHomes
 from ibisspoke_policy import rendezvous
 from ibisspoke_policy.clock import ManualClock
--- a/packages/mesh/tests/test_vm_pace_of_peers.py
+++ b/packages/mesh/tests/test_vm_pace_of_peers.py
@@ -9,7 +9,7 @@
 from model_fleet import ModelNode, data_centres, record
 
 from ibisspoke_mesh._digest_sections import node_load
-from ibisspoke_mesh.fleet import Peer
+from ibisspoke_mesh.peer import Peer
 from ibisspoke_mesh.status_messages import Digest, Section, encode, unpack_pace
 from ibisspoke_policy.clock import ManualClock
 from ibisspoke_policy.upstream_queue import Load
