--- a/packages/mesh/ibisspoke_mesh/evacuation_gate.py
+++ b/packages/mesh/ibisspoke_mesh/evacuation_gate.py
@@ -50,7 +50,7 @@
 
     def tick(self) -> None:
         """Check the evacuations against the data centres of the fleet."""
-        if self._config.evacuations.is_calm:  # the usual case, in fleets of any size
+        if not self._config.evacuations.needs_checks:
             return
         records = [peer.record for peer in self._fleet.peers_by_id.values()]
         if self._fleet.own is not None:
--- a/packages/mesh/ibisspoke_mesh/evacuation_state.py
+++ b/packages/mesh/ibisspoke_mesh/evacuation_state.py
@@ -66,9 +66,9 @@
         return self._evacuations.in_force
 
     @property
-    def is_calm(self) -> bool:
-        """Whether nothing is evacuated, and the rows of the store can be believed."""
-        return not self._since_ms_by_name and self._evacuations.is_settled
+    def needs_checks(self) -> bool:
+        """Whether a data centre is evacuated, or rows cannot be believed yet."""
+        return bool(self._since_ms_by_name) or not self._evacuations.is_settled
 
     @property
     def position(self) -> EvacuationPosition:
--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -37,7 +37,7 @@
     """All other nodes, by id.
 
     :ivar n_membership_changes: how often a node was added, removed or replaced.
-    :ivar on_usurped: called with a record of this node that is later than its own.
+    :ivar on_superseded: called with a record of this node that is later than its own.
     :ivar has_vm_paces: whether any upstream has reported the pace of its VM, as those
         do that share their VMs with other programs.
     :ivar own_load: returns the load of this node's upstream.
@@ -64,7 +64,7 @@
         self.own: MemberRecord | None = None
         self.profiles = RouteProfiles()
         self._own_pace = Pace()
-        self.on_usurped: Callable[[MemberRecord], None] = lambda _: None
+        self.on_superseded: Callable[[MemberRecord], None] = lambda _: None
         self.own_load: Callable[[], Load] = lambda: Load(0, 0, 0, 0.0, 0.0, ())
         self.own_vm_pace: Callable[[], float] = lambda: 0.0
         self.has_vm_paces = False
@@ -143,7 +143,7 @@
             return None
         if self.is_own(record):
             if known is not None and is_later:
-                self.on_usurped(record)
+                self.on_superseded(record)
             return None
         peer = self.peers_by_id.get(record.node)
         if peer is not None:
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -256,7 +256,7 @@
 
     def _subscribe(self) -> None:
         """Let the components tell what this node has to act upon or to log."""
-        self.fleet.on_usurped = self._replace_usurper
+        self.fleet.on_superseded = self._supersede_record
         self.dispatcher.on_change = self._publish_change
         self.evacuations.on_change = self._on_evacuations_changed
         era = self.store_era
@@ -459,7 +459,7 @@
         await self.copies.recall()
         self.dispatcher.complete_departures()
 
-    def _replace_usurper(self, record: MemberRecord) -> None:
+    def _supersede_record(self, record: MemberRecord) -> None:
         """Publish a record that replaces one that another writer left for this node.
 
         An earlier process whose clock was ahead may also have written it. A process
--- a/tests/fleet/test_odd_entries.py
+++ b/tests/fleet/test_odd_entries.py
@@ -53,12 +53,12 @@
         odd_port = msgspec.structs.replace(
             record, node=f"{fleet.net}.50", link_port=70_000, status_port=99_999
         )
-        usurper = msgspec.structs.replace(record, incarnation=2**50)
+        later_record = msgspec.structs.replace(record, incarnation=2**50)
         rows = {
             f"{fleet.net}.50": encode_record(odd_port),
             f"{fleet.net}.51": b"\x9d" + DEEP_MSGPACK,
             f"{fleet.net}.52": b'{"x":' + DEEP_JSON + b"}",
-            f"{fleet.net}.53": encode_record(usurper),
+            f"{fleet.net}.53": encode_record(later_record),
         }
         for key, value in rows.items():
             await fleet.store.put("members", key, value)
--- a/tests/fleet/test_odd_rows.py
+++ b/tests/fleet/test_odd_rows.py
@@ -168,7 +168,7 @@
         assert store.n_calls < 400
 
 
-def usurper(own: bytes, **changes) -> bytes:
+def changed_record(own: bytes, **changes) -> bytes:
     """Return a record that takes the place of a node's own."""
     return encode_record(msgspec.structs.replace(decode_record(own), **changes))
 
@@ -179,19 +179,23 @@
     later = record.incarnation + 3_600_000
     departed = ((record.instance, record.born_ms),)
     return {
-        "far in the future": usurper(own, incarnation=2**52, link_port=9),
-        "an hour ahead": usurper(own, incarnation=later, link_port=9, instance="i-x"),
-        "ahead, of another service": usurper(own, incarnation=later, service="x"),
-        "ready and departed": usurper(
+        "far in the future": changed_record(own, incarnation=2**52, link_port=9),
+        "an hour ahead": changed_record(
+            own, incarnation=later, link_port=9, instance="i-x"
+        ),
+        "ahead, of another service": changed_record(
+            own, incarnation=later, service="x"
+        ),
+        "ready and departed": changed_record(
             own, incarnation=later, departures=departed, is_leaving=False
         ),
         "departure too large": msgspec.json.encode(
             {**msgspec.to_builtins(record), "departures": [["i-x", 10**30]]}
         ),
-        "too many departures": usurper(
+        "too many departures": changed_record(
             own, departures=tuple((f"i-{n}", n) for n in range(10_000))
         ),
-        "too long": usurper(own, service="s" * 100_000),
+        "too long": changed_record(own, service="s" * 100_000),
     }
 
 
@@ -269,7 +273,9 @@
 )
 async def test_a_row_under_an_address_that_cannot_be_used_is_skipped(store, node):
     await run_once()
-    await store.put("members", node, usurper(store.value("members", OWN), node=node))
+    await store.put(
+        "members", node, changed_record(store.value("members", OWN), node=node)
+    )
     async with AsyncExitStack() as stack:
         vms = await start_all(stack)
         await assert_whole(vms)
@@ -284,7 +290,7 @@
     record = decode_record(store.value("members", OWN))
     departed = ((record.instance, record.born_ms),)
     changes = {"state": "draining", "is_leaving": True, "departures": departed}
-    await store.put("members", OWN, usurper(encode_record(record), **changes))
+    await store.put("members", OWN, changed_record(encode_record(record), **changes))
     async with AsyncExitStack() as stack:
         vms = await start_all(stack)
         async with asyncio.timeout(15.0):
