--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -529,7 +529,7 @@
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
-            writer.close()
+            writer.transport.abort()
 
     async def heartbeat(self) -> int | None:
         """Send a heartbeat, and return the status of its answer."""
