Bound what callers' bodies take by the memory of the machine

Callers that sent many bodies of legal size at once, whole, piece by piece or in chunks, and left most of them unfinished, took a node over its memory, so that it was ended for all others. Many small bodies that were never finished did the same, and the sum of them kept small requests out for good, since only large ones could give way.

MemoryBudget holds one bound for all parts, which follows from the memory that the settings state (`limits.memory_mb`, on the platform the machine's own).

--- a/packages/mesh/ibisspoke_mesh/caller_budget.py
+++ b/packages/mesh/ibisspoke_mesh/caller_budget.py
@@ -2,30 +2,32 @@
 
 import resource
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Iterator
 from itertools import islice
 from typing import Protocol
 
 from ibisspoke_policy.clock import Clock
 
 from .decision_log import DecisionLog
+from .memory_budget import SMALL_BYTES, MemoryBudget, Need, Part
 from .metrics import Labels
 from .settings import DEFAULT_MAX_DESCRIPTORS
 
-# Of request bodies that are read or handled, answers that callers have not taken, and
-# unfinished answers of upstreams. With an idle node's 60 MB and a body that is being
-# joined, it stays within the smallest memory of a node, 200 MB.
-MAX_HELD_BYTES = 112 * 1024 * 1024
-# Beyond that, for heads, input that is not parsed yet, and small bodies.
-MAX_SMALL_BYTES = 8 * 1024 * 1024
 # An unfinished body that grew by less in this time gives way to others; callers are on
 # the same VM, where an upload takes milliseconds.
 SLOW_UPLOAD_BYTES = 64 * 1024
 SLOW_UPLOAD_MS = 5_000.0
 STALLED_MS = 1_000.0  # without progress; such unread answers are cut off first
+# How many times larger than what needs the room an upload in progress must be to give
+# way. Uploads of about the same size would otherwise end one another.
+LARGER_FACTOR = 4
+CONNECTION_BYTES = 6 * 1024  # of the objects of a connection without a request
+INPUT_SHARE = 0.25  # of the memory, for input that is not parsed yet
+SCAN_INTERVAL_MS = 100.0  # between two searches of all connections for memory
 # For files, the store, other nodes and the upstream; 200 of them for files.
 RESERVED_DESCRIPTORS = 700
 MAX_SCANNED_CONNECTIONS = 256  # when none is idle and one has to be closed
+UNREAD = "unread answers"  # reason to cut a caller off
 
 
 class BudgetedConnection(Protocol):
@@ -39,6 +41,18 @@
     def n_unwritten_bytes(self) -> int:
         """Size of the responses that the caller's socket has not taken yet."""
 
+    @property
+    def n_unfinished_bytes(self) -> int:
+        """Size of what is held of requests that were not read whole."""
+
+    @property
+    def is_costly(self) -> bool:
+        """Whether its input takes long to parse, compared with its size."""
+
+    @property
+    def unfinished_since_ms(self) -> float | None:
+        """When the first byte of an unfinished request came, or None without one."""
+
     def cut_off(self, reason: str) -> None:
         """Close the connection immediately."""
 
@@ -77,11 +91,8 @@
 class CallerBudget:
     """Counts memory and connections of callers, and cuts off what exceeds them.
 
-    :param n_answer_bytes: returns the size of unfinished answers of the upstream.
     :param log: None to log nothing.
-    :ivar n_body_bytes: size of the bodies of all requests that are read or handled.
-    :ivar n_input_bytes: size of their heads, and of input that is not parsed yet.
-    :ivar n_unread_bytes: size of the answers that callers have not taken yet.
+    :param memory: bound that is shared with the other parts of the node.
     :ivar idle: connections without a request, longest idle first.
     :ivar cut_offs: connections that were closed and bodies that were dropped, by
         reason.
@@ -92,34 +103,49 @@
         clock: Clock,
         cut_offs: Counter[Labels] | None = None,
         log: DecisionLog | None = None,
-        n_answer_bytes: Callable[[], int] = lambda: 0,
+        memory: MemoryBudget | None = None,
         max_descriptors: int = DEFAULT_MAX_DESCRIPTORS,
     ) -> None:
         self.max_descriptors = max_descriptors
-        self.n_body_bytes = 0
-        self.n_input_bytes = 0
-        self.n_unread_bytes = 0
+        self.memory = MemoryBudget() if memory is None else memory
+        self.memory.reclaimers.append(self)
         self.idle: dict[BudgetedConnection, None] = {}
         self.cut_offs: Counter[Labels] = Counter() if cut_offs is None else cut_offs
         self._clock = clock
         self._log = log
-        self._n_answer_bytes = n_answer_bytes
         self._connections: dict[BudgetedConnection, None] = {}
         self._unread: dict[BudgetedConnection, UnreadAnswers] = {}
         self._uploads: dict[BudgetedConnection, Upload] = {}
+        self._scanned_ms = float("-inf")
 
     def __repr__(self) -> str:
-        return f"CallerBudget({self.n_held_bytes} of {MAX_HELD_BYTES} bytes)"
+        return f"CallerBudget({self.memory!r}, {len(self._connections)} connections)"
+
+    @property
+    def n_body_bytes(self) -> int:
+        """Size of the bodies of all requests that are read or handled."""
+        return self.memory.n_bytes_by_part[Part.BODIES]
+
+    @property
+    def n_input_bytes(self) -> int:
+        """Size of their heads, and of input that is not parsed yet."""
+        return self.memory.n_bytes_by_part[Part.INPUT]
+
+    @property
+    def n_unread_bytes(self) -> int:
+        """Size of the answers that callers have not taken yet."""
+        return self.memory.n_bytes_by_part[Part.UNREAD]
 
     @property
     def n_held_bytes(self) -> int:
-        """Size of bodies and answers."""
-        return self.n_body_bytes + self.n_unread_bytes + self._n_answer_bytes()
+        """Size of the bodies and answers of callers."""
+        held = self.memory.n_bytes_by_part
+        return held[Part.BODIES] + held[Part.UPSTREAM_ANSWERS] + held[Part.UNREAD]
 
     @property
-    def is_exhausted(self) -> bool:
-        """Whether not even small requests can be kept any more."""
-        return self.n_held_bytes + self.n_input_bytes > MAX_HELD_BYTES + MAX_SMALL_BYTES
+    def has_room_for_input(self) -> bool:
+        """Whether bytes may be kept until their turn to be parsed."""
+        return self.n_input_bytes <= INPUT_SHARE * self.memory.max_bytes
 
     @property
     def n_connections(self) -> int:
@@ -151,6 +177,7 @@
                 return
         self._connections[connection] = None
         self.idle[connection] = None
+        self.memory.add(Part.CONNECTIONS, CONNECTION_BYTES)
 
     def remove_connection(self, connection: BudgetedConnection) -> None:
         """Remove a connection that is closed."""
@@ -171,21 +198,64 @@
         """Forget a body that was read whole, dropped or given up."""
         self._uploads.pop(connection, None)
 
-    def make_room(self, needy: BudgetedConnection | None = None) -> bool:
-        """Return whether bodies and answers fit, if need be without slow uploads.
+    def reclaim(self, budget: MemoryBudget, need: Need) -> None:
+        """Cut off callers that hold memory without progress, or more than others.
 
-        :param needy: the connection that needs the room, which is not closed for it.
+        Small requests get it from unfinished ones that are as small, too, once nothing
+        else is left.
         """
-        if self.n_held_bytes <= MAX_HELD_BYTES:
-            return True
-        slow_ms = self._clock.now_ms() - SLOW_UPLOAD_MS
-        slow = [each for each in self._uploads.items() if each[1].progress_ms < slow_ms]
-        for connection, _ in sorted(slow, key=lambda each: -each[1].n_bytes):
-            if connection is not needy:
-                connection.refuse(503, "slow upload")
-            if self.n_held_bytes <= MAX_HELD_BYTES:
-                return True
-        return False
+        for connection, reason in self._yielding(need):
+            if budget.fits(need):
+                return
+            if connection is need.holder:
+                continue
+            if reason == UNREAD:
+                self._cut_off_unread(connection)
+            else:
+                connection.refuse(503, reason)
+
+    def _yielding(self, need: Need) -> Iterator[tuple[BudgetedConnection, str]]:
+        """Return whom to cut off for a need, and why, the first one first."""
+        now_ms = self._clock.now_ms()
+        yield from self._yielding_uploads(need, now_ms - SLOW_UPLOAD_MS)
+        unread = sorted(self._unread.items(), key=lambda each: -each[1].n_bytes)
+        for connection, answers in unread:
+            if answers.progress_ms <= now_ms - STALLED_MS:
+                yield connection, UNREAD
+        if need.is_small and now_ms - self._scanned_ms >= SCAN_INTERVAL_MS:
+            self._scanned_ms = now_ms
+            for connection in self._unfinished(now_ms - STALLED_MS):
+                yield connection, "out of memory"
+
+    def _yielding_uploads(
+        self, need: Need, slow_ms: float
+    ) -> Iterator[tuple[BudgetedConnection, str]]:
+        """Return uploads without progress, then those in tiny chunks, then larger ones.
+
+        :param slow_ms: time after which an upload must have grown.
+        """
+        uploads = sorted(self._uploads.items(), key=lambda each: -each[1].n_bytes)
+        for connection, upload in uploads:
+            if upload.progress_ms < slow_ms:
+                yield connection, "slow upload"
+        is_costly = need.holder in self._uploads and need.holder.is_costly
+        for connection, _ in uploads:
+            if connection.is_costly and not is_costly and connection in self._uploads:
+                yield connection, "upload in tiny chunks"
+        n_larger = LARGER_FACTOR * max(need.n_holder_bytes, SMALL_BYTES)
+        for connection, upload in uploads:
+            if upload.n_bytes >= n_larger and connection in self._uploads:
+                yield connection, "larger upload"
+
+    def _unfinished(self, until_ms: float) -> list[BudgetedConnection]:
+        """Return connections whose request began before a time, the largest first."""
+        unfinished = [
+            connection
+            for connection in self._connections
+            if (since_ms := connection.unfinished_since_ms) is not None
+            and since_ms <= until_ms
+        ]
+        return sorted(unfinished, key=lambda each: -each.n_unfinished_bytes)
 
     def add_unread(self, connection: BudgetedConnection, n_bytes: int) -> None:
         """Count an answer that was written and not taken at once."""
@@ -194,14 +264,15 @@
             unread = self._unread[connection] = UnreadAnswers(self._clock.now_ms())
         unread.n_bytes += n_bytes
         unread.n_left = connection.n_unwritten_bytes
-        self.n_unread_bytes += n_bytes
-        self._limit_unread()
+        self.memory.add(Part.UNREAD, n_bytes)
+        if self.memory.is_full:
+            self._limit_unread()
 
     def remove_unread(self, connection: BudgetedConnection) -> None:
         """Remove the answers of a connection, which were taken or are lost."""
         unread = self._unread.pop(connection, None)
         if unread is not None:
-            self.n_unread_bytes -= unread.n_bytes
+            self.memory.add(Part.UNREAD, -unread.n_bytes)
 
     def tick(self) -> None:
         """Note which callers have taken a part of their answers."""
@@ -218,22 +289,22 @@
         Those without progress are first, then the largest. The last one is kept: a
         single answer fits, whatever else is held.
         """
-        if self.make_room() or len(self._unread) < 2:
+        need = Need(0, SMALL_BYTES + 1)
+        if self.memory.make_room(need) or len(self._unread) < 2:
             return
-        stalled_ms = self._clock.now_ms() - STALLED_MS
         by_need = sorted(
             self._unread.items(),
-            key=lambda item: (
-                item[1].progress_ms > stalled_ms,
-                -item[1].n_bytes,
-                item[1].progress_ms,
-            ),
+            key=lambda item: (-item[1].n_bytes, item[1].progress_ms),
         )
         for connection, _ in by_need[:-1]:
-            if self.n_held_bytes <= MAX_HELD_BYTES:
+            if self.memory.fits(need):
                 return
-            self.remove_unread(connection)
-            connection.cut_off("unread answers")
+            self._cut_off_unread(connection)
+
+    def _cut_off_unread(self, connection: BudgetedConnection) -> None:
+        """Cut off unread answers."""
+        self.remove_unread(connection)
+        connection.cut_off(UNREAD)
 
     def _least_needed(self) -> BudgetedConnection | None:
         """Return the connection to close, or None if all have requests in work.
@@ -253,5 +324,7 @@
         return None
 
     def _forget(self, connection: BudgetedConnection) -> None:
-        self._connections.pop(connection, None)
         self.idle.pop(connection, None)
+        if connection in self._connections:
+            del self._connections[connection]
+            self.memory.add(Part.CONNECTIONS, -CONNECTION_BYTES)
--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -8,6 +8,7 @@
 from ibisspoke_policy.route_table import CallerLimits
 
 from .caller_messages import CallerResponse, response_head
+from .memory_budget import SMALL_BYTES, Need, Part
 from .request_reader import (
     HEAD_SLICE_BYTES,
     ReadRequest,
@@ -18,8 +19,10 @@
 
 DEFAULT_LIMITS = CallerLimits(16_384, 64 * 1024 * 1024, 3_000.0, 15_000.0)
 MAX_READ_BYTES = 256 * 1024  # read at once by the event loop
+# Of each caller's connection. The kernel would let them grow to several MB, which
+# counts towards the node's memory; callers are on the same VM and need no more.
+SOCKET_BUFFER_BYTES = 128 * 1024
 MAX_PIPELINED_REQUESTS = 16  # read ahead on a connection before reading pauses
-LARGE_RESPONSE_BYTES = 64 * 1024  # written without copying it behind its head
 IDLE_GRACE_MS = 500.0  # after the idle timeout; no request should race the close
 STOP_IDLE_TIMEOUT_MS = 300.0  # during a stop; lets new connections send their request
 
@@ -35,6 +38,7 @@
     def __init__(self, state: ServerState) -> None:
         self._state = state
         self._budget = state.budget
+        self._memory = state.budget.memory
         self._reader = RequestReader(state.limits, state.clock, state.budget, self)
         self._transport: asyncio.Transport | None = None
         self._pipelined: deque[ReadRequest] = deque()
@@ -61,6 +65,22 @@
         assert self._transport is not None
         return self._transport.get_write_buffer_size()
 
+    @property
+    def n_unfinished_bytes(self) -> int:
+        """Size of what is held of requests that were not read whole."""
+        n_bytes = self._reader.n_counted_bytes + len(self._unparsed)
+        return n_bytes + (SOCKET_BUFFER_BYTES if self._is_paused else 0)
+
+    @property
+    def is_costly(self) -> bool:
+        """Whether its input takes long to parse, compared with its size."""
+        return self._reader.is_costly
+
+    @property
+    def unfinished_since_ms(self) -> float | None:
+        """When the first byte of an unfinished request came, or None without one."""
+        return self._reader.reading_since_ms
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the new connection."""
         self._transport = cast(asyncio.Transport, transport)
@@ -101,16 +121,17 @@
 
     def _keep_unparsed(self, data: bytes, n_parsed: int) -> None:
         self._drop_unparsed()
-        if self._budget.is_exhausted:
+        need = Need(len(data), len(data), self)
+        if not self._budget.has_room_for_input or not self._memory.make_room(need):
             self.refuse(503, "out of memory")
             return
         self._unparsed, self._n_parsed = data, n_parsed
-        self._budget.n_input_bytes += len(data)
+        self._memory.add(Part.INPUT, len(data))
         if self._may_parse:
             self._state.parsing.add(self)
 
     def _drop_unparsed(self) -> None:
-        self._budget.n_input_bytes -= len(self._unparsed)
+        self._memory.add(Part.INPUT, -len(self._unparsed))
         self._unparsed, self._n_parsed = b"", 0
 
     def parse_slice(self) -> bool:
@@ -138,13 +159,20 @@
         must_pause = bool(self._unparsed) or not self._may_parse
         if must_pause is self._is_paused:
             return
-        self._is_paused = must_pause
+        self._set_paused(must_pause)
         if must_pause:
             self._transport.pause_reading()
         else:
             self._reader.restart_time()
             self._transport.resume_reading()
 
+    def _set_paused(self, is_paused: bool) -> None:
+        """Count what the kernel may receive while nothing is read."""
+        if is_paused is not self._is_paused:
+            self._is_paused = is_paused
+            n_bytes = SOCKET_BUFFER_BYTES if is_paused else -SOCKET_BUFFER_BYTES
+            self._memory.add(Part.KERNEL, n_bytes)
+
     def eof_received(self) -> bool:
         """Return False, so that the transport closes itself."""
         return False
@@ -157,6 +185,7 @@
         self._budget.remove_connection(self)
         self._reader.close()
         self._drop_unparsed()
+        self._set_paused(False)
         for read in self._pipelined:
             self._forget(read)
         self._pipelined.clear()
@@ -219,7 +248,7 @@
 
     def receive(self, read: ReadRequest) -> None:
         """Queue a request, and handle it if no other is being handled."""
-        if self._pipelined and self._budget.is_exhausted:
+        if self._pipelined and self._memory.is_exhausted:
             self._forget(read)
             raise RejectedError(503, "out of memory")
         self._pipelined.append(read)
@@ -227,8 +256,8 @@
             self._start_next()
 
     def _forget(self, read: ReadRequest) -> None:
-        self._budget.n_body_bytes -= len(read.request.body)
-        self._budget.n_input_bytes -= read.n_head_bytes
+        self._memory.add(Part.BODIES, -len(read.request.body))
+        self._memory.add(Part.INPUT, -read.n_head_bytes)
 
     def _start_next(self) -> None:
         read = self._pipelined.popleft()
@@ -290,7 +319,7 @@
         assert self._transport is not None
         head = response_head(response, closes)
         n_body = 0 if is_head else len(response.body)
-        if n_body > LARGE_RESPONSE_BYTES:
+        if n_body > SMALL_BYTES:  # without copying it behind its head
             self._transport.writelines((head, response.body))
         else:
             self._transport.write(head + response.body if n_body else head)
--- /dev/null
+++ b/packages/mesh/ibisspoke_mesh/memory_budget.py
@@ -0,0 +1,117 @@
+"""One bound on what a process holds in memory for others, counted by part."""
+
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+from .settings import DEFAULT_MEMORY_MB
+
+MB = 1_000_000
+# Of a process that holds nothing for others, with the state of a large fleet.
+IDLE_BYTES = 60 * MB
+HELD_SHARE = 0.9  # of the rest; the allocator keeps a part of what was freed
+MIN_HELD_BYTES = 16 * MB  # where the VM has hardly more than an idle process takes
+SMALL_SHARE = 1 / 15  # of the bound, which only small requests may take
+SMALL_BYTES = 64 * 1024  # a body or answer that counts as small
+PEAK_STEP_BYTES = 1024 * 1024  # by which a peak must grow to be recorded again
+
+
+class Part(StrEnum):
+    """What memory is held for."""
+
+    CONNECTIONS = "connections"  # of callers, whatever they send
+    INPUT = "input"  # heads and unparsed bytes of callers
+    KERNEL = "kernel"  # receive buffers of callers that nothing is read from now
+    BODIES = "bodies"  # of callers' requests that are read or handled
+    UPSTREAM_ANSWERS = "upstream_answers"  # of the upstream, not read whole yet
+    UNREAD = "unread"  # answers that callers have not taken
+
+
+class Reclaimer(Protocol):
+    """A holder of memory that can let go of some."""
+
+    def reclaim(self, budget: "MemoryBudget", need: "Need") -> None:
+        """Release memory until the need is met, as far as others may be cut off."""
+
+
+class Need(NamedTuple):
+    """Memory that is to be taken.
+
+    :param n_bytes: how much, beyond what is counted already.
+    :param n_holder_bytes: size of what it is taken for. Uploads that are several times
+        as large may give way to it.
+    :param holder: connection that it is taken for, which does not give way itself.
+    """
+
+    n_bytes: int
+    n_holder_bytes: int
+    holder: object | None = None
+
+    @property
+    def is_small(self) -> bool:
+        """Whether it may use the part of the bound that is left to small requests."""
+        return self.n_holder_bytes <= SMALL_BYTES
+
+
+class MemoryBudget:
+    """Counts what a process holds for others, and has it let go of some when full.
+
+    :param memory_bytes: memory that the process may take altogether.
+    :ivar max_bytes: bound on all parts together.
+    :ivar max_large_bytes: bound beyond which only small requests are taken.
+    :ivar n_bytes_by_part: what is held now.
+    :ivar peak_bytes_by_part: what was held when all parts together were largest, to
+        within ``PEAK_STEP_BYTES``.
+    :ivar reclaimers: holders that let go, in the order in which they are asked.
+    """
+
+    def __init__(self, memory_bytes: float = DEFAULT_MEMORY_MB * MB) -> None:
+        self.n_held_bytes = 0
+        self.n_bytes_by_part: dict[Part, int] = dict.fromkeys(Part, 0)
+        self.peak_bytes_by_part = dict(self.n_bytes_by_part)
+        self.reclaimers: list[Reclaimer] = []
+        self._n_next_peak_bytes = PEAK_STEP_BYTES
+        self.set_memory(memory_bytes)
+
+    def __repr__(self) -> str:
+        return f"MemoryBudget({self.n_held_bytes} of {self.max_bytes} bytes)"
+
+    def set_memory(self, memory_bytes: float) -> None:
+        """Set the memory that the process may take altogether."""
+        held = HELD_SHARE * (memory_bytes - IDLE_BYTES)
+        self.set_max_bytes(int(max(MIN_HELD_BYTES, held)))
+
+    def set_max_bytes(self, max_bytes: int) -> None:
+        """Set the bound on all parts together."""
+        self.max_bytes = max_bytes
+        self.max_large_bytes = int(max_bytes * (1.0 - SMALL_SHARE))
+
+    @property
+    def is_full(self) -> bool:
+        """Whether only small requests can be taken."""
+        return self.n_held_bytes > self.max_large_bytes
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether nothing more can be taken."""
+        return self.n_held_bytes > self.max_bytes
+
+    def add(self, part: Part, n_bytes: int) -> None:
+        """Count memory that was taken, or released if ``n_bytes`` is negative."""
+        self.n_bytes_by_part[part] += n_bytes
+        self.n_held_bytes += n_bytes
+        if self.n_held_bytes > self._n_next_peak_bytes:
+            self._n_next_peak_bytes = self.n_held_bytes + PEAK_STEP_BYTES
+            self.peak_bytes_by_part = dict(self.n_bytes_by_part)
+
+    def fits(self, need: Need) -> bool:
+        """Return whether memory can be taken now."""
+        limit = self.max_bytes if need.is_small else self.max_large_bytes
+        return self.n_held_bytes + need.n_bytes <= limit
+
+    def make_room(self, need: Need) -> bool:
+        """Return whether memory can be taken, if need be once others have let go."""
+        for reclaimer in self.reclaimers:
+            if self.fits(need):
+                break
+            reclaimer.reclaim(self, need)
+        return self.fits(need)
--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -17,6 +17,7 @@
 )
 from prometheus_client.registry import Collector
 
+from .memory_budget import Part
 from .metrics import TIME_BUCKETS_MS, Labels, NodeMetrics, TimeHistogram
 
 GAUGE_TEXTS = {
@@ -49,6 +50,16 @@
     "caller_body_bytes": "Bodies of requests that are read or handled.",
     "caller_input_bytes": "Heads of such requests, and input that is not parsed yet.",
     "caller_unread_bytes": "Answers that callers have not taken yet.",
+    "memory_held_bytes": "What this process holds for others.",
+    "memory_limit_bytes": "How much of it there may be.",
+    **{
+        f"memory_{part}_bytes": f"Part of it that is {part.replace('_', ' ')}."
+        for part in Part
+    },
+    **{
+        f"memory_peak_{part}_bytes": "The same when all parts together were largest."
+        for part in Part
+    },
     "caller_parsing": "Connections whose costly input waits to be parsed.",
     "caller_requests": "Requests of callers without an answer yet.",
     "link_calls": "Calls to other nodes without an outcome yet.",
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -27,6 +27,7 @@
 from .fleet import Fleet
 from .member_record import MemberRecord
 from .member_rows import MemberRows
+from .memory_budget import MB, MemoryBudget
 from .metrics import NodeMetrics
 from .node_gauges import gauges
 from .node_ranks import NodeRanks
@@ -101,6 +102,7 @@
         self.settings = settings
         self.clock = clock
         self.log = DecisionLog(clock)
+        self.memory = MemoryBudget(settings.memory_mb * MB)
         self.metrics = metrics
         self.pipe = pipe
         rng = random.Random()
@@ -127,9 +129,18 @@
             self.evacuations,
         )
         self.config_replies = ConfigReplies(self.config)
-        self.fleet = Fleet(settings, own, clock, self.log, rng, self.config.apply_reply)
+        self.fleet = Fleet(
+            settings,
+            own,
+            clock,
+            self.log,
+            rng,
+            self.config.apply_reply,
+        )
         self.region_check = RegionCheck(self.fleet, clock, self.log)
-        self.pool = UpstreamPool(*settings.upstream, adapter.dialect, clock)
+        self.pool = UpstreamPool(
+            *settings.upstream, adapter.dialect, clock, self.memory
+        )
         self.dispatcher = UpstreamDispatcher(
             settings.service,
             self.pool,
@@ -246,7 +257,7 @@
             clock,
             metrics.cut_offs,
             self.log,
-            lambda: self.pool.n_buffered_bytes,
+            self.memory,
             settings.max_descriptors,
         )
         self.parsing = ParseQueue(clock)
@@ -378,6 +389,7 @@
         self.settings = settings
         self.request_handler.settings = self.admission.settings = settings
         self.budget.max_descriptors = settings.max_descriptors
+        self.memory.set_memory(settings.memory_mb * MB)
         self.dispatcher.apply_settings(settings)
         self.request_handler.retries.by_calls = settings.retries_by_calls
         self._set_retry_budget()
--- a/packages/mesh/ibisspoke_mesh/node_gauges.py
+++ b/packages/mesh/ibisspoke_mesh/node_gauges.py
@@ -46,6 +46,16 @@
         "caller_body_bytes": node.budget.n_body_bytes,
         "caller_input_bytes": node.budget.n_input_bytes,
         "caller_unread_bytes": node.budget.n_unread_bytes,
+        "memory_held_bytes": node.memory.n_held_bytes,
+        "memory_limit_bytes": node.memory.max_bytes,
+        **{
+            f"memory_{part}_bytes": n_bytes
+            for part, n_bytes in node.memory.n_bytes_by_part.items()
+        },
+        **{
+            f"memory_peak_{part}_bytes": n_bytes
+            for part, n_bytes in node.memory.peak_bytes_by_part.items()
+        },
         "caller_parsing": len(node.parsing),
         "caller_requests": node.callers.n_active,
         "link_calls": sum(peer.link.n_pending for peer in peers),
--- a/packages/mesh/ibisspoke_mesh/node_process.py
+++ b/packages/mesh/ibisspoke_mesh/node_process.py
@@ -6,15 +6,13 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
-from .caller_server import CallerConnection
+from .allocator import trim_after_peaks
+from .caller_server import SOCKET_BUFFER_BYTES, CallerConnection
 from .node import TICK_MS, Node
 from .peer_server import PeerConnection
 from .server_state import ServerState
 
 BACKLOG_CONNECTIONS = 1_024  # callers open many connections at once after an outage
-# Of each caller's connection. The kernel would let them grow to several MB, which
-# counts towards the node's memory; callers are on the same VM and need no more.
-SOCKET_BUFFER_BYTES = 128 * 1024
 
 logger = logging.getLogger("ibisspoke")
 
@@ -49,6 +47,7 @@
             node.rows.poll,
             node.follow_config,
             node.config_verifier.run,
+            lambda: trim_after_peaks(node.memory),
         ]
         for job in jobs:
             task = asyncio.ensure_future(_supervised(job))
--- a/packages/mesh/ibisspoke_mesh/request_reader.py
+++ b/packages/mesh/ibisspoke_mesh/request_reader.py
@@ -8,16 +8,15 @@
 from ibisspoke_policy.clock import Clock
 from ibisspoke_policy.route_table import CallerLimits
 
-from . import caller_budget
 from .body_parts import BodyParts
 from .caller_budget import BudgetedConnection, CallerBudget
 from .caller_messages import CallerRequest
+from .memory_budget import SMALL_BYTES, Need, Part
 
 # Parsed at once; the requests in it are kept, and may be as small as 18 bytes.
 HEAD_SLICE_BYTES = 4 * 1024
 CHUNKS_SLICE_BYTES = 16 * 1024  # of a chunked body; a chunk may be as small as 6 bytes
 BODY_SLICE_BYTES = 64 * 1024  # of a body of known length
-SMALL_BODY_BYTES = 64 * 1024  # taken as long as anything can be kept
 REQUEST_COST_BYTES = 1_000  # that a request takes beside its head and body
 HEADER_COST_BYTES = 200  # that a header takes beside its name and value
 SMALL_INPUT_BYTES = 4 * 1024  # an unfinished request that is kept in any case
@@ -79,6 +78,7 @@
         self._limits = limits
         self._clock = clock
         self._budget = budget
+        self._memory = budget.memory
         self._receiver = receiver
         self._body = BodyParts()
         self.on_body = self._body.staged.append  # called by the parser
@@ -130,6 +130,11 @@
             raise RejectedError(431, "head too large")
         self._count_input()
 
+    @property
+    def n_counted_bytes(self) -> int:
+        """Size of what is held of the unfinished request."""
+        return self._n_body_counted + self._n_input_counted
+
     def restart_time(self) -> None:
         """Start the time for the head again, after reading was paused."""
         if self.reading_since_ms is not None:
@@ -217,8 +222,7 @@
             self._is_dropped,
         )
         # counted for the receiver from now on
-        self._budget.n_body_bytes += len(body) - self._n_body_counted
-        self._budget.n_input_bytes += n_head_bytes - self._n_input_counted
+        self._set_counted(len(body), n_head_bytes)
         self._n_body_counted = self._n_input_counted = 0
         self.reading_since_ms = None
         self.is_in_body = self.is_costly = False
@@ -292,24 +296,19 @@
             raise RejectedError(413, "body too large")
         if self._is_dropped:
             return
-        budget = self._budget
-        budget.n_body_bytes += n_body - self._n_body_counted
+        self._memory.add(Part.BODIES, n_body - self._n_body_counted)
         self._n_body_counted = n_body
-        is_large = n_body > SMALL_BODY_BYTES
-        if is_large:
-            budget.note_upload(self._receiver, n_body)
-        n_held = budget.n_held_bytes
-        if n_held + budget.n_input_bytes <= caller_budget.MAX_HELD_BYTES:
+        if n_body > SMALL_BYTES:
+            self._budget.note_upload(self._receiver, n_body)
+        if not self._memory.is_full:
             return
-        if n_held > n_body and (
-            (is_large and not budget.make_room(self._receiver)) or budget.is_exhausted
-        ):
+        if not self._memory.make_room(Need(0, n_body, self._receiver)):
             self._is_dropped = True
             self._body.clear()
             self._n_staged = 0
-            budget.end_upload(self._receiver)
+            self._budget.end_upload(self._receiver)
             self._set_counted(0, self._n_input_counted)
-            budget.count("bodies too large together")
+            self._budget.count("bodies too large together")
 
     def _count_input(self) -> None:
         """Count the unfinished head; reject it if the node can't keep any more."""
@@ -318,10 +317,12 @@
             self._n_framing_bytes if self.is_in_body else self._n_unfinished_bytes
         )
         self._set_counted(self._n_body_counted, n_input)
-        if n_input > SMALL_INPUT_BYTES and self._budget.is_exhausted:
+        if n_input <= SMALL_INPUT_BYTES or not self._memory.is_exhausted:
+            return
+        if not self._memory.make_room(Need(0, n_input, self._receiver)):
             raise RejectedError(503, "out of memory")
 
     def _set_counted(self, n_body: int, n_input: int) -> None:
-        self._budget.n_body_bytes += n_body - self._n_body_counted
-        self._budget.n_input_bytes += n_input - self._n_input_counted
+        self._memory.add(Part.BODIES, n_body - self._n_body_counted)
+        self._memory.add(Part.INPUT, n_input - self._n_input_counted)
         self._n_body_counted, self._n_input_counted = n_body, n_input
--- a/packages/mesh/ibisspoke_mesh/settings.py
+++ b/packages/mesh/ibisspoke_mesh/settings.py
@@ -89,9 +89,13 @@
     max_descriptors: Annotated[
         int, msgspec.Meta(ge=64, description="a number of descriptors, 64 or more")
     ]
+    memory_mb: Annotated[
+        float, msgspec.Meta(ge=64, description="a number of megabytes, 64 or more")
+    ]
 
 
 DEFAULT_MAX_DESCRIPTORS = 4_100  # of the smallest VM
+DEFAULT_MEMORY_MB = 200.0  # of the smallest VM
 KEY_PROOF_MARGIN_MS = 900.0  # for started work, a late timer and a round trip
 
 
@@ -105,6 +109,7 @@
     :param retry_slack: retries of a service in a window over the whole fleet that are
         allowed regardless of the ratio.
     :param max_descriptors: how many descriptors the process may have.
+    :param memory_mb: how much memory the process may take, in units of 10^6 bytes.
     :param cold_overage: requests that a cold upstream may get in a second, as a
         multiple of the rate that it tolerates; None for no bound.
     :param cold_slack: further requests that it may get in a second.
@@ -136,6 +141,7 @@
     retry_window_ms: float
     retry_slack: float
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
+    memory_mb: float = DEFAULT_MEMORY_MB
     cold_overage: float | None = None
     cold_slack: float | None = None
     evacuation_ms: float | None = None
@@ -233,6 +239,7 @@
         max_descriptors=sections["limits"].get(
             "max_descriptors", DEFAULT_MAX_DESCRIPTORS
         ),
+        memory_mb=sections["limits"].get("memory_mb", DEFAULT_MEMORY_MB),
         cold_overage=bounds.get("cold_overage"),
         cold_slack=bounds.get("cold_slack"),
         evacuation_ms=bounds.get("evacuation_ms"),
--- a/packages/mesh/ibisspoke_mesh/upstream_pool.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pool.py
@@ -12,6 +12,7 @@
 from .answer_size import AnswerSize
 from .dialect import HOP_BY_HOP, Dialect
 from .frames import FINAL_STATUSES
+from .memory_budget import MemoryBudget, Part
 from .sockets import enable_liveness_checks
 
 CONNECT_TIMEOUT_MS = 500  # the upstream is on this VM; connecting takes about 1 ms
@@ -238,7 +239,7 @@
             self._size.add_body(len(body))
             self._body.append(body)
             self.n_buffered_bytes += len(body)
-            self._pool.n_buffered_bytes += len(body)
+            self._pool.count_buffered(len(body))
 
     def on_message_complete(self) -> None:
         """Complete the response if it belongs to the current request."""
@@ -261,7 +262,7 @@
 
     def _drop_body(self) -> None:
         self._body: list[bytes] = []
-        self._pool.n_buffered_bytes -= self.n_buffered_bytes
+        self._pool.count_buffered(-self.n_buffered_bytes)
         self.n_buffered_bytes = 0
 
     def _reset_response(self) -> None:
@@ -320,8 +321,16 @@
         happens when its process ends.
     """
 
-    def __init__(self, host: str, port: int, dialect: Dialect, clock: Clock) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        dialect: Dialect,
+        clock: Clock,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self.dialect = dialect
+        self.memory = MemoryBudget() if memory is None else memory
         self.n_buffered_bytes = 0
         self._host = host
         self._port = port
@@ -389,6 +398,11 @@
         if is_reset and not self._open:
             self.on_all_reset()
 
+    def count_buffered(self, n_bytes: int) -> None:
+        """Count bytes of unfinished answers that were received, or dropped."""
+        self.n_buffered_bytes += n_bytes
+        self.memory.add(Part.UPSTREAM_ANSWERS, n_bytes)
+
     def limit_buffered_bytes(self) -> None:
         """Cut off the largest unfinished answers while all are too large together."""
         if self.n_buffered_bytes <= MAX_BUFFERED_BYTES:
--- a/packages/mesh/tests/test_caller_budget.py
+++ b/packages/mesh/tests/test_caller_budget.py
@@ -7,16 +7,23 @@
 from ibisspoke_mesh import caller_budget
 from ibisspoke_mesh.body_parts import BodyParts
 from ibisspoke_mesh.caller_budget import CallerBudget
+from ibisspoke_mesh.memory_budget import SMALL_BYTES, Need, Part
 from ibisspoke_mesh.parse_queue import MAX_RUN_MS, ParseQueue
 from ibisspoke_policy.clock import ManualClock
 
 LIMIT = 1_000
+SMALL_LIMIT = 100
+LARGE = Need(0, LIMIT * SMALL_BYTES)
+SMALL = Need(0, 1)
 
 
 class _Connection:
     def __init__(self, budget: CallerBudget, is_handling: bool = False) -> None:
         self.is_handling = is_handling
-        self.n_unwritten_bytes = 0
+        self.is_costly = False
+        self.n_unwritten_bytes = self.n_unfinished_bytes = 0
+        self.unfinished_since_ms: float | None = None
+        self.n_body_bytes = 0
         self.reasons: list[str] = []
         self._budget = budget
 
@@ -25,7 +32,8 @@
 
     def refuse(self, status: int, reason: str) -> None:
         self.reasons.append(f"{status} {reason}")
-        self._budget.n_body_bytes = 0
+        _hold(self._budget, -self.n_body_bytes)
+        self.n_body_bytes = 0
         self._budget.end_upload(self)
 
 
@@ -36,8 +44,24 @@
 
 @pytest.fixture
 def budget(clock, monkeypatch):
-    monkeypatch.setattr(caller_budget, "MAX_HELD_BYTES", LIMIT)
-    return CallerBudget(clock)
+    monkeypatch.setattr(caller_budget, "CONNECTION_BYTES", 0)
+    budget = CallerBudget(clock)
+    budget.memory.max_large_bytes = LIMIT
+    budget.memory.max_bytes = LIMIT + SMALL_LIMIT
+    return budget
+
+
+def _hold(budget: CallerBudget, n_bytes: int, part: Part = Part.BODIES) -> None:
+    budget.memory.add(part, n_bytes)
+
+
+def _upload(budget: CallerBudget, n_bytes: int) -> _Connection:
+    connection = _Connection(budget)
+    connection.n_body_bytes = n_bytes
+    budget.add_connection(connection)
+    budget.note_upload(connection, n_bytes)
+    _hold(budget, n_bytes)
+    return connection
 
 
 def _unread(budget, n_bytes):
@@ -49,7 +73,7 @@
 
 
 def test_a_single_unread_answer_is_never_cut_off(budget):
-    budget.n_body_bytes = LIMIT
+    _hold(budget, LIMIT)
     assert _unread(budget, 2 * LIMIT).reasons == []
 
 
@@ -72,9 +96,9 @@
     assert reading.reasons == last.reasons == []
 
 
-def test_unfinished_answers_of_the_upstream_count(clock, monkeypatch):
-    monkeypatch.setattr(caller_budget, "MAX_HELD_BYTES", LIMIT)
-    budget = CallerBudget(clock, n_answer_bytes=lambda: 900)
+@pytest.mark.parametrize("part", sorted({*Part} - {Part.UNREAD}))
+def test_whatever_else_is_held_counts(budget, part):
+    _hold(budget, 900, part)
     first, second = _unread(budget, 60), _unread(budget, 50)
     assert first.reasons == ["unread answers"]
     assert second.reasons == []
@@ -84,26 +108,65 @@
     # Guards against uploads that were begun and left, which would take the memory from
     # all others until their callers close them.
     monkeypatch.setattr(caller_budget, "SLOW_UPLOAD_BYTES", 100)
-    slow, fast, needy = (_Connection(budget) for _ in range(3))
-    for connection in (slow, fast, needy):
-        budget.note_upload(connection, 400)
-    budget.n_body_bytes = 1_200
+    slow, fast, needy = (_upload(budget, 400) for _ in range(3))
     clock.advance(caller_budget.SLOW_UPLOAD_MS + 1.0)
     budget.note_upload(slow, 450)
     budget.note_upload(fast, 600)
-    assert budget.make_room(needy)
+    assert budget.memory.make_room(LARGE._replace(holder=needy))
     assert slow.reasons == ["503 slow upload"]
     assert fast.reasons == needy.reasons == []
 
 
 def test_uploads_in_progress_are_kept_when_there_is_no_room(budget):
-    upload = _Connection(budget)
-    budget.note_upload(upload, LIMIT + 1)
-    budget.n_body_bytes = LIMIT + 1
-    assert not budget.make_room()
+    upload = _upload(budget, LIMIT + 1)
+    assert not budget.memory.make_room(LARGE)
     assert upload.reasons == []
 
 
+def test_an_upload_in_progress_gives_way_to_a_much_smaller_one(budget):
+    # Guards against callers that send just enough to keep others out.
+    large = 4 * SMALL_BYTES
+    budget.memory.max_large_bytes = large
+    budget.memory.max_bytes = large + SMALL_LIMIT
+    upload = _upload(budget, large + SMALL_LIMIT + 1)
+    assert budget.memory.make_room(SMALL)
+    assert upload.reasons == ["503 larger upload"]
+
+
+def test_uploads_in_tiny_chunks_give_way_to_others_only(budget):
+    costly, other = _upload(budget, 600), _upload(budget, 600)
+    costly.is_costly = other.is_costly = True
+    assert not budget.memory.make_room(LARGE._replace(holder=other))
+    assert budget.memory.make_room(LARGE)
+    assert len(costly.reasons + other.reasons) == 1
+
+
+def test_unread_answers_that_stall_give_way_to_bodies(budget, clock):
+    # Guards against callers that read nothing, and so keep uploads out for good.
+    unread, last = _unread(budget, 400), _unread(budget, 400)
+    _hold(budget, 300)
+    assert not budget.memory.make_room(LARGE)
+    clock.advance(caller_budget.STALLED_MS + 1.0)
+    assert budget.memory.make_room(LARGE)
+    assert unread.reasons + last.reasons == ["unread answers"]
+
+
+def test_small_requests_that_are_not_finished_give_way_when_all_is_taken(budget, clock):
+    # Guards against many small bodies without an end, which would keep all others out.
+    left = [_Connection(budget) for _ in range(12)]
+    for number, connection in enumerate(left):
+        connection.n_body_bytes = connection.n_unfinished_bytes = 100 + number
+        connection.unfinished_since_ms = clock.now_ms()
+        budget.add_connection(connection)
+        _hold(budget, connection.n_body_bytes)
+    assert not budget.memory.make_room(SMALL)
+    clock.advance(caller_budget.STALLED_MS + 1.0)
+    assert budget.memory.make_room(SMALL)
+    refused = [connection for connection in left if connection.reasons]
+    assert refused == left[-2:]
+    assert refused[0].reasons == ["503 out of memory"]
+
+
 def test_the_longest_idle_connection_is_closed_first(budget):
     budget.max_descriptors = 2 * 3
     first, second, third, fourth = (_Connection(budget) for _ in range(4))
--- a/tests/fleet/fleet_harness.py
+++ b/tests/fleet/fleet_harness.py
@@ -143,6 +143,12 @@
             await asyncio.sleep(0.01)
 
 
+def limit_memory(node: Node, n_bytes: int) -> None:
+    """Let a node hold ``n_bytes`` for others, and some more for small requests."""
+    node.memory.max_large_bytes = n_bytes
+    node.memory.max_bytes = n_bytes + 512 * 1024
+
+
 def settings_of(host: str, store: tuple[str, int], **changes) -> NodeSettings:
     """Return the settings of a node on ``host``."""
     settings = NodeSettings(
--- a/tests/fleet/test_caller_connections.py
+++ b/tests/fleet/test_caller_connections.py
@@ -8,6 +8,7 @@
     CALLERS,
     Caller,
     connect,
+    limit_memory,
     request_bytes,
     route,
     until,
@@ -159,9 +160,9 @@
     assert _cut_offs(vm) == {}
 
 
-async def test_unread_answers_are_cut_off_when_all_are_too_large(single, monkeypatch):
-    monkeypatch.setattr(caller_budget, "MAX_HELD_BYTES", 3 * len(ANSWER))
+async def test_unread_answers_are_cut_off_when_all_are_too_large(single):
     vm = await _configure(single)
+    limit_memory(vm.node, 3 * len(ANSWER))
     vm.upstream.behaviour = _answer_at_length
     budget = vm.node.budget
     callers = [await _connect_slowly(vm) for _ in range(6)]
@@ -181,9 +182,9 @@
 
 
 async def test_an_upload_that_was_left_gives_way_to_others(single, monkeypatch):
-    monkeypatch.setattr(caller_budget, "MAX_HELD_BYTES", MB)
     monkeypatch.setattr(caller_budget, "SLOW_UPLOAD_MS", 200.0)
     vm = await _configure(single)
+    limit_memory(vm.node, MB)
     left = await connect(vm.host)
     upload = request_bytes("/order/1", method="POST", body=bytes(900_000))
     left.transport.write(upload[:-1])
--- a/tests/fleet/test_uploads.py
+++ b/tests/fleet/test_uploads.py
@@ -13,6 +13,7 @@
     Fleet,
     connect,
     document,
+    limit_memory,
     request_bytes,
     route,
     running_fleet,
@@ -20,11 +21,11 @@
 )
 
 from ibisspoke_adapter.configuration import decode_configuration
-from ibisspoke_mesh import caller_budget
 from ibisspoke_standins import fleet_upstream as upstreams
 
 KINDS = ["upload", "batch", "Safe", "safe ", ""]  # all but "safe" may run only once
 BODY = bytes(range(256)) * 4_096  # 1 MiB
+CONNECTIONS_BYTES = 100_000  # of the connections and heads of a few callers
 ROUTES = [route(f"up{number}", kind) for number, kind in enumerate(KINDS)]
 LIMITS = {"maxHeaderBytes": 4_096, "maxBodyBytes": 2 * len(BODY)}
 BROKEN = [upstreams.lose_answer, upstreams.truncate_answer, upstreams.answer_garbage]
@@ -74,8 +75,8 @@
 
 
 # Guards against bodies that together take the memory of a node, which then ends (LOST).
-async def test_bodies_that_would_take_the_memory_are_refused(pair, monkeypatch):
-    monkeypatch.setattr(caller_budget, "MAX_HELD_BYTES", 3 * len(BODY))
+async def test_bodies_that_would_take_the_memory_are_refused(pair):
+    limit_memory(pair.vms[0].node, 3 * len(BODY) + CONNECTIONS_BYTES)
     await pair.configure(2, routes=[*ROUTES, route("order", "")], limits=LIMITS)
     await until(lambda: all(vm.node.config.version == 2 for vm in pair.vms))
     for vm in pair.vms:
