Count long answers until their memory is free

Callers that ask for long answers and read them slowly took a node over its memory.

Cause: an answer was counted while the upstream sent it and again once its caller did not take it, and by nobody in between; its parts were joined into a second copy; and the answers of callers that were cut off counted as free at once, while their transports release them some iterations of the event loop later, in which others come in.

An answer now counts from its first byte until it is written, and that of a caller that was cut off until its transport has let go. Unread answers at least as large give way to one that arrives. What the upstream goes on with after its caller has left counts as well.

--- a/packages/mesh/ibisspoke_mesh/caller_budget.py
+++ b/packages/mesh/ibisspoke_mesh/caller_budget.py
@@ -1,5 +1,6 @@
 """Bounds on what callers make a node keep, over all its listeners."""
 
+import asyncio
 import resource
 from collections import Counter
 from collections.abc import Iterator
@@ -9,7 +10,7 @@
 from ibisspoke_policy.clock import Clock
 
 from .decision_log import DecisionLog
-from .memory_budget import SMALL_BYTES, MemoryBudget, Need, Part
+from .memory_budget import CLOSING_S, SMALL_BYTES, MemoryBudget, Need, Part
 from .metrics import Labels
 from .settings import DEFAULT_MAX_DESCRIPTORS
 
@@ -116,6 +117,7 @@
         self._connections: dict[BudgetedConnection, None] = {}
         self._unread: dict[BudgetedConnection, UnreadAnswers] = {}
         self._uploads: dict[BudgetedConnection, Upload] = {}
+        self._closing: dict[BudgetedConnection, int] = {}
         self._scanned_ms = float("-inf")
 
     def __repr__(self) -> str:
@@ -182,6 +184,10 @@
     def remove_connection(self, connection: BudgetedConnection) -> None:
         """Remove a connection that is closed."""
         self.remove_unread(connection)
+        n_closing = self._closing.pop(connection, 0)
+        if n_closing:
+            loop = asyncio.get_running_loop()
+            loop.call_later(CLOSING_S, self.memory.add, Part.CLOSING, -n_closing)
         self._forget(connection)
 
     def note_upload(self, connection: BudgetedConnection, n_bytes: int) -> None:
@@ -205,7 +211,7 @@
         else is left.
         """
         for connection, reason in self._yielding(need):
-            if budget.fits(need):
+            if budget.will_fit(need):
                 return
             if connection is need.holder:
                 continue
@@ -222,6 +228,9 @@
         for connection, answers in unread:
             if answers.progress_ms <= now_ms - STALLED_MS:
                 yield connection, UNREAD
+        for connection, answers in unread[:-1] if need.is_answer else ():
+            if answers.n_bytes >= need.n_holder_bytes and connection in self._unread:
+                yield connection, UNREAD
         if need.is_small and now_ms - self._scanned_ms >= SCAN_INTERVAL_MS:
             self._scanned_ms = now_ms
             for connection in self._unfinished(now_ms - STALLED_MS):
@@ -297,13 +306,16 @@
             key=lambda item: (-item[1].n_bytes, item[1].progress_ms),
         )
         for connection, _ in by_need[:-1]:
-            if self.memory.fits(need):
+            if self.memory.will_fit(need):
                 return
             self._cut_off_unread(connection)
 
     def _cut_off_unread(self, connection: BudgetedConnection) -> None:
-        """Cut off unread answers."""
+        """Cut off unread answers, which stay counted until the transport frees them."""
+        n_bytes = self._unread[connection].n_bytes
         self.remove_unread(connection)
+        self.memory.add(Part.CLOSING, n_bytes)
+        self._closing[connection] = n_bytes
         connection.cut_off(UNREAD)
 
     def _least_needed(self) -> BudgetedConnection | None:
--- a/packages/mesh/ibisspoke_mesh/memory_budget.py
+++ b/packages/mesh/ibisspoke_mesh/memory_budget.py
@@ -12,6 +12,7 @@
 MIN_HELD_BYTES = 16 * MB  # where the VM has hardly more than an idle process takes
 SMALL_SHARE = 1 / 15  # of the bound, which only small requests may take
 SMALL_BYTES = 64 * 1024  # a body or answer that counts as small
+CLOSING_S = 0.01  # until a closed transport has freed what it held
 PEAK_STEP_BYTES = 1024 * 1024  # by which a peak must grow to be recorded again
 
 
@@ -22,8 +23,12 @@
     INPUT = "input"  # heads and unparsed bytes of callers
     KERNEL = "kernel"  # receive buffers of callers that nothing is read from now
     BODIES = "bodies"  # of callers' requests that are read or handled
+    ATTEMPTS = "attempts"  # for other nodes, or for callers that have left
     UPSTREAM_ANSWERS = "upstream_answers"  # of the upstream, not read whole yet
+    ANSWERS = "answers"  # whole, on their way to the caller's connection
     UNREAD = "unread"  # answers that callers have not taken
+    CLOSING = "closing"  # unread answers of callers that were cut off
+    UNSENT = "unsent"  # frames that other nodes have not taken
 
 
 class Reclaimer(Protocol):
@@ -40,11 +45,13 @@
     :param n_holder_bytes: size of what it is taken for. Uploads that are several times
         as large may give way to it.
     :param holder: connection that it is taken for, which does not give way itself.
+    :param is_answer: whether it is for an answer, to which unread ones may give way.
     """
 
     n_bytes: int
     n_holder_bytes: int
     holder: object | None = None
+    is_answer: bool = False
 
     @property
     def is_small(self) -> bool:
@@ -108,10 +115,46 @@
         limit = self.max_bytes if need.is_small else self.max_large_bytes
         return self.n_held_bytes + need.n_bytes <= limit
 
+    def will_fit(self, need: Need) -> bool:
+        """Return whether memory can be taken once that of closing connections is free.
+
+        Their transports release it only in later iterations of the event loop. Others
+        need not let go for it, but until then it cannot be taken.
+        """
+        n_closing = self.n_bytes_by_part[Part.CLOSING]
+        return self.fits(need._replace(n_bytes=need.n_bytes - n_closing))
+
     def make_room(self, need: Need) -> bool:
         """Return whether memory can be taken, if need be once others have let go."""
         for reclaimer in self.reclaimers:
-            if self.fits(need):
+            if self.will_fit(need):
                 break
             reclaimer.reclaim(self, need)
         return self.fits(need)
+
+
+class UnsentBytes:
+    """Counts what one connection's transport holds until its peer takes it.
+
+    A transport releases what was written only when all of it is sent, so that the
+    largest write counts whole until nothing is left.
+    """
+
+    __slots__ = ("_memory", "_n_largest", "n_bytes")
+
+    def __init__(self, memory: MemoryBudget) -> None:
+        self._memory = memory
+        self._n_largest = 0
+        self.n_bytes = 0
+
+    def note_large(self, n_bytes: int) -> None:
+        """Note the size of a large write."""
+        self._n_largest = max(self._n_largest, n_bytes)
+
+    def count(self, n_unsent: int) -> None:
+        """Count what the transport holds, by what it has not sent yet."""
+        if n_unsent <= 0:
+            n_unsent = self._n_largest = 0
+        n_held = n_unsent + self._n_largest
+        self._memory.add(Part.UNSENT, n_held - self.n_bytes)
+        self.n_bytes = n_held
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -191,6 +191,7 @@
             rng,
             self.log,
             metrics,
+            self.memory,
         )
         self.rows = MemberRows(
             adapter.store,
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -21,6 +21,7 @@
 from .frames import Attempt, Outcome, OutcomeKind
 from .hedged_attempt import hedged
 from .member_record import MemberRecord
+from .memory_budget import MemoryBudget, Part
 from .metrics import NodeMetrics
 from .rate_homes import RateHomes
 from .request_admission import (
@@ -58,8 +59,10 @@
         rng: random.Random,
         log: DecisionLog,
         metrics: NodeMetrics,
+        memory: MemoryBudget,
     ) -> None:
         self.settings = settings
+        self._memory = memory
         self._admission = admission
         self._homes = homes
         self._budget = retries
@@ -260,10 +263,15 @@
         self, attempt: Attempt, progress: RequestProgress, ran_before: bool
     ) -> Outcome:
         ended: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        n_left_bytes = n_answer_bytes = 0
 
         def on_outcome(outcome: Outcome) -> None:
+            nonlocal n_answer_bytes
             if not ended.done():
+                n_answer_bytes = len(outcome.body)
+                self._memory.add(Part.ANSWERS, n_answer_bytes)
                 ended.set_result(outcome)
+            self._memory.add(Part.ATTEMPTS, -n_left_bytes)
 
         number = self._dispatcher.submit(attempt, on_outcome)
         try:
@@ -271,7 +279,12 @@
         except asyncio.CancelledError:
             may_have_run = self._dispatcher.cancel(number)
             progress.may_have_run = ran_before or may_have_run
+            if may_have_run and not attempt.idempotent and ended.cancelled():
+                n_left_bytes = len(attempt.body)  # the upstream goes on with it
+                self._memory.add(Part.ATTEMPTS, n_left_bytes)
             raise
+        finally:
+            self._memory.add(Part.ANSWERS, -n_answer_bytes)
 
     def _rank(self, admitted: AdmittedRequest) -> tuple[int, int]:
         """Return the queue rank of a request; lower ranks run first.
--- a/packages/mesh/ibisspoke_mesh/sockets.py
+++ b/packages/mesh/ibisspoke_mesh/sockets.py
@@ -33,3 +33,16 @@
             sock.setsockopt(socket.IPPROTO_TCP, option, value)
     finally:
         sock.detach()
+
+
+def pause_reading(transport: asyncio.Transport, delay_s: float) -> None:
+    """Read nothing from a connection for a while."""
+    if transport.is_closing() or not transport.is_reading():
+        return
+    transport.pause_reading()
+    asyncio.get_running_loop().call_later(delay_s, _resume_reading, transport)
+
+
+def _resume_reading(transport: asyncio.Transport) -> None:
+    if not transport.is_closing():
+        transport.resume_reading()
