Count what other nodes send, and refuse calls that there is no memory for

Uploads that several nodes passed on to one, and long answers that a node got from another, took a process over its memory: each node bounds what it sends, but nothing bounded the sum at one node.

Cause: partial frames, the bodies of attempts that are queued or run for other nodes, and replies that a link has not taken were counted by nobody, and a large body was copied out of its frame.

A call that does not fit is read to its end without being kept and refused as not run, so that the calling node may try another one; a reply that does not fit fails its call. Frames that are not sent count with the largest write held whole, since the transport frees it only then. The format of the frames is the same.

--- a/packages/mesh/ibisspoke_mesh/fleet.py
+++ b/packages/mesh/ibisspoke_mesh/fleet.py
@@ -14,6 +14,7 @@
 from .decision_log import DecisionLog
 from .frames import ConfigReply
 from .member_record import MemberRecord
+from .memory_budget import MemoryBudget
 from .peer import Peer
 from .peer_link import NodeIncarnation, PeerLink
 from .settings import NodeSettings
@@ -52,7 +53,9 @@
         log: DecisionLog,
         rng: random.Random,
         on_config: Callable[[ConfigReply], None],
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory = MemoryBudget() if memory is None else memory
         self.peers_by_id: dict[str, Peer] = {}
         self.n_membership_changes = 0
         self.timeouts = StatusTimeouts()
@@ -417,6 +420,7 @@
             on_load,
             self._on_config,
             self._waiting_links.add,
+            self._memory,
         )
         now_ms = self._clock.now_ms()
         peer = Peer(record, link, distance, self.timeouts, now_ms)
--- a/packages/mesh/ibisspoke_mesh/memory_budget.py
+++ b/packages/mesh/ibisspoke_mesh/memory_budget.py
@@ -28,6 +28,7 @@
     ANSWERS = "answers"  # whole, on their way to the caller's connection
     UNREAD = "unread"  # answers that callers have not taken
     CLOSING = "closing"  # unread answers of callers that were cut off
+    PEER_FRAMES = "peer_frames"  # of other nodes, not received whole yet
     UNSENT = "unsent"  # frames that other nodes have not taken
 
 
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -136,6 +136,7 @@
             self.log,
             rng,
             self.config.apply_reply,
+            self.memory,
         )
         self.region_check = RegionCheck(self.fleet, clock, self.log)
         self.pool = UpstreamPool(
@@ -165,6 +166,7 @@
             self.log,
             self.config_replies,
             self.rate_homes.grant,
+            self.memory,
         )
         self.retries = RetryBudget(settings.retry_window_ms)
         self.admission = RequestAdmission(
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -11,11 +11,14 @@
 from .decision_log import DecisionLog
 from .frames import (
     FINAL_STATUSES,
+    MIN_APART_BYTES,
     Attempt,
     Call,
     Cancel,
     ConfigReply,
     ConfigRequest,
+    DroppedCall,
+    DroppedReply,
     Frame,
     FrameReader,
     Hello,
@@ -29,7 +32,8 @@
     encode_frame,
     encode_parts,
 )
-from .sockets import enable_liveness_checks
+from .memory_budget import CLOSING_S, MemoryBudget, Part, UnsentBytes
+from .sockets import enable_liveness_checks, pause_reading
 
 CONNECT_TIMEOUT_MS = 600  # about 15 round trips of the slowest link
 PING_AFTER_MS = 200.0  # without received bytes while calls are pending
@@ -54,10 +58,18 @@
 
 
 class _PendingCall:
-    __slots__ = ("ended", "incarnation", "lost_ms")
+    """A call without an outcome, or whose outcome was not taken yet.
 
-    def __init__(self, incarnation: int) -> None:
+    :ivar n_sent_bytes: size of the attempt's body, which the caller's request holds.
+    :ivar n_answer_bytes: size of the answer's body.
+    """
+
+    __slots__ = ("ended", "incarnation", "lost_ms", "n_answer_bytes", "n_sent_bytes")
+
+    def __init__(self, incarnation: int, n_sent_bytes: int) -> None:
         self.incarnation = incarnation
+        self.n_sent_bytes = n_sent_bytes
+        self.n_answer_bytes = 0
         self.ended: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         self.lost_ms: float | None = None
 
@@ -67,7 +79,9 @@
 
     def __init__(self, link: "PeerLink") -> None:
         self._link = link
-        self._reader = FrameReader(self._receive)
+        self._reader = FrameReader(
+            self._receive, link.receive_dropped, link.memory, self._pause_reading
+        )
         self.transport: asyncio.Transport | None = None
         self.hello: asyncio.Future[Hello] = asyncio.get_running_loop().create_future()
         self.received_ms = 0.0
@@ -91,10 +105,15 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the handshake if it is not complete, and notify the link."""
+        self._reader.close()
         if not self.hello.done():
             self.hello.set_exception(ConnectionResetError("closed before a hello"))
         self._link.on_closed(self, exc)
 
+    def _pause_reading(self) -> None:
+        if self.transport is not None:
+            pause_reading(self.transport, CLOSING_S)
+
     def _receive(self, frame: Frame) -> None:
         if not isinstance(frame, Hello):
             self._link.receive(frame)
@@ -128,8 +147,11 @@
         on_load: OnLoad,
         on_config: OnConfig,
         on_waiting: "Callable[[PeerLink], None]",
+        memory: MemoryBudget,
     ) -> None:
         self.name = name
+        self.memory = memory
+        self._unsent = UnsentBytes(memory)
         self.clock = clock
         self.log = log
         self._host = host
@@ -184,7 +206,8 @@
         connection = self._connection
         if connection is None or connection.transport is None:
             return _not_connected("no connection to the node")
-        pending = self._pending[stream] = _PendingCall(self._incarnation)
+        pending = _PendingCall(self._incarnation, len(attempt.body))
+        self._pending[stream] = pending
         self._on_waiting(self)
         connection.transport.writelines(encode_parts(Call(stream, attempt)))
         try:
@@ -194,6 +217,10 @@
             raise
         finally:
             self._pending.pop(stream, None)
+            self.memory.add(Part.ANSWERS, -pending.n_answer_bytes)
+            if len(attempt.body) >= MIN_APART_BYTES:
+                self._unsent.note_large(len(attempt.body))
+                self._count_unsent()
 
     async def ask_rate(self, stream: int, organisation: str) -> bool | None:
         """Ask the node, as an organisation's home node, to admit a request.
@@ -235,6 +262,8 @@
             self._on_load(frame.load, frame.vm_pace)
             pending = self._pending.get(frame.stream)
             if pending is not None and not pending.ended.done():
+                pending.n_answer_bytes = len(frame.outcome.body)
+                self.memory.add(Part.ANSWERS, pending.n_answer_bytes)
                 pending.ended.set_result(_checked(frame.outcome))
         elif isinstance(frame, RateReply):
             answered = self._rate_answers.get(frame.stream)
@@ -243,11 +272,19 @@
         elif isinstance(frame, ConfigReply):
             self._on_config(frame)
 
+    def receive_dropped(self, frame: DroppedCall | DroppedReply) -> None:
+        """Fail a call whose answer there was no memory for."""
+        pending = self._pending.get(frame.stream)
+        if pending is not None and not pending.ended.done():
+            reason = "the node is out of memory"
+            pending.ended.set_result(Outcome(OutcomeKind.FAILED, reason=reason))
+
     def on_closed(self, connection: _LinkProtocol, exc: Exception | None) -> None:
         """Handle the end of a connection."""
         if connection is not self._connection:
             return
         self._connection = None
+        self._unsent.count(0)
         for answered in self._rate_answers.values():
             if not answered.done():
                 answered.set_result(None)
@@ -264,10 +301,10 @@
 
     @property
     def is_waiting(self) -> bool:
-        """Whether calls are pending or a ping is unanswered, so that ticks matter."""
+        """Whether ticks matter: for calls, an unanswered ping, or unsent bytes."""
         connection = self._connection
         is_pinged = connection is not None and connection.pinged_ms is not None
-        return bool(self._pending) or is_pinged
+        return bool(self._pending) or is_pinged or self._unsent.n_bytes > 0
 
     def tick(self) -> None:
         """Ping a silent connection, and fail calls that cannot be recovered."""
@@ -275,6 +312,8 @@
         connection = self._connection
         if connection is not None:
             self._check_silence(connection, now_ms)
+            if self._unsent.n_bytes:
+                self._count_unsent()
         for pending in list(self._pending.values()):
             lost_ms = pending.lost_ms
             if lost_ms is None or pending.ended.done():
@@ -301,6 +340,19 @@
             assert connection.transport is not None
             connection.transport.abort()
 
+    def _count_unsent(self) -> None:
+        """Count what the transport holds of bodies whose callers have left.
+
+        The bodies of pending calls are counted with the requests of the callers.
+        """
+        connection, n_bytes = self._connection, 0
+        if connection is not None and connection.transport is not None:
+            n_bytes = connection.transport.get_write_buffer_size()
+            n_bytes -= sum(pending.n_sent_bytes for pending in self._pending.values())
+        self._unsent.count(n_bytes)
+        if n_bytes > 0:
+            self._on_waiting(self)
+
     def _send(self, frame: Frame) -> None:
         connection = self._connection
         if connection is not None and connection.transport is not None:
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -15,6 +15,8 @@
     Call,
     Cancel,
     ConfigRequest,
+    DroppedCall,
+    DroppedReply,
     Frame,
     FrameReader,
     Hello,
@@ -28,12 +30,23 @@
     Reply,
     encode_parts,
 )
+from .memory_budget import (
+    CLOSING_S,
+    SMALL_BYTES,
+    MemoryBudget,
+    Need,
+    Part,
+    UnsentBytes,
+)
 from .peer_link import NodeIncarnation
-from .sockets import enable_liveness_checks
+from .sockets import enable_liveness_checks, pause_reading
 
 ORPHAN_TIMEOUT_MS = 1_500.0  # until a call whose connection was lost is cancelled
 OUTCOME_RETENTION_MS = 6_000.0  # a reply may be lost with its connection
 RETRY_AFTER_MS = 100.0
+OUT_OF_MEMORY_RETRY_MS = 500.0  # by then most of what took the memory has ended
+OUT_OF_MEMORY = "the node is out of memory"
+CALL_BYTES = 1_000  # that a call takes beside its head and body, until it is forgotten
 
 
 class AttemptRunner(Protocol):
@@ -52,6 +65,10 @@
         """Return how long work takes on its VM; 0.0 if it is not known."""
 
 
+# For a call whose outcome is not kept, or not any more.
+LOST = Outcome(OutcomeKind.FAILED, reason="the answer was lost on its way")
+
+
 class _CallKey(NamedTuple):
     node: str
     incarnation: int
@@ -61,10 +78,18 @@
 class _CallState:
     """A call of another node.
 
-    :param outcome: set when it has ended, and also for a call that must not start.
+    :ivar outcome: set when it has ended, and also for a call that must not start.
+    :ivar n_attempt_bytes: size of the attempt while the upstream may still get it.
     """
 
-    __slots__ = ("changed_ms", "connection", "idempotent", "number", "outcome")
+    __slots__ = (
+        "changed_ms",
+        "connection",
+        "idempotent",
+        "n_attempt_bytes",
+        "number",
+        "outcome",
+    )
 
     def __init__(self, connection: "PeerConnection", changed_ms: float) -> None:
         self.connection: PeerConnection | None = connection
@@ -72,6 +97,7 @@
         self.outcome: Outcome | None = None
         self.idempotent = True
         self.changed_ms = changed_ms
+        self.n_attempt_bytes = 0
 
 
 class PeerCalls:
@@ -91,8 +117,10 @@
         log: DecisionLog,
         config_replies: ConfigReplies,
         grant: Callable[[str], bool],
+        memory: MemoryBudget,
     ) -> None:
         self.own = own
+        self.memory = memory
         self.clock = clock
         self.log = log
         self.config_replies = config_replies
@@ -102,6 +130,7 @@
         self._orphans: dict[_CallKey, _CallState] = {}
         self._ended_ms_by_key: OrderedDict[_CallKey, float] = OrderedDict()
         self.connections: set[PeerConnection] = set()
+        self.unsent: set[PeerConnection] = set()
 
     def __repr__(self) -> str:
         return f"PeerCalls(n_calls={len(self._calls_by_key)})"
@@ -112,8 +141,15 @@
         """Start a call, unless its caller was told that it will not run."""
         if key in self._calls_by_key:
             return
+        n_bytes = len(attempt.body) + len(attempt.head) + CALL_BYTES
+        need = Need(n_bytes, n_bytes)
+        if not self.memory.fits(need) and not self.memory.make_room(need):
+            self.refuse(key, connection)
+            return
         state = _CallState(connection, self.clock.now_ms())
         state.idempotent = attempt.idempotent
+        state.n_attempt_bytes = n_bytes
+        self.memory.add(Part.ATTEMPTS, n_bytes)
         self._calls_by_key[key] = state
 
         def on_outcome(outcome: Outcome) -> None:
@@ -121,6 +157,15 @@
 
         state.number = self._runner.submit(attempt, on_outcome)
 
+    def refuse(self, key: _CallKey, connection: "PeerConnection") -> None:
+        """Refuse a call that there is no memory for."""
+        outcome = Outcome(
+            OutcomeKind.REFUSED,
+            reason=OUT_OF_MEMORY,
+            retry_after_ms=OUT_OF_MEMORY_RETRY_MS,
+        )
+        self._reply(key, outcome, connection)
+
     def cancel(self, key: _CallKey) -> None:
         """Cancel a call.
 
@@ -152,6 +197,7 @@
     def on_disconnected(self, connection: "PeerConnection") -> None:
         """Handle the loss of a connection; its calls may be recovered for a while."""
         self.connections.discard(connection)
+        self.unsent.discard(connection)
         now_ms = self.clock.now_ms()
         for key, state in self._calls_by_key.items():
             if state.connection is connection:
@@ -175,15 +221,20 @@
                 break
             del self._ended_ms_by_key[key]
             self._calls_by_key.pop(key, None)
+        for connection in self.unsent:
+            connection.count_unsent()
 
     def _cancel(self, key: _CallKey, state: _CallState) -> None:
         assert state.number is not None
         may_have_run = self._runner.cancel(state.number)
+        if state.idempotent or not may_have_run:  # the upstream does not go on with it
+            self._release_attempt(state)
         kind = OutcomeKind.FAILED if may_have_run else OutcomeKind.REFUSED
         state.outcome = Outcome(kind, reason="cancelled by the calling node")
         self._ended_ms_by_key[key] = self.clock.now_ms()
 
     def _finish(self, key: _CallKey, state: _CallState, outcome: Outcome) -> None:
+        self._release_attempt(state)
         if state.outcome is not None:
             return
         state.outcome = outcome
@@ -191,14 +242,20 @@
         if connection is not None:
             self._reply(key, outcome, connection)
         if state.idempotent and connection is not None:
-            kind = OutcomeKind.FAILED  # keep no body; the request may run again
-            state.outcome = Outcome(kind, reason="the answer was lost on its way")
+            state.outcome = LOST  # keep no body; the request may run again
         self._ended_ms_by_key[key] = self.clock.now_ms()
 
+    def _release_attempt(self, state: _CallState) -> None:
+        self.memory.add(Part.ATTEMPTS, -state.n_attempt_bytes)
+        state.n_attempt_bytes = 0
+
     def _reply(
         self, key: _CallKey, outcome: Outcome, connection: "PeerConnection"
     ) -> None:
         runner = self._runner
+        n_bytes = len(outcome.body)
+        if n_bytes > SMALL_BYTES and not self.memory.make_room(Need(n_bytes, n_bytes)):
+            outcome = Outcome(OutcomeKind.FAILED, reason=OUT_OF_MEMORY)
         connection.send(Reply(key.stream, outcome, runner.load(), runner.vm_pace()))
 
 
@@ -207,7 +264,10 @@
 
     def __init__(self, calls: PeerCalls) -> None:
         self._calls = calls
-        self._reader = FrameReader(self._receive)
+        self._reader = FrameReader(
+            self._receive, self._refuse_dropped, calls.memory, self._pause_reading
+        )
+        self._unsent = UnsentBytes(calls.memory)
         self._transport: asyncio.Transport | None = None
         self._hello: Hello | None = None
 
@@ -230,13 +290,36 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark the calls of this connection as orphaned."""
+        self._reader.close()
+        self._unsent.count(0)
         self._calls.config_replies.forget(self)
         self._calls.on_disconnected(self)
 
+    def pause_writing(self) -> None:
+        """Count what the other node does not take at once."""
+        self._calls.unsent.add(self)
+        self.count_unsent()
+
+    def resume_writing(self) -> None:
+        """Count no more, since the other node has taken nearly all."""
+        self._calls.unsent.discard(self)
+        self._unsent.count(0)
+
+    def count_unsent(self) -> None:
+        """Count what the transport holds now."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._unsent.count(self._transport.get_write_buffer_size())
+
     def send(self, frame: Frame) -> None:
         """Send a frame, unless the connection is closing."""
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.writelines(encode_parts(frame))
+            parts = encode_parts(frame)
+            if len(parts) > 1:
+                self.count_unsent()  # forgets earlier writes if all of them are sent
+                self._unsent.note_large(sum(map(len, parts)))
+            self._transport.writelines(parts)
+            if self in self._calls.unsent:
+                self.count_unsent()
 
     def close(self) -> None:
         """Close the connection immediately."""
@@ -264,6 +347,16 @@
         elif isinstance(frame, Recover):
             self._calls.recover(self._key(frame.stream), self)
 
+    def _pause_reading(self) -> None:
+        if self._transport is not None:
+            pause_reading(self._transport, CLOSING_S)
+
+    def _refuse_dropped(self, frame: DroppedCall | DroppedReply) -> None:
+        if self._hello is None:
+            raise ValueError("received a frame before the hello")
+        if isinstance(frame, DroppedCall):
+            self._calls.refuse(self._key(frame.stream), self)
+
     def _key(self, stream: int) -> _CallKey:
         assert self._hello is not None
         return _CallKey(self._hello.node, self._hello.incarnation, stream)
