Let kept outcomes give way when memory is short

A node that answered other nodes with long answers to requests that run once took over its memory, though all answers had been delivered.

Cause: each such outcome is kept whole for 6 s, in case its link was lost, whatever the sum of them is.

Kept outcomes count, and are the first to give way, the oldest before the others. A calling node whose link is lost then gets "failed", so that its caller hears 502, which promises nothing; the request is not run again.

--- a/packages/mesh/ibisspoke_mesh/memory_budget.py
+++ b/packages/mesh/ibisspoke_mesh/memory_budget.py
@@ -30,6 +30,7 @@
     CLOSING = "closing"  # unread answers of callers that were cut off
     PEER_FRAMES = "peer_frames"  # of other nodes, not received whole yet
     UNSENT = "unsent"  # frames that other nodes have not taken
+    KEPT_OUTCOMES = "kept_outcomes"  # in case their link is lost
 
 
 class Reclaimer(Protocol):
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -80,6 +80,7 @@
 
     :ivar outcome: set when it has ended, and also for a call that must not start.
     :ivar n_attempt_bytes: size of the attempt while the upstream may still get it.
+    :ivar n_kept_bytes: size of the outcome while it is kept.
     """
 
     __slots__ = (
@@ -87,6 +88,7 @@
         "connection",
         "idempotent",
         "n_attempt_bytes",
+        "n_kept_bytes",
         "number",
         "outcome",
     )
@@ -98,6 +100,7 @@
         self.idempotent = True
         self.changed_ms = changed_ms
         self.n_attempt_bytes = 0
+        self.n_kept_bytes = 0
 
 
 class PeerCalls:
@@ -121,6 +124,7 @@
     ) -> None:
         self.own = own
         self.memory = memory
+        memory.reclaimers.append(self)
         self.clock = clock
         self.log = log
         self.config_replies = config_replies
@@ -129,6 +133,7 @@
         self._calls_by_key: dict[_CallKey, _CallState] = {}
         self._orphans: dict[_CallKey, _CallState] = {}
         self._ended_ms_by_key: OrderedDict[_CallKey, float] = OrderedDict()
+        self._kept: OrderedDict[_CallKey, _CallState] = OrderedDict()
         self.connections: set[PeerConnection] = set()
         self.unsent: set[PeerConnection] = set()
 
@@ -166,6 +171,17 @@
         )
         self._reply(key, outcome, connection)
 
+    def reclaim(self, budget: MemoryBudget, need: Need) -> None:
+        """Forget kept outcomes, the oldest first.
+
+        The caller is told that its request may have run if the link is lost then.
+        """
+        while self._kept and not budget.will_fit(need):
+            _, state = self._kept.popitem(last=False)
+            budget.add(Part.KEPT_OUTCOMES, -state.n_kept_bytes)
+            state.n_kept_bytes = 0
+            state.outcome = LOST
+
     def cancel(self, key: _CallKey) -> None:
         """Cancel a call.
 
@@ -221,6 +237,9 @@
                 break
             del self._ended_ms_by_key[key]
             self._calls_by_key.pop(key, None)
+            kept = self._kept.pop(key, None)
+            if kept is not None:
+                self.memory.add(Part.KEPT_OUTCOMES, -kept.n_kept_bytes)
         for connection in self.unsent:
             connection.count_unsent()
 
@@ -243,8 +262,19 @@
             self._reply(key, outcome, connection)
         if state.idempotent and connection is not None:
             state.outcome = LOST  # keep no body; the request may run again
+        else:
+            self._keep(key, state, outcome)
         self._ended_ms_by_key[key] = self.clock.now_ms()
 
+    def _keep(self, key: _CallKey, state: _CallState, outcome: Outcome) -> None:
+        """Count an outcome that is kept in case its link is lost."""
+        if outcome.body:
+            state.n_kept_bytes = len(outcome.body) + len(outcome.headers)
+            self._kept[key] = state
+            self.memory.add(Part.KEPT_OUTCOMES, state.n_kept_bytes)
+            if self.memory.is_full:
+                self.reclaim(self.memory, Need(0, SMALL_BYTES + 1))
+
     def _release_attempt(self, state: _CallState) -> None:
         self.memory.add(Part.ATTEMPTS, -state.n_attempt_bytes)
         state.n_attempt_bytes = 0
