--- a/packages/mesh/ibisspoke_mesh/caller_server.py
+++ b/packages/mesh/ibisspoke_mesh/caller_server.py
@@ -131,8 +131,9 @@
             self._state.parsing.add(self)
 
     def _drop_unparsed(self) -> None:
-        self._memory.add(Part.INPUT, -len(self._unparsed))
-        self._unparsed, self._n_parsed = b"", 0
+        if self._unparsed:
+            self._memory.add(Part.INPUT, -len(self._unparsed))
+            self._unparsed, self._n_parsed = b"", 0
 
     def parse_slice(self) -> bool:
         """Parse a part of the input, and return whether to go on with it later."""
@@ -256,7 +257,8 @@
             self._start_next()
 
     def _forget(self, read: ReadRequest) -> None:
-        self._memory.add(Part.BODIES, -len(read.request.body))
+        if read.request.body:
+            self._memory.add(Part.BODIES, -len(read.request.body))
         self._memory.add(Part.INPUT, -read.n_head_bytes)
 
     def _start_next(self) -> None:
--- a/packages/mesh/ibisspoke_mesh/memory_budget.py
+++ b/packages/mesh/ibisspoke_mesh/memory_budget.py
@@ -1,6 +1,6 @@
 """One bound on what a process holds in memory for others, counted by part."""
 
-from enum import StrEnum
+from enum import IntEnum
 from typing import NamedTuple, Protocol
 
 from .settings import DEFAULT_MEMORY_MB
@@ -16,21 +16,26 @@
 PEAK_STEP_BYTES = 1024 * 1024  # by which a peak must grow to be recorded again
 
 
-class Part(StrEnum):
-    """What memory is held for."""
+class Part(IntEnum):
+    """What memory is held for; an index, since it is used several times a request."""
 
-    CONNECTIONS = "connections"  # of callers, whatever they send
-    INPUT = "input"  # heads and unparsed bytes of callers
-    KERNEL = "kernel"  # receive buffers of callers that nothing is read from now
-    BODIES = "bodies"  # of callers' requests that are read or handled
-    ATTEMPTS = "attempts"  # for other nodes, or for callers that have left
-    UPSTREAM_ANSWERS = "upstream_answers"  # of the upstream, not read whole yet
-    ANSWERS = "answers"  # whole, on their way to the caller's connection
-    UNREAD = "unread"  # answers that callers have not taken
-    CLOSING = "closing"  # unread answers of callers that were cut off
-    PEER_FRAMES = "peer_frames"  # of other nodes, not received whole yet
-    UNSENT = "unsent"  # frames that other nodes have not taken
-    KEPT_OUTCOMES = "kept_outcomes"  # in case their link is lost
+    CONNECTIONS = 0  # of callers, whatever they send
+    INPUT = 1  # heads and unparsed bytes of callers
+    KERNEL = 2  # receive buffers of callers that nothing is read from now
+    BODIES = 3  # of callers' requests that are read or handled
+    ATTEMPTS = 4  # for other nodes, or for callers that have left
+    UPSTREAM_ANSWERS = 5  # of the upstream, not read whole yet
+    ANSWERS = 6  # whole, on their way to the caller's connection
+    UNREAD = 7  # answers that callers have not taken
+    CLOSING = 8  # unread answers of callers that were cut off
+    PEER_FRAMES = 9  # of other nodes, not received whole yet
+    UNSENT = 10  # frames that other nodes have not taken
+    KEPT_OUTCOMES = 11  # in case their link is lost
+
+    @property
+    def label(self) -> str:
+        """Name in metrics."""
+        return self.name.lower()
 
 
 class Reclaimer(Protocol):
@@ -75,8 +80,8 @@
 
     def __init__(self, memory_bytes: float = DEFAULT_MEMORY_MB * MB) -> None:
         self.n_held_bytes = 0
-        self.n_bytes_by_part: dict[Part, int] = dict.fromkeys(Part, 0)
-        self.peak_bytes_by_part = dict(self.n_bytes_by_part)
+        self.n_bytes_by_part = [0] * len(Part)
+        self.peak_bytes_by_part = list(self.n_bytes_by_part)
         self.reclaimers: list[Reclaimer] = []
         self._n_next_peak_bytes = PEAK_STEP_BYTES
         self.set_memory(memory_bytes)
@@ -110,7 +115,7 @@
         self.n_held_bytes += n_bytes
         if self.n_held_bytes > self._n_next_peak_bytes:
             self._n_next_peak_bytes = self.n_held_bytes + PEAK_STEP_BYTES
-            self.peak_bytes_by_part = dict(self.n_bytes_by_part)
+            self.peak_bytes_by_part = list(self.n_bytes_by_part)
 
     def fits(self, need: Need) -> bool:
         """Return whether memory can be taken now."""
--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -53,11 +53,11 @@
     "memory_held_bytes": "What this process holds for others.",
     "memory_limit_bytes": "How much of it there may be.",
     **{
-        f"memory_{part}_bytes": f"Part of it that is {part.replace('_', ' ')}."
+        f"memory_{part.label}_bytes": f"Part of it: {part.label.replace('_', ' ')}."
         for part in Part
     },
     **{
-        f"memory_peak_{part}_bytes": "The same when all parts together were largest."
+        f"memory_peak_{part.label}_bytes": "The same when all together was largest."
         for part in Part
     },
     "caller_parsing": "Connections whose costly input waits to be parsed.",
--- a/packages/mesh/ibisspoke_mesh/node_gauges.py
+++ b/packages/mesh/ibisspoke_mesh/node_gauges.py
@@ -4,6 +4,8 @@
 
 from ibisspoke_policy.upstream_tracker import UpstreamState
 
+from .memory_budget import Part
+
 if TYPE_CHECKING:
     from .node import Node
 
@@ -49,12 +51,12 @@
         "memory_held_bytes": node.memory.n_held_bytes,
         "memory_limit_bytes": node.memory.max_bytes,
         **{
-            f"memory_{part}_bytes": n_bytes
-            for part, n_bytes in node.memory.n_bytes_by_part.items()
+            f"memory_{part.label}_bytes": node.memory.n_bytes_by_part[part]
+            for part in Part
         },
         **{
-            f"memory_peak_{part}_bytes": n_bytes
-            for part, n_bytes in node.memory.peak_bytes_by_part.items()
+            f"memory_peak_{part.label}_bytes": node.memory.peak_bytes_by_part[part]
+            for part in Part
         },
         "caller_parsing": len(node.parsing),
         "caller_requests": node.callers.n_active,
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -217,7 +217,8 @@
             raise
         finally:
             self._pending.pop(stream, None)
-            self.memory.add(Part.ANSWERS, -pending.n_answer_bytes)
+            if pending.n_answer_bytes:
+                self.memory.add(Part.ANSWERS, -pending.n_answer_bytes)
             if len(attempt.body) >= MIN_APART_BYTES:
                 self._unsent.note_large(len(attempt.body))
                 self._count_unsent()
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -147,8 +147,7 @@
         if key in self._calls_by_key:
             return
         n_bytes = len(attempt.body) + len(attempt.head) + CALL_BYTES
-        need = Need(n_bytes, n_bytes)
-        if not self.memory.fits(need) and not self.memory.make_room(need):
+        if self.memory.is_full and not self.memory.make_room(Need(n_bytes, n_bytes)):
             self.refuse(key, connection)
             return
         state = _CallState(connection, self.clock.now_ms())
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -271,7 +271,8 @@
                 n_answer_bytes = len(outcome.body)
                 self._memory.add(Part.ANSWERS, n_answer_bytes)
                 ended.set_result(outcome)
-            self._memory.add(Part.ATTEMPTS, -n_left_bytes)
+            if n_left_bytes:
+                self._memory.add(Part.ATTEMPTS, -n_left_bytes)
 
         number = self._dispatcher.submit(attempt, on_outcome)
         try:
--- a/packages/mesh/ibisspoke_mesh/request_reader.py
+++ b/packages/mesh/ibisspoke_mesh/request_reader.py
@@ -323,6 +323,8 @@
             raise RejectedError(503, "out of memory")
 
     def _set_counted(self, n_body: int, n_input: int) -> None:
-        self._memory.add(Part.BODIES, n_body - self._n_body_counted)
-        self._memory.add(Part.INPUT, n_input - self._n_input_counted)
+        if n_body != self._n_body_counted:
+            self._memory.add(Part.BODIES, n_body - self._n_body_counted)
+        if n_input != self._n_input_counted:
+            self._memory.add(Part.INPUT, n_input - self._n_input_counted)
         self._n_body_counted, self._n_input_counted = n_body, n_input
