Count only what is worth it on the path of small requests

An answer that came in one read, a small answer on its way to its connection and a small kept outcome are gone or known to be bounded by their number; counting them took a processor time that ordinary callers would have paid.

--- a/packages/mesh/ibisspoke_mesh/body_parts.py
+++ b/packages/mesh/ibisspoke_mesh/body_parts.py
@@ -51,7 +51,8 @@
     def clear(self) -> None:
         """Forget all parts."""
         self.staged.clear()
-        self._joined = bytearray()
+        if self._joined:
+            self._joined = bytearray()
 
     def _join_staged(self) -> None:
         if len(self.staged) > MAX_PARTS:
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -32,7 +32,7 @@
     encode_frame,
     encode_parts,
 )
-from .memory_budget import CLOSING_S, MemoryBudget, Part, UnsentBytes
+from .memory_budget import CLOSING_S, SMALL_BYTES, MemoryBudget, Part, UnsentBytes
 from .sockets import enable_liveness_checks, pause_reading
 
 CONNECT_TIMEOUT_MS = 600  # about 15 round trips of the slowest link
@@ -61,7 +61,7 @@
     """A call without an outcome, or whose outcome was not taken yet.
 
     :ivar n_sent_bytes: size of the attempt's body, which the caller's request holds.
-    :ivar n_answer_bytes: size of the answer's body.
+    :ivar n_answer_bytes: size of the answer's body if it is large.
     """
 
     __slots__ = ("ended", "incarnation", "lost_ms", "n_answer_bytes", "n_sent_bytes")
@@ -263,8 +263,9 @@
             self._on_load(frame.load, frame.vm_pace)
             pending = self._pending.get(frame.stream)
             if pending is not None and not pending.ended.done():
-                pending.n_answer_bytes = len(frame.outcome.body)
-                self.memory.add(Part.ANSWERS, pending.n_answer_bytes)
+                if len(frame.outcome.body) > SMALL_BYTES:
+                    pending.n_answer_bytes = len(frame.outcome.body)
+                    self.memory.add(Part.ANSWERS, pending.n_answer_bytes)
                 pending.ended.set_result(_checked(frame.outcome))
         elif isinstance(frame, RateReply):
             answered = self._rate_answers.get(frame.stream)
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -46,6 +46,7 @@
 RETRY_AFTER_MS = 100.0
 OUT_OF_MEMORY_RETRY_MS = 500.0  # by then most of what took the memory has ended
 OUT_OF_MEMORY = "the node is out of memory"
+SMALL_OUTCOME_BYTES = 1_024  # kept for its time, whatever else is held
 CALL_BYTES = 1_000  # that a call takes beside its head and body, until it is forgotten
 
 
@@ -267,7 +268,7 @@
 
     def _keep(self, key: _CallKey, state: _CallState, outcome: Outcome) -> None:
         """Count an outcome that is kept in case its link is lost."""
-        if outcome.body:
+        if len(outcome.body) > SMALL_OUTCOME_BYTES:
             state.n_kept_bytes = len(outcome.body) + len(outcome.headers)
             self._kept[key] = state
             self.memory.add(Part.KEPT_OUTCOMES, state.n_kept_bytes)
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -21,7 +21,7 @@
 from .frames import Attempt, Outcome, OutcomeKind
 from .hedged_attempt import hedged
 from .member_record import MemberRecord
-from .memory_budget import MemoryBudget, Part
+from .memory_budget import SMALL_BYTES, MemoryBudget, Part
 from .metrics import NodeMetrics
 from .rate_homes import RateHomes
 from .request_admission import (
@@ -268,8 +268,9 @@
         def on_outcome(outcome: Outcome) -> None:
             nonlocal n_answer_bytes
             if not ended.done():
-                n_answer_bytes = len(outcome.body)
-                self._memory.add(Part.ANSWERS, n_answer_bytes)
+                if len(outcome.body) > SMALL_BYTES:
+                    n_answer_bytes = len(outcome.body)
+                    self._memory.add(Part.ANSWERS, n_answer_bytes)
                 ended.set_result(outcome)
             if n_left_bytes:
                 self._memory.add(Part.ATTEMPTS, -n_left_bytes)
@@ -285,7 +286,8 @@
                 self._memory.add(Part.ATTEMPTS, n_left_bytes)
             raise
         finally:
-            self._memory.add(Part.ANSWERS, -n_answer_bytes)
+            if n_answer_bytes:
+                self._memory.add(Part.ANSWERS, -n_answer_bytes)
 
     def _rank(self, admitted: AdmittedRequest) -> tuple[int, int]:
         """Return the queue rank of a request; lower ranks run first.
--- a/packages/mesh/ibisspoke_mesh/upstream_pool.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pool.py
@@ -101,7 +101,7 @@
         self._size = AnswerSize()
         self._body = BodyParts()
         self._unsent = UnsentBytes(pool.memory)
-        self.n_buffered_bytes = 0
+        self.n_buffered_bytes = self._n_counted = 0
         self.idle_until_ms = 0.0
         self._reset_response()
 
@@ -158,6 +158,8 @@
             self._fail(excess)
         else:
             self._body.count()  # joins parts if they are many or large
+            self._pool.count_buffered(self.n_buffered_bytes - self._n_counted)
+            self._n_counted = self.n_buffered_bytes
             self._pool.limit_buffered_bytes(self)
 
     def pause_reading(self) -> None:
@@ -256,7 +258,6 @@
             self._size.add_body(len(body))
             self._body.staged.append(body)
             self.n_buffered_bytes += len(body)
-            self._pool.count_buffered(len(body))
 
     def on_message_complete(self) -> None:
         """Complete the response if it belongs to the current request."""
@@ -279,9 +280,10 @@
 
     def _drop_body(self) -> None:
         self._body.clear()
-        if self.n_buffered_bytes:
-            self._pool.count_buffered(-self.n_buffered_bytes)
-            self.n_buffered_bytes = 0
+        self.n_buffered_bytes = 0
+        if self._n_counted:  # not of an answer that came whole
+            self._pool.count_buffered(-self._n_counted)
+            self._n_counted = 0
 
     def _reset_response(self) -> None:
         self._status = 0
