--- a/packages/mesh/tests/test_frames.py
+++ b/packages/mesh/tests/test_frames.py
@@ -7,6 +7,9 @@
     MIN_APART_BYTES,
     Attempt,
     Call,
+    ConfigReply,
+    DroppedCall,
+    DroppedReply,
     Frame,
     FrameReader,
     Outcome,
@@ -16,6 +19,7 @@
     encode_frame,
     encode_parts,
 )
+from ibisspoke_mesh.memory_budget import MemoryBudget, Part
 from ibisspoke_policy.call_trees import UNKNOWN_CALLS
 from ibisspoke_policy.upstream_queue import Load
 
@@ -95,3 +99,57 @@
     assert earlier.load == Load(1, 2, 3, 4.0, 0.5, (("r", 0.25),))
     assert decode(encode(earlier), type=Reply).vm_pace == 0.0
     assert len(Load._fields) == 6
+
+
+def _feed(reader: FrameReader, data: bytes, n_bytes: int) -> None:
+    for start in range(0, len(data), n_bytes):
+        reader.feed(data[start : start + n_bytes])
+
+
+@pytest.mark.parametrize("n_bytes", [1_000, 65_536, 200_000])
+@pytest.mark.parametrize("frame_of", [call, reply])
+def test_large_frames_in_pieces_are_the_frames(frame_of, n_bytes):
+    memory = MemoryBudget()
+    frames: list[Frame] = []
+    sent = [Ping(), frame_of(bytes(range(250)) * 2_000), Ping(), frame_of(b"small")]
+    data = b"".join(map(encode_frame, sent))
+    _feed(FrameReader(frames.append, memory=memory), data, n_bytes)
+    assert frames == sent
+    assert memory.n_held_bytes == 0
+
+
+def test_a_large_frame_counts_as_soon_as_its_size_is_known():
+    memory = MemoryBudget()
+    reader = FrameReader(lambda _: None, memory=memory)
+    data = encode_frame(call(bytes(1_000_000)))
+    reader.feed(data[:100])
+    assert memory.n_bytes_by_part[Part.PEER_FRAMES] == len(data)
+    reader.close()
+    assert memory.n_held_bytes == 0
+
+
+@pytest.mark.parametrize("stream", [7, 127, 128, 70_000, 2**33])
+@pytest.mark.parametrize(
+    "frame_of, dropped_of", [(call, DroppedCall), (reply, DroppedReply)]
+)
+def test_a_large_frame_without_room_is_dropped(frame_of, dropped_of, stream):
+    # Guards against frames of other nodes that together take the memory of a node.
+    memory = MemoryBudget()
+    memory.set_max_bytes(1_000_000)
+    frames: list[Frame] = []
+    dropped: list[DroppedCall | DroppedReply] = []
+    reader = FrameReader(frames.append, dropped.append, memory)
+    large = msgspec.structs.replace(frame_of(bytes(2_000_000)), stream=stream)
+    _feed(reader, encode_frame(large) + encode_frame(Ping()), 65_536)
+    assert dropped == [dropped_of(stream)]
+    assert frames == [Ping()]
+    assert memory.n_held_bytes == 0
+
+
+def test_a_large_configuration_is_kept_whatever_is_held():
+    memory = MemoryBudget()
+    memory.set_max_bytes(0)
+    frames: list[Frame] = []
+    config = ConfigReply(3, 4, bytes(500_000))
+    _feed(FrameReader(frames.append, memory=memory), encode_frame(config), 65_536)
+    assert frames == [config]
--- a/tests/fleet/test_program.py
+++ b/tests/fleet/test_program.py
@@ -25,6 +25,7 @@
 )
 
 from ibisspoke_adapter.configuration import CONFIG_KEY, CONFIG_TABLE
+from ibisspoke_adapter.settings import parse_platform_settings
 from ibisspoke_mesh.http_client import HttpClient, HttpError
 from ibisspoke_mesh.settings import load_settings, parse_settings
 from ibisspoke_standins.fleet_upstream import FleetUpstream
@@ -201,6 +202,32 @@
     assert "true or false" in str(fault)
 
 
+def test_the_memory_of_the_vm_is_optional_and_checked():
+    assert parse_settings("node.toml", SETTINGS).ok_value.memory_mb == 200
+    text = SETTINGS + "\n[limits]\nmemory_mb = "
+    assert parse_settings("node.toml", f"{text}552").ok_value.memory_mb == 552
+    for value in ("10", '"much"'):
+        (fault,) = parse_settings("node.toml", text + value).err_value
+        assert "limits.memory_mb" in str(fault)
+
+
+@pytest.mark.parametrize(
+    "limits, memory_mb",
+    [('{"memoryMb": 552, "maxFds": 4100}', 552), ("{}", 200), ("null", 200), ("", 200)],
+)
+def test_the_memory_of_the_vm_comes_from_the_limits_of_the_platform(limits, memory_mb):
+    text = f"{SETTINGS}\n[platform]\nlimits = '{limits}'\n"
+    settings = parse_platform_settings("node.toml", text).ok_value
+    assert settings.memory_mb == memory_mb
+
+
+@pytest.mark.parametrize("limits", ["{", "[]", '{"memoryMb": "much"}'])
+def test_limits_that_cannot_be_read_are_an_error_of_the_settings(limits):
+    text = f"{SETTINGS}\n[platform]\nlimits = '{limits}'\n"
+    (fault,) = parse_platform_settings("node.toml", text).err_value
+    assert fault.place == "platform.limits"
+
+
 def test_the_limit_on_descriptors_is_optional_and_checked():
     assert parse_settings("node.toml", SETTINGS).ok_value.max_descriptors == 4_100
     text = SETTINGS + "\n[limits]\nmax_descriptors = "
