Count replies until their transport frees them, and measure memory by part

In five runs of test_long_answers_of_another_node_are_bounded beside other load, the node that answers the others took 85 to 123 MB of 120, over the bound in two.

Cause: a transport joins what is written in one iteration of the event loop, and frees it when all of that is sent; the count held only the largest write whole. Several replies of 4 MB are often written in one iteration.

The upstreams of these tests now send heartbeats as those of the platform do: without them a node that failed to connect once, since the test's loop was busy for 500 ms, refused all later requests, and two of nine runs of the test above failed so or by the cause above.

--- a/packages/mesh/ibisspoke_mesh/memory_budget.py
+++ b/packages/mesh/ibisspoke_mesh/memory_budget.py
@@ -1,5 +1,7 @@
 """One bound on what a process holds in memory for others, counted by part."""
 
+import asyncio
+from collections import deque
 from enum import IntEnum
 from typing import NamedTuple, Protocol
 
@@ -143,25 +145,36 @@
 class UnsentBytes:
     """Counts what one connection's transport holds until its peer takes it.
 
-    A transport releases what was written only when all of it is sent, so that the
-    largest write counts whole until nothing is left.
+    A transport joins what is written in one iteration of the event loop, and releases
+    it when all of that is sent.
     """
 
-    __slots__ = ("_memory", "_n_largest", "n_bytes")
+    __slots__ = ("_batches", "_is_batch_open", "_memory", "n_bytes")
 
     def __init__(self, memory: MemoryBudget) -> None:
         self._memory = memory
-        self._n_largest = 0
+        self._batches: deque[int] = deque()
+        self._is_batch_open = False
         self.n_bytes = 0
 
     def note_large(self, n_bytes: int) -> None:
-        """Note the size of a large write."""
-        self._n_largest = max(self._n_largest, n_bytes)
+        """Note the size of a large write, before it is written."""
+        if self._is_batch_open and self._batches:
+            self._batches[-1] += n_bytes
+            return
+        self._batches.append(n_bytes)
+        if not self._is_batch_open:
+            self._is_batch_open = True
+            asyncio.get_running_loop().call_soon(self._end_batch)
+
+    def _end_batch(self) -> None:
+        self._is_batch_open = False
 
     def count(self, n_unsent: int) -> None:
         """Count what the transport holds, by what it has not sent yet."""
-        if n_unsent <= 0:
-            n_unsent = self._n_largest = 0
-        n_held = n_unsent + self._n_largest
+        n_held = sum(self._batches)
+        while self._batches and n_held - self._batches[0] >= n_unsent:
+            n_held -= self._batches.popleft()
+        n_held = max(n_held, n_unsent, 0)
         self._memory.add(Part.UNSENT, n_held - self.n_bytes)
         self.n_bytes = n_held
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -345,7 +345,7 @@
         if self._transport is not None and not self._transport.is_closing():
             parts = encode_parts(frame)
             if len(parts) > 1:
-                self.count_unsent()  # forgets earlier writes if all of them are sent
+                self.count_unsent()  # forgets earlier writes that are sent
                 self._unsent.note_large(sum(map(len, parts)))
             self._transport.writelines(parts)
             if self in self._calls.unsent:
--- a/packages/mesh/ibisspoke_mesh/upstream_pool.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pool.py
@@ -316,7 +316,8 @@
         assert self._transport is not None
         if not reusable or self._transport.get_write_buffer_size():
             self._is_closed_here = True
-            self._unsent.note_large(len(request.body) if request is not None else 0)
+            if request is not None:
+                self._unsent.note_large(len(request.body))
             self._unsent.count(self._transport.get_write_buffer_size())
             self._transport.close()  # once the rest of the request has been written
         elif self.is_open:
--- a/packages/mesh/tests/test_memory_budget.py
+++ b/packages/mesh/tests/test_memory_budget.py
@@ -1,5 +1,6 @@
 """The bound on what a process holds, and calls of other nodes that it limits."""
 
+import asyncio
 from collections.abc import Callable
 
 import pytest
@@ -96,15 +97,18 @@
     assert not memory.make_room(Need(1_000, 1_000))
 
 
-def test_the_largest_write_counts_until_all_is_sent():
+async def test_what_was_written_at_once_counts_until_all_of_it_is_sent():
     memory = MemoryBudget()
     unsent = UnsentBytes(memory)
+    counted = []
     unsent.note_large(1_000)
-    unsent.count(300)
-    assert memory.n_bytes_by_part[Part.UNSENT] == 1_300
-    unsent.count(0)
-    unsent.count(200)
-    assert memory.n_bytes_by_part[Part.UNSENT] == 200
+    unsent.note_large(2_000)
+    await asyncio.sleep(0)
+    unsent.note_large(500)
+    for n_unsent in (3_500, 501, 500, 1, 0, 200):
+        unsent.count(n_unsent)
+        counted.append(memory.n_bytes_by_part[Part.UNSENT])
+    assert counted == [3_500, 3_500, 500, 500, 0, 200]
 
 
 def test_attempts_count_until_they_end(server):
--- a/tests/fleet/program_harness.py
+++ b/tests/fleet/program_harness.py
@@ -1,15 +1,18 @@
 """Nodes as processes, with their upstreams, and crowds of callers that press them."""
 
 import asyncio
+import json
 import os
 import socket
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
+from urllib.request import urlopen
 
 from fleet_harness import (
     CALLERS,
     CONTROL,
+    METRICS,
     UPSTREAM,
     Response,
     call,
@@ -19,8 +22,10 @@
 
 from ibisspoke_standins.fleet_upstream import FleetUpstream
 
+REPORT_VARIABLE = "IBISSPOKE_MEMORY_REPORT"  # see benchmarks/memory_parts.py
 PRESSED_S = 60.0  # a crowd that is neither done nor cut off by then is left as it is
 SERVED_S = 40.0  # beyond each time limit of the node for what callers leave behind
+HEARTBEAT_S = 1.5  # between two heartbeats of an upstream, as on the users' platform
 PATIENCE_S = 5.0  # of an ordinary caller, as in the requests of the users' sites
 
 
@@ -34,6 +39,7 @@
         self.process = process
         self.upstream = upstream
         self.host = upstream.address[0]
+        self.start_resident_bytes = self.peak_resident_bytes
 
     @property
     def n_descriptors(self) -> int:
@@ -53,6 +59,33 @@
         assert peak_bytes < max_bytes, f"{self.host} took {peak_bytes / 1e6:.0f} MB"
         assert n_descriptors < max_descriptors
 
+    def report(self) -> None:
+        """Append what the memory was made of when it was largest, in MB, by part.
+
+        Only where the environment names a file for it.
+        """
+        path = os.environ.get(REPORT_VARIABLE)
+        if path is None:
+            return
+        with urlopen(f"http://{self.host}:{METRICS}/metrics") as response:
+            lines = response.read().decode().splitlines()
+        prefix, suffix = "ibisspoke_memory_peak_", "_bytes"
+        parts = {}
+        for line in lines:
+            if line.startswith(prefix):
+                name, value = line.split()
+                part = name.removeprefix(prefix).removesuffix(suffix)
+                parts[part] = round(float(value) / 1e6, 1)
+        entry = {
+            "test": os.environ.get("PYTEST_CURRENT_TEST", "").split("::")[-1],
+            "process": self.host.split(".")[-1],
+            "start_mb": round(self.start_resident_bytes / 1e6),
+            "peak_mb": round(self.peak_resident_bytes / 1e6),
+            "parts_mb": {part: n for part, n in parts.items() if n},
+        }
+        with Path(path).open("a") as report:
+            report.write(json.dumps(entry) + "\n")
+
 
 @asynccontextmanager
 async def running_machine(
@@ -79,7 +112,9 @@
             async with asyncio.timeout(15):
                 while await upstream.announce() != 200:
                     await asyncio.sleep(0.05)
+            heartbeats = asyncio.ensure_future(_send_heartbeats(upstream))
             yield Machine(process, upstream)
+            heartbeats.cancel()
             log.cancel()
     finally:
         await upstream.stop()
@@ -90,6 +125,13 @@
         pass
 
 
+async def _send_heartbeats(upstream: FleetUpstream) -> None:
+    # A node that cannot connect to its upstream waits until it hears of it again.
+    while True:
+        await asyncio.sleep(HEARTBEAT_S)
+        await upstream.announce()
+
+
 async def until_served(host: str, path: str) -> Response:
     """Repeat an ordinary request until it is served, as its caller would."""
     async with asyncio.timeout(SERVED_S):
--- a/tests/fleet/test_memory_bound.py
+++ b/tests/fleet/test_memory_bound.py
@@ -112,6 +112,8 @@
         tmp_path, request.param, MEMORY_MB, BODY_BYTES
     ) as running:
         yield running
+        for machine in running:
+            machine.report()
 
 
 alone = pytest.mark.parametrize("machines", [["shop"]], indirect=True, ids=["one"])
