Cut off an unread answer once, and share the harness of node processes

Refusing an upload writes a response, which may itself cut off unread answers while the list of those to cut off is walked; an entry that is gone by then is skipped. By reading; no test reached it. test_hostile_callers.py uses the processes of program_harness.py, with the same bounds.

--- a/packages/mesh/ibisspoke_mesh/caller_budget.py
+++ b/packages/mesh/ibisspoke_mesh/caller_budget.py
@@ -205,11 +205,7 @@
         self._uploads.pop(connection, None)
 
     def reclaim(self, budget: MemoryBudget, need: Need) -> None:
-        """Cut off callers that hold memory without progress, or more than others.
-
-        Small requests get it from unfinished ones that are as small, too, once nothing
-        else is left.
-        """
+        """Cut off callers that hold memory without progress, or more than others."""
         for connection, reason in self._yielding(need):
             if budget.will_fit(need):
                 return
@@ -221,12 +217,17 @@
                 connection.refuse(503, reason)
 
     def _yielding(self, need: Need) -> Iterator[tuple[BudgetedConnection, str]]:
-        """Return whom to cut off for a need, and why, the first one first."""
+        """Return whom to cut off for a need, and why, the first one first.
+
+        The last ones are for small needs only: unfinished requests that may be as
+        small.
+        """
         now_ms = self._clock.now_ms()
         yield from self._yielding_uploads(need, now_ms - SLOW_UPLOAD_MS)
         unread = sorted(self._unread.items(), key=lambda each: -each[1].n_bytes)
         for connection, answers in unread:
-            if answers.progress_ms <= now_ms - STALLED_MS:
+            is_stalled = answers.progress_ms <= now_ms - STALLED_MS
+            if is_stalled and connection in self._unread:
                 yield connection, UNREAD
         for connection, answers in unread[:-1] if need.is_answer else ():
             if answers.n_bytes >= need.n_holder_bytes and connection in self._unread:
@@ -312,7 +313,10 @@
 
     def _cut_off_unread(self, connection: BudgetedConnection) -> None:
         """Cut off unread answers, which stay counted until the transport frees them."""
-        n_bytes = self._unread[connection].n_bytes
+        unread = self._unread.get(connection)
+        if unread is None:
+            return
+        n_bytes = unread.n_bytes
         self.remove_unread(connection)
         self.memory.add(Part.CLOSING, n_bytes)
         self._closing[connection] = n_bytes
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -44,6 +44,7 @@
 # The same for the configuration: the node may have started at the same moment.
 CONFIG_RECONNECT_DELAY_MS = 50.0
 RETRY_AFTER_MS = 150.0
+OUT_OF_MEMORY = "the node is out of memory"  # reason of an outcome
 
 
 class NodeIncarnation(NamedTuple):
@@ -278,8 +279,7 @@
         """Fail a call whose answer there was no memory for."""
         pending = self._pending.get(frame.stream)
         if pending is not None and not pending.ended.done():
-            reason = "the node is out of memory"
-            pending.ended.set_result(Outcome(OutcomeKind.FAILED, reason=reason))
+            pending.ended.set_result(Outcome(OutcomeKind.FAILED, reason=OUT_OF_MEMORY))
 
     def on_closed(self, connection: _LinkProtocol, exc: Exception | None) -> None:
         """Handle the end of a connection."""
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -38,14 +38,13 @@
     Part,
     UnsentBytes,
 )
-from .peer_link import NodeIncarnation
+from .peer_link import OUT_OF_MEMORY, NodeIncarnation
 from .sockets import enable_liveness_checks, pause_reading
 
 ORPHAN_TIMEOUT_MS = 1_500.0  # until a call whose connection was lost is cancelled
 OUTCOME_RETENTION_MS = 6_000.0  # a reply may be lost with its connection
 RETRY_AFTER_MS = 100.0
 OUT_OF_MEMORY_RETRY_MS = 500.0  # by then most of what took the memory has ended
-OUT_OF_MEMORY = "the node is out of memory"
 SMALL_OUTCOME_BYTES = 1_024  # kept for its time, whatever else is held
 CALL_BYTES = 1_000  # that a call takes beside its head and body, until it is forgotten
 
--- a/packages/mesh/tests/test_memory_budget.py
+++ b/packages/mesh/tests/test_memory_budget.py
@@ -9,10 +9,9 @@
 from ibisspoke_mesh.decision_log import DecisionLog
 from ibisspoke_mesh.frames import Attempt, Outcome, OutcomeKind, Reply
 from ibisspoke_mesh.memory_budget import MB, MemoryBudget, Need, Part, UnsentBytes
-from ibisspoke_mesh.peer_link import NodeIncarnation
+from ibisspoke_mesh.peer_link import OUT_OF_MEMORY, NodeIncarnation
 from ibisspoke_mesh.peer_server import (
     LOST,
-    OUT_OF_MEMORY,
     OUTCOME_RETENTION_MS,
     PeerCalls,
     _CallKey,
--- a/tests/fleet/test_hostile_callers.py
+++ b/tests/fleet/test_hostile_callers.py
@@ -13,7 +13,6 @@
 import socket
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
-from pathlib import Path
 
 import pytest
 from fleet_harness import (
@@ -27,6 +26,7 @@
     running_store,
     until,
 )
+from program_harness import Machine
 from test_program import HOST, SETTINGS, STORE_HOST, running_program
 
 from ibisspoke_adapter.configuration import CONFIG_KEY, CONFIG_TABLE
@@ -84,32 +84,12 @@
 }
 
 
-class Program:
-    """A node's process, with its upstream.
-
-    :param process: as created by asyncio.
-    """
-
-    def __init__(self, process, upstream: FleetUpstream) -> None:
-        self.process = process
-        self.upstream = upstream
-
-    @property
-    def n_descriptors(self) -> int:
-        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
-
-    @property
-    def peak_resident_bytes(self) -> int:
-        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) * 1024
-        raise AssertionError("the process has ended")
+class Program(Machine):
+    """A node's process, with its upstream."""
 
     def check(self, max_descriptors: int = MAX_DESCRIPTORS) -> None:
         """Check that the process lives and has stayed within its bounds."""
-        assert self.process.returncode is None
-        assert self.peak_resident_bytes < MAX_RESIDENT_BYTES
-        assert self.n_descriptors < max_descriptors
+        super().check(MAX_RESIDENT_BYTES, max_descriptors)
 
 
 async def _answer(upstream, request, writer) -> bool:
