Fail the tests of crowds whose callers cannot connect

A caller that could not connect counted as one that was cut off, so that a crowd that never pressed the node would have passed. Callers that connect and are cut off are allowed as before.

--- a/tests/fleet/program_harness.py
+++ b/tests/fleet/program_harness.py
@@ -23,7 +23,7 @@
 from ibisspoke_standins.fleet_upstream import FleetUpstream
 
 REPORT_VARIABLE = "IBISSPOKE_MEMORY_REPORT"  # see benchmarks/memory_parts.py
-PRESSED_S = 60.0  # a crowd that is neither done nor cut off by then is left as it is
+PRESSED_S = 60.0  # for a crowd to send all of it
 SERVED_S = 40.0  # beyond each time limit of the node for what callers leave behind
 HEARTBEAT_S = 1.5  # between two heartbeats of an upstream, as on the users' platform
 PATIENCE_S = 5.0  # of an ordinary caller, as in the requests of the users' sites
@@ -145,12 +145,15 @@
 
 
 @asynccontextmanager
-async def crowd(host: str, sent: list[Iterable[bytes]]) -> AsyncIterator[None]:
+async def crowd(
+    host: str, sent: list[Iterable[bytes]], timeout_s: float = PRESSED_S
+) -> AsyncIterator[None]:
     """Open a connection for each caller, and keep them open without reading.
 
     The context begins when each caller has sent all its parts or was cut off.
 
     :param sent: the parts that each caller sends.
+    :param timeout_s: a crowd that is neither done nor cut off by then is left as it is.
     """
     callers = [socket.socket() for _ in sent]
     try:
@@ -158,9 +161,11 @@
             asyncio.ensure_future(_send(caller, host, parts))
             for caller, parts in zip(callers, sent, strict=True)
         ]
-        _, unfinished = await asyncio.wait(sending, timeout=PRESSED_S)
+        finished, unfinished = await asyncio.wait(sending, timeout=timeout_s)
         for task in unfinished:
             task.cancel()
+        for task in finished:
+            task.result()  # raises if a caller could not connect
         yield
     finally:
         for caller in callers:
@@ -170,8 +175,8 @@
 async def _send(caller: socket.socket, host: str, parts: Iterable[bytes]) -> None:
     loop = asyncio.get_running_loop()
     caller.setblocking(False)
+    await loop.sock_connect(caller, (host, CALLERS))
     with suppress(OSError):  # cut off
-        await loop.sock_connect(caller, (host, CALLERS))
         for part in parts:
             await loop.sock_sendall(caller, part)
             await asyncio.sleep(0)
@@ -194,6 +199,9 @@
     ]
     try:
         yield
+        for task in reading:
+            if task.done():
+                task.result()  # raises if a caller could not connect
     finally:
         for task in reading:
             task.cancel()
@@ -206,8 +214,8 @@
 ) -> None:
     loop = asyncio.get_running_loop()
     caller.setblocking(False)
-    with suppress(OSError):
-        await loop.sock_connect(caller, (host, CALLERS))
+    await loop.sock_connect(caller, (host, CALLERS))
+    with suppress(OSError):  # cut off
         await loop.sock_sendall(caller, request)
         while await loop.sock_recv(caller, n_bytes):
             await asyncio.sleep(0.1)
