Count what a link has not sent only when a caller gives up

Each large call that had ended counted the unsent bytes of its link, with a sum over all pending calls. The body of a call that ends with an outcome has been sent, and that of a pending one is counted with its caller's request, so only a call that is given up leaves a body in the transport that nobody else counts.

--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -215,14 +215,15 @@
             return await pending.ended
         except asyncio.CancelledError:
             self._send(Cancel(stream))
+            if pending.n_sent_bytes >= MIN_APART_BYTES:
+                pending.n_sent_bytes = 0  # the caller's request holds it no longer
+                self._unsent.note_large(len(attempt.body))
+                self._count_unsent()
             raise
         finally:
             self._pending.pop(stream, None)
             if pending.n_answer_bytes:
                 self.memory.add(Part.ANSWERS, -pending.n_answer_bytes)
-            if len(attempt.body) >= MIN_APART_BYTES:
-                self._unsent.note_large(len(attempt.body))
-                self._count_unsent()
 
     async def ask_rate(self, stream: int, organisation: str) -> bool | None:
         """Ask the node, as an organisation's home node, to admit a request.
