Simplify what the budget of memory asks of its users

Holders that let go know their budget, which need not be passed to them; the pause until closed transports are free has one time, beside the pause; a sum that only a test read is gone, and the test now checks every part.

--- a/packages/mesh/ibisspoke_mesh/caller_budget.py
+++ b/packages/mesh/ibisspoke_mesh/caller_budget.py
@@ -10,9 +10,10 @@
 from ibisspoke_policy.clock import Clock
 
 from .decision_log import DecisionLog
-from .memory_budget import CLOSING_S, SMALL_BYTES, MemoryBudget, Need, Part
+from .memory_budget import SMALL_BYTES, MemoryBudget, Need, Part
 from .metrics import Labels
 from .settings import DEFAULT_MAX_DESCRIPTORS
+from .sockets import CLOSING_S
 
 # An unfinished body that grew by less in this time gives way to others; callers are on
 # the same VM, where an upload takes milliseconds.
@@ -138,12 +139,6 @@
         """Size of the answers that callers have not taken yet."""
         return self.memory.n_bytes_by_part[Part.UNREAD]
 
-    @property
-    def n_held_bytes(self) -> int:
-        """Size of the bodies and answers of callers."""
-        held = self.memory.n_bytes_by_part
-        return held[Part.BODIES] + held[Part.UPSTREAM_ANSWERS] + held[Part.UNREAD]
-
     @property
     def has_room_for_input(self) -> bool:
         """Whether bytes may be kept until their turn to be parsed."""
@@ -204,10 +199,10 @@
         """Forget a body that was read whole, dropped or given up."""
         self._uploads.pop(connection, None)
 
-    def reclaim(self, budget: MemoryBudget, need: Need) -> None:
+    def reclaim(self, need: Need) -> None:
         """Cut off callers that hold memory without progress, or more than others."""
         for connection, reason in self._yielding(need):
-            if budget.will_fit(need):
+            if self.memory.will_fit(need):
                 return
             if connection is need.holder:
                 continue
--- a/packages/mesh/ibisspoke_mesh/memory_budget.py
+++ b/packages/mesh/ibisspoke_mesh/memory_budget.py
@@ -14,7 +14,6 @@
 MIN_HELD_BYTES = 16 * MB  # where the VM has hardly more than an idle process takes
 SMALL_SHARE = 1 / 15  # of the bound, which only small requests may take
 SMALL_BYTES = 64 * 1024  # a body or answer that counts as small
-CLOSING_S = 0.01  # until a closed transport has freed what it held
 PEAK_STEP_BYTES = 1024 * 1024  # by which a peak must grow to be recorded again
 
 
@@ -43,7 +42,7 @@
 class Reclaimer(Protocol):
     """A holder of memory that can let go of some."""
 
-    def reclaim(self, budget: "MemoryBudget", need: "Need") -> None:
+    def reclaim(self, need: "Need") -> None:
         """Release memory until the need is met, as far as others may be cut off."""
 
 
@@ -138,7 +137,7 @@
         for reclaimer in self.reclaimers:
             if self.will_fit(need):
                 break
-            reclaimer.reclaim(self, need)
+            reclaimer.reclaim(need)
         return self.fits(need)
 
 
--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -32,7 +32,7 @@
     encode_frame,
     encode_parts,
 )
-from .memory_budget import CLOSING_S, SMALL_BYTES, MemoryBudget, Part, UnsentBytes
+from .memory_budget import SMALL_BYTES, MemoryBudget, Part, UnsentBytes
 from .sockets import enable_liveness_checks, pause_reading
 
 CONNECT_TIMEOUT_MS = 600  # about 15 round trips of the slowest link
@@ -81,7 +81,10 @@
     def __init__(self, link: "PeerLink") -> None:
         self._link = link
         self._reader = FrameReader(
-            self._receive, link.receive_dropped, link.memory, self._pause_reading
+            self._receive,
+            link.receive_dropped,
+            link.memory,
+            lambda: pause_reading(self.transport),
         )
         self.transport: asyncio.Transport | None = None
         self.hello: asyncio.Future[Hello] = asyncio.get_running_loop().create_future()
@@ -111,10 +114,6 @@
             self.hello.set_exception(ConnectionResetError("closed before a hello"))
         self._link.on_closed(self, exc)
 
-    def _pause_reading(self) -> None:
-        if self.transport is not None:
-            pause_reading(self.transport, CLOSING_S)
-
     def _receive(self, frame: Frame) -> None:
         if not isinstance(frame, Hello):
             self._link.receive(frame)
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -30,14 +30,7 @@
     Reply,
     encode_parts,
 )
-from .memory_budget import (
-    CLOSING_S,
-    SMALL_BYTES,
-    MemoryBudget,
-    Need,
-    Part,
-    UnsentBytes,
-)
+from .memory_budget import SMALL_BYTES, MemoryBudget, Need, Part, UnsentBytes
 from .peer_link import OUT_OF_MEMORY, NodeIncarnation
 from .sockets import enable_liveness_checks, pause_reading
 
@@ -170,14 +163,14 @@
         )
         self._reply(key, outcome, connection)
 
-    def reclaim(self, budget: MemoryBudget, need: Need) -> None:
+    def reclaim(self, need: Need) -> None:
         """Forget kept outcomes, the oldest first.
 
         The caller is told that its request may have run if the link is lost then.
         """
-        while self._kept and not budget.will_fit(need):
+        while self._kept and not self.memory.will_fit(need):
             _, state = self._kept.popitem(last=False)
-            budget.add(Part.KEPT_OUTCOMES, -state.n_kept_bytes)
+            self.memory.add(Part.KEPT_OUTCOMES, -state.n_kept_bytes)
             state.n_kept_bytes = 0
             state.outcome = LOST
 
@@ -272,7 +265,7 @@
             self._kept[key] = state
             self.memory.add(Part.KEPT_OUTCOMES, state.n_kept_bytes)
             if self.memory.is_full:
-                self.reclaim(self.memory, Need(0, SMALL_BYTES + 1))
+                self.reclaim(Need(0, SMALL_BYTES + 1))
 
     def _release_attempt(self, state: _CallState) -> None:
         self.memory.add(Part.ATTEMPTS, -state.n_attempt_bytes)
@@ -294,7 +287,10 @@
     def __init__(self, calls: PeerCalls) -> None:
         self._calls = calls
         self._reader = FrameReader(
-            self._receive, self._refuse_dropped, calls.memory, self._pause_reading
+            self._receive,
+            self._refuse_dropped,
+            calls.memory,
+            lambda: pause_reading(self._transport),
         )
         self._unsent = UnsentBytes(calls.memory)
         self._transport: asyncio.Transport | None = None
@@ -376,10 +372,6 @@
         elif isinstance(frame, Recover):
             self._calls.recover(self._key(frame.stream), self)
 
-    def _pause_reading(self) -> None:
-        if self._transport is not None:
-            pause_reading(self._transport, CLOSING_S)
-
     def _refuse_dropped(self, frame: DroppedCall | DroppedReply) -> None:
         if self._hello is None:
             raise ValueError("received a frame before the hello")
--- a/packages/mesh/ibisspoke_mesh/sockets.py
+++ b/packages/mesh/ibisspoke_mesh/sockets.py
@@ -7,6 +7,7 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+CLOSING_S = 0.01  # until a closed transport has freed what it held
 
 _TCP_OPTIONS = (
     (socket.TCP_NODELAY, 1),
@@ -35,12 +36,12 @@
         sock.detach()
 
 
-def pause_reading(transport: asyncio.Transport, delay_s: float) -> None:
-    """Read nothing from a connection for a while."""
-    if transport.is_closing() or not transport.is_reading():
+def pause_reading(transport: asyncio.Transport | None) -> None:
+    """Read nothing from a connection until others that were closed are free."""
+    if transport is None or transport.is_closing() or not transport.is_reading():
         return
     transport.pause_reading()
-    asyncio.get_running_loop().call_later(delay_s, _resume_reading, transport)
+    asyncio.get_running_loop().call_later(CLOSING_S, _resume_reading, transport)
 
 
 def _resume_reading(transport: asyncio.Transport) -> None:
--- a/packages/mesh/ibisspoke_mesh/upstream_pool.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_pool.py
@@ -13,14 +13,7 @@
 from .body_parts import BodyParts
 from .dialect import HOP_BY_HOP, Dialect
 from .frames import FINAL_STATUSES
-from .memory_budget import (
-    CLOSING_S,
-    SMALL_BYTES,
-    MemoryBudget,
-    Need,
-    Part,
-    UnsentBytes,
-)
+from .memory_budget import SMALL_BYTES, MemoryBudget, Need, Part, UnsentBytes
 from .sockets import enable_liveness_checks, pause_reading
 
 CONNECT_TIMEOUT_MS = 500  # the upstream is on this VM; connecting takes about 1 ms
@@ -164,8 +157,7 @@
 
     def pause_reading(self) -> None:
         """Read no more of an answer until memory that is being freed is free."""
-        assert self._transport is not None
-        pause_reading(self._transport, CLOSING_S)
+        pause_reading(self._transport)
 
     def cut_off(self) -> None:
         """Fail the request, as unfinished answers take too much memory together."""
--- a/tests/fleet/test_caller_connections.py
+++ b/tests/fleet/test_caller_connections.py
@@ -15,6 +15,7 @@
 )
 
 from ibisspoke_mesh import caller_budget
+from ibisspoke_mesh.memory_budget import Part
 from ibisspoke_standins import fleet_upstream as upstreams
 
 MB = 1_000_000
@@ -66,7 +67,8 @@
         assert (await caller.responses.get()).status == 200
         assert (await caller.responses.get()).status == 200
     assert vm.upstream.executed_requests[0].body == body
-    assert vm.node.budget.n_held_bytes == vm.node.budget.n_input_bytes == 0
+    held = {part for part in Part if vm.node.memory.n_bytes_by_part[part]}
+    assert held <= {Part.CONNECTIONS}
 
 
 async def test_a_request_in_packets_of_one_byte_is_served(single):
