--- a/tests/fleet/test_program.py
+++ b/tests/fleet/test_program.py
@@ -202,13 +202,17 @@
     assert "true or false" in str(fault)
 
 
-def test_the_memory_of_the_vm_is_optional_and_checked():
-    assert parse_settings("node.toml", SETTINGS).ok_value.memory_mb == 200
-    text = SETTINGS + "\n[limits]\nmemory_mb = "
-    assert parse_settings("node.toml", f"{text}552").ok_value.memory_mb == 552
-    for value in ("10", '"much"'):
-        (fault,) = parse_settings("node.toml", text + value).err_value
-        assert "limits.memory_mb" in str(fault)
+@pytest.mark.parametrize(
+    "name, default, value", [("max_descriptors", 4_100, 900), ("memory_mb", 200, 552)]
+)
+def test_the_limits_of_the_vm_are_optional_and_checked(name, default, value):
+    assert getattr(parse_settings("node.toml", SETTINGS).ok_value, name) == default
+    text = f"{SETTINGS}\n[limits]\n{name} = "
+    settings = parse_settings("node.toml", f"{text}{value}").ok_value
+    assert getattr(settings, name) == value
+    for wrong in ("10", '"many"'):
+        (fault,) = parse_settings("node.toml", text + wrong).err_value
+        assert f"limits.{name}" in str(fault)
 
 
 @pytest.mark.parametrize(
@@ -226,12 +230,3 @@
     text = f"{SETTINGS}\n[platform]\nlimits = '{limits}'\n"
     (fault,) = parse_platform_settings("node.toml", text).err_value
     assert fault.place == "platform.limits"
-
-
-def test_the_limit_on_descriptors_is_optional_and_checked():
-    assert parse_settings("node.toml", SETTINGS).ok_value.max_descriptors == 4_100
-    text = SETTINGS + "\n[limits]\nmax_descriptors = "
-    assert parse_settings("node.toml", f"{text}900").ok_value.max_descriptors == 900
-    for value in ("10", '"many"'):
-        (fault,) = parse_settings("node.toml", text + value).err_value
-        assert "limits.max_descriptors" in str(fault)
