--- a/packages/mesh/ibisspoke_mesh/memory_budget.py
+++ b/packages/mesh/ibisspoke_mesh/memory_budget.py
@@ -33,11 +33,6 @@
     UNSENT = 10  # frames that other nodes have not taken
     KEPT_OUTCOMES = 11  # in case their link is lost
 
-    @property
-    def label(self) -> str:
-        """Name in metrics."""
-        return self.name.lower()
-
 
 class Reclaimer(Protocol):
     """A holder of memory that can let go of some."""
--- a/packages/mesh/ibisspoke_mesh/metrics_page.py
+++ b/packages/mesh/ibisspoke_mesh/metrics_page.py
@@ -17,7 +17,7 @@
 )
 from prometheus_client.registry import Collector
 
-from .memory_budget import Part
+from .memory_budget import MemoryBudget, Part
 from .metrics import TIME_BUCKETS_MS, Labels, NodeMetrics, TimeHistogram
 
 GAUGE_TEXTS = {
@@ -52,14 +52,6 @@
     "caller_unread_bytes": "Answers that callers have not taken yet.",
     "memory_held_bytes": "What this process holds for others.",
     "memory_limit_bytes": "How much of it there may be.",
-    **{
-        f"memory_{part.label}_bytes": f"Part of it: {part.label.replace('_', ' ')}."
-        for part in Part
-    },
-    **{
-        f"memory_peak_{part.label}_bytes": "The same when all together was largest."
-        for part in Part
-    },
     "caller_parsing": "Connections whose costly input waits to be parsed.",
     "caller_requests": "Requests of callers without an answer yet.",
     "link_calls": "Calls to other nodes without an outcome yet.",
@@ -68,9 +60,12 @@
 
 
 class _NodeCollector(Collector):
-    def __init__(self, metrics: NodeMetrics, gauges: dict[str, float]) -> None:
+    def __init__(
+        self, metrics: NodeMetrics, gauges: dict[str, float], memory: MemoryBudget
+    ) -> None:
         self._metrics = metrics
         self._gauges = gauges
+        self._memory = memory
 
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics."""
@@ -162,18 +157,31 @@
         )
         for name, value in self._gauges.items():
             yield GaugeMetricFamily(f"ibisspoke_{name}", GAUGE_TEXTS[name], value)
+        memory = self._memory
+        yield _by_part("memory_bytes", "Held for others.", memory.n_bytes_by_part)
+        peak_text = "Held for others when all parts together were largest."
+        yield _by_part("memory_peak_bytes", peak_text, memory.peak_bytes_by_part)
 
 
-def metrics_page(metrics: NodeMetrics, gauges: dict[str, float]) -> bytes:
+def metrics_page(
+    metrics: NodeMetrics, gauges: dict[str, float], memory: MemoryBudget
+) -> bytes:
     """Return the page.
 
     :param gauges: current values, by the names in ``GAUGE_TEXTS``.
     """
     registry = CollectorRegistry()
-    registry.register(_NodeCollector(metrics, gauges))
+    registry.register(_NodeCollector(metrics, gauges, memory))
     return generate_latest(registry)
 
 
+def _by_part(name: str, text: str, n_bytes_by_part: list[int]) -> Metric:
+    family = GaugeMetricFamily(f"ibisspoke_{name}", text, labels=["part"])
+    for part in Part:
+        family.add_metric([part.name.lower()], n_bytes_by_part[part])
+    return family
+
+
 def _counter(
     name: str, text: str, labels: list[str], counts: Counter[Labels]
 ) -> Metric:
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -315,7 +315,8 @@
         from .metrics_page import metrics_page  # imports a large library
 
         headers = b"content-type: text/plain; version=0.0.4\r\n"
-        return CallerResponse(200, headers, metrics_page(self.metrics, gauges(self)))
+        page = metrics_page(self.metrics, gauges(self), self.memory)
+        return CallerResponse(200, headers, page)
 
     async def run_ticks(self) -> None:
         """Run the periodic checks, until cancelled."""
--- a/packages/mesh/ibisspoke_mesh/node_gauges.py
+++ b/packages/mesh/ibisspoke_mesh/node_gauges.py
@@ -4,8 +4,6 @@
 
 from ibisspoke_policy.upstream_tracker import UpstreamState
 
-from .memory_budget import Part
-
 if TYPE_CHECKING:
     from .node import Node
 
@@ -50,14 +48,6 @@
         "caller_unread_bytes": node.budget.n_unread_bytes,
         "memory_held_bytes": node.memory.n_held_bytes,
         "memory_limit_bytes": node.memory.max_bytes,
-        **{
-            f"memory_{part.label}_bytes": node.memory.n_bytes_by_part[part]
-            for part in Part
-        },
-        **{
-            f"memory_peak_{part.label}_bytes": node.memory.peak_bytes_by_part[part]
-            for part in Part
-        },
         "caller_parsing": len(node.parsing),
         "caller_requests": node.callers.n_active,
         "link_calls": sum(peer.link.n_pending for peer in peers),
--- a/tests/fleet/program_harness.py
+++ b/tests/fleet/program_harness.py
@@ -69,12 +69,11 @@
             return
         with urlopen(f"http://{self.host}:{METRICS}/metrics") as response:
             lines = response.read().decode().splitlines()
-        prefix, suffix = "ibisspoke_memory_peak_", "_bytes"
+        prefix = 'ibisspoke_memory_peak_bytes{part="'
         parts = {}
         for line in lines:
             if line.startswith(prefix):
-                name, value = line.split()
-                part = name.removeprefix(prefix).removesuffix(suffix)
+                part, value = line.removeprefix(prefix).split('"} ')
                 parts[part] = round(float(value) / 1e6, 1)
         entry = {
             "test": os.environ.get("PYTEST_CURRENT_TEST", "").split("::")[-1],
