--- a/packages/mesh/ibisspoke_mesh/peer_link.py
+++ b/packages/mesh/ibisspoke_mesh/peer_link.py
@@ -9,6 +9,7 @@
 from ibisspoke_policy.upstream_queue import Load
 
 from .decision_log import DecisionLog
+from .frame_reader import DroppedCall, DroppedReply, FrameReader
 from .frames import (
     FINAL_STATUSES,
     MIN_APART_BYTES,
@@ -17,10 +18,7 @@
     Cancel,
     ConfigReply,
     ConfigRequest,
-    DroppedCall,
-    DroppedReply,
     Frame,
-    FrameReader,
     Hello,
     Outcome,
     OutcomeKind,
--- a/packages/mesh/ibisspoke_mesh/peer_server.py
+++ b/packages/mesh/ibisspoke_mesh/peer_server.py
@@ -10,15 +10,13 @@
 
 from .config_replies import ConfigReplies
 from .decision_log import DecisionLog
+from .frame_reader import DroppedCall, DroppedReply, FrameReader
 from .frames import (
     Attempt,
     Call,
     Cancel,
     ConfigRequest,
-    DroppedCall,
-    DroppedReply,
     Frame,
-    FrameReader,
     Hello,
     Outcome,
     OutcomeKind,
--- a/packages/mesh/tests/test_frames.py
+++ b/packages/mesh/tests/test_frames.py
@@ -3,15 +3,13 @@
 import msgspec
 import pytest
 
+from ibisspoke_mesh.frame_reader import DroppedCall, DroppedReply, FrameReader
 from ibisspoke_mesh.frames import (
     MIN_APART_BYTES,
     Attempt,
     Call,
     ConfigReply,
-    DroppedCall,
-    DroppedReply,
     Frame,
-    FrameReader,
     Outcome,
     OutcomeKind,
     Ping,
