--- a/tests/fleet/test_uploads.py
+++ b/tests/fleet/test_uploads.py
@@ -21,11 +21,13 @@
 )
 
 from ibisspoke_adapter.configuration import decode_configuration
+from ibisspoke_mesh.memory_budget import Part
 from ibisspoke_standins import fleet_upstream as upstreams
 
 KINDS = ["upload", "batch", "Safe", "safe ", ""]  # all but "safe" may run only once
 BODY = bytes(range(256)) * 4_096  # 1 MiB
 CONNECTIONS_BYTES = 100_000  # of the connections and heads of a few callers
+LONG_BODY = 16 * BODY  # more than the kernel takes of a link that is not read
 ROUTES = [route(f"up{number}", kind) for number, kind in enumerate(KINDS)]
 LIMITS = {"maxHeaderBytes": 4_096, "maxBodyBytes": 2 * len(BODY)}
 BROKEN = [upstreams.lose_answer, upstreams.truncate_answer, upstreams.answer_garbage]
@@ -113,6 +115,31 @@
     await until(lambda: vm.node.callers.n_active == 0)
 
 
+# Guards against bodies that transports hold after their callers have left, uncounted.
+async def test_an_upload_that_is_given_up_counts_until_its_link_is_free(pair):
+    limits = {**LIMITS, "maxBodyBytes": len(LONG_BODY)}
+    await pair.configure(2, routes=ROUTES, limits=limits)
+    await until(lambda: all(vm.node.config.version == 2 for vm in pair.vms))
+    first, other = (vm.node for vm in pair.vms)
+    await pair.vms[0].upstream.announce("draining")
+    await until(lambda: first.dispatcher.upstream.state == "draining")
+    assert (await pair.vms[0].call("/up0/x", method="PUT", body=b"x")).status == 200
+    links = [connection._transport for connection in other.calls.connections]
+    for link in links:
+        link.pause_reading()
+    caller = await connect(pair.vms[0].host)
+    caller.transport.write(request_bytes("/up0/x", method="PUT", body=LONG_BODY))
+    await until(lambda: first.callers.n_active == 1)
+    caller.transport.abort()
+    await until(lambda: first.callers.n_active == 0)
+    held = first.memory.n_bytes_by_part
+    assert held[Part.BODIES] == 0
+    assert held[Part.UNSENT] >= len(LONG_BODY)
+    for link in links:
+        link.resume_reading()
+    await until(lambda: held[Part.UNSENT] == 0)
+
+
 @pytest.fixture
 def allocations() -> Iterator[None]:
     tracemalloc.start()
