--- a/packages/mesh/ibisspoke_mesh/_upstream_outcome.py
+++ b/packages/mesh/ibisspoke_mesh/_upstream_outcome.py
@@ -1,7 +1,7 @@
 """Conversion of an upstream's response or failure to the outcome of an attempt."""
 
 from .frames import Outcome, OutcomeKind
-from .upstream_pool import Result, UpstreamFailure
+from .upstream_connection import Result, UpstreamFailure
 
 MIN_RETRY_AFTER_MS = 100.0  # about one request's duration; a slot may be free by then
 
--- a/packages/mesh/ibisspoke_mesh/load_reports.py
+++ b/packages/mesh/ibisspoke_mesh/load_reports.py
@@ -6,7 +6,7 @@
 from .decision_log import DecisionLog
 from .dialect import Dialect
 from .metrics import NodeMetrics
-from .upstream_pool import UpstreamResponse
+from .upstream_connection import UpstreamResponse
 
 MAX_LOGGED_CHARS = 60
 
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -31,14 +31,10 @@
 from .load_reports import LoadReports
 from .metrics import NodeMetrics
 from .settings import NodeSettings
+from .upstream_connection import Result as UpstreamResult
+from .upstream_connection import UpstreamFailure, UpstreamRequest, UpstreamResponse
 from .upstream_pace import UpstreamPace
-from .upstream_pool import Result as UpstreamResult
-from .upstream_pool import (
-    UpstreamFailure,
-    UpstreamPool,
-    UpstreamRequest,
-    UpstreamResponse,
-)
+from .upstream_pool import UpstreamPool
 
 MAX_MISSED_HEARTBEATS = 3.0  # intervals without heartbeat or response until absent
 DRAIN_QUEUE_SHARE = 0.4  # of the drain time, in which queued requests may still start
--- a/packages/mesh/tests/test_upstream_pace.py
+++ b/packages/mesh/tests/test_upstream_pace.py
@@ -12,8 +12,8 @@
 from ibisspoke_mesh.frames import Attempt, OutcomeKind
 from ibisspoke_mesh.metrics import NodeMetrics
 from ibisspoke_mesh.settings import NodeSettings
+from ibisspoke_mesh.upstream_connection import UpstreamFailure, UpstreamResponse
 from ibisspoke_mesh.upstream_dispatcher import UpstreamDispatcher
-from ibisspoke_mesh.upstream_pool import UpstreamFailure, UpstreamResponse
 from ibisspoke_policy.clock import ManualClock
 from ibisspoke_policy.route_table import ColdStart
 from ibisspoke_policy.upstream_tracker import Announcement
