Do not let one heartbeat shut out a live upstream

Cause: the service of a heartbeat was not checked, and the process with the latest start kept its place for good, so that the heartbeats of the live upstream counted as outdated. The same followed from a start ahead of the clock, a draining under another id and a sequence out of reach; departures of unknown ids displaced that of the latest upstream from the four that are kept.

A heartbeat now has to name the service of the settings or one of the configuration. An upstream that has sent no heartbeat for three intervals, or has answered 421 to a request meant for it, loses its place to another one's two heartbeats in a row. That it then falls silent is what tells a false claim from a real one; a late heartbeat of an ended process comes alone or has departed.

--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -272,6 +272,7 @@
         """Let the components tell what this node has to act upon or to log."""
         self.fleet.on_superseded = self._supersede_record
         self.dispatcher.on_change = self._publish_change
+        self.dispatcher.is_service_named = self._is_service_named
         self.evacuations.on_change = self._on_evacuations_changed
         era = self.store_era
         era.on_rise.append(lambda value: self.log.write("store restored", era=value))
@@ -430,6 +431,11 @@
             return False
         return self.rows.has_departures or not self.dispatcher.upstream.is_leaving
 
+    def _is_service_named(self, service: str) -> bool | None:
+        """Whether the configuration names a service; None if there is none yet."""
+        table = self.config.table
+        return None if table is None else service in table.services
+
     def _limits(self) -> CallerLimits:
         table = self.config.table
         return table.limits if table is not None else DEFAULT_LIMITS
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -64,6 +64,8 @@
     :param heartbeat_ms: interval of the upstream's heartbeats.
     :param drain_ms: how long a leaving upstream continues to serve.
     :ivar pace: limits the requests to an upstream that starts, recovers or is cold.
+    :ivar is_service_named: returns whether the configuration names a service; None
+        while there is no configuration.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.pace = UpstreamPace(clock, log)
         self.queue = UpstreamQueue(0, clock.now_ms())
         self.on_change: Callable[[], None] = lambda: None
+        self.is_service_named: Callable[[str], bool | None] = lambda service: True
         self.is_stopping = False
         self.blocked_reason = ""
         self._pool = pool
@@ -101,6 +104,8 @@
         self._last_heartbeat_ms = clock.now_ms()
         self._draining_since_ms: float | None = None
         self._accepts_first_heartbeat = False
+        self._is_misdirected = False
+        self._hosted_service = service
         self.cold_until_ms = 0.0
 
     def __repr__(self) -> str:
@@ -133,7 +138,8 @@
         return not len(self._pending)
 
     def apply_settings(self, settings: NodeSettings) -> None:
-        """Apply the settings of the pace."""
+        """Apply the settings of the pace, and the service of the upstream."""
+        self._hosted_service = settings.service
         self.pace.apply_settings(settings)
         self.pace.attach(self.queue)
 
@@ -158,20 +164,36 @@
         return self._load_reports.pace()
 
     def announce(self, announcement: Announcement) -> None:
-        """Handle a heartbeat of the upstream."""
+        """Handle a heartbeat of the upstream.
+
+        One that names a service which is neither that of the settings nor in the
+        configuration names no upstream. A draining is recorded as long as there is no
+        configuration to tell.
+        """
+        now_ms = self._clock.now_ms()
+        is_named = self._names_service(announcement.service)
+        if not is_named:
+            self._log.write(
+                "heartbeat of an unknown service",
+                instance=announcement.instance,
+                service=announcement.service,
+            )
+            if is_named is None and announcement.is_draining:
+                self.handle_departure(announcement.instance, announcement.start_ms)
+            return
         previous, state = self.upstream.latest, self.upstream.state
-        if not self.upstream.announce(announcement):
+        if not self.upstream.announce(announcement, self._is_in_doubt(now_ms)):
             if announcement.is_draining:  # final, whatever came before
                 self.handle_departure(announcement.instance, announcement.start_ms)
             return
-        now_ms = self._clock.now_ms()
         self._last_seen_ms = self._last_heartbeat_ms = now_ms
         self.cold_until_ms = now_ms + announcement.cold_ms
         same = previous is not None and (
-            (previous.instance, previous.start_ms)
-            == (announcement.instance, announcement.start_ms)
+            (previous.instance, previous.start_ms, previous.service)
+            == (announcement.instance, announcement.start_ms, announcement.service)
         )
         if not same:
+            self._is_misdirected = False
             self._pool.close_idle()
             self.service = announcement.service
             self.queue = self._replace_queue(announcement.n_slots)
@@ -191,6 +213,16 @@
             )
             self.on_change()
 
+    def _names_service(self, service: str) -> bool | None:
+        """Whether an upstream may be of a service; None if that is not known yet."""
+        return service == self._hosted_service or self.is_service_named(service)
+
+    def _is_in_doubt(self, now_ms: float) -> bool:
+        """Whether the latest heartbeats may have been those of another writer."""
+        silent_ms = now_ms - self._last_heartbeat_ms
+        is_silent = silent_ms > MAX_MISSED_HEARTBEATS * self._heartbeat_ms
+        return is_silent or self._is_misdirected
+
     def handle_departure(self, instance: str, start_ms: int | None) -> None:
         """Handle the announcement that the upstream leaves."""
         known = self.upstream.departures
@@ -466,6 +498,8 @@
             self.pace.ended(number, was_sent=True)
             if result.status == MISDIRECTED:
                 self.pace.misdirected(number)
+                expected = pending.attempt.instance if pending is not None else ""
+                self._is_misdirected |= expected == self.instance
         else:
             self._handle_failure(number, result, now_ms)
         if pending is not None:
--- a/packages/policy/ibisspoke_policy/route_table.py
+++ b/packages/policy/ibisspoke_policy/route_table.py
@@ -1,6 +1,6 @@
 """Routes and organisations of one version of the configuration."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 Regions = frozenset[str]
@@ -91,6 +91,7 @@
         This holds also when no organisation or key is left.
     :ivar has_restricted_owners: whether any organisation is restricted to regions.
     :param cold_starts_by_service: only services that have one.
+    :param services: names of services; those of the routes are added.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         limits: CallerLimits,
         has_organisations: bool,
         cold_starts_by_service: Mapping[str, ColdStart] | None = None,
+        services: Iterable[str] = (),
     ) -> None:
         self.version = version
         self.routes = routes
@@ -110,6 +112,8 @@
         owners = owners_by_key.values()
         self.has_restricted_owners = any(owner.regions is not None for owner in owners)
         self.cold_starts_by_service = dict(cold_starts_by_service or {})
+        routed = (split.service for route in routes for split in route.splits)
+        self.services = frozenset((*services, *routed))
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
             self._routes_by_host.setdefault(route.host.lower(), []).append(route)
--- a/packages/policy/ibisspoke_policy/upstream_tracker.py
+++ b/packages/policy/ibisspoke_policy/upstream_tracker.py
@@ -81,6 +81,10 @@
     higher sequence replaces a lower one, draining is final, and all heartbeats after a
     departure are ignored.
 
+    A heartbeat of another writer may claim a later start or a higher sequence. While
+    the latest upstream is in doubt, another one takes its place with two heartbeats in
+    a row, whatever its start; the one that lost its place does not return by its start.
+
     A node that has just started does not know which departures its predecessor has
     acknowledged. A delayed heartbeat may come from an upstream that has left since.
     Until :meth:`restore_departures` is called, a single heartbeat therefore does not
@@ -94,6 +98,8 @@
         self._n_heartbeats = 0
         self._n_required_heartbeats = MIN_HEARTBEATS
         self._departures: tuple[UpstreamProcess, ...] = ()
+        self._contender: Announcement | None = None
+        self._displaced: UpstreamProcess | None = None
 
     def __repr__(self) -> str:
         return f"UpstreamTracker({self.state}, {self.latest})"
@@ -113,7 +119,12 @@
         """The processes that have departed or are draining."""
         if self.latest is None or not self.is_leaving:
             return self._departures
-        return merge_departures(self._departures, [_process_of(self.latest)])
+        process = _process_of(self.latest)
+        merged = merge_departures(self._departures, [process])
+        if has_departed(process, merged):
+            return merged
+        # Departures of processes that were never heard of do not displace it.
+        return (process, *merged[1:])
 
     def add_departures(self, departures: Iterable[UpstreamProcess]) -> bool:
         """Apply departures that an earlier node process on this VM acknowledged.
@@ -164,24 +175,35 @@
         if self.latest is not None and self._has_evidence:
             self.state = UpstreamState.READY
 
-    def announce(self, announcement: Announcement) -> bool:
+    def announce(self, announcement: Announcement, is_in_doubt: bool = False) -> bool:
         """Apply a heartbeat.
 
+        :param is_in_doubt: whether the latest upstream has fallen silent, or has turned
+            out not to be the one that answers.
         :returns: whether it was applied; False if it is outdated, or names another
             service than the same process did before, as only another writer would.
         """
         if self._is_departed(announcement):
             return False
         latest = self.latest
+        is_takeover = False
         if latest is not None and not self._replaces(announcement, latest):
-            return False
+            is_takeover = is_in_doubt and self._is_next_of_contender(announcement)
+            if not is_takeover:
+                return False
+            self._displaced = _process_of(latest)
+        if not is_in_doubt or is_takeover:
+            self._contender = None
         is_same_process = latest is not None and _process_of(latest) == _process_of(
             announcement
         )
         was_draining = is_same_process and self.state is UpstreamState.DRAINING
         self._departures = self.departures
         self.latest = announcement
-        self._n_heartbeats = self._n_heartbeats + 1 if is_same_process else 1
+        if is_takeover:
+            self._n_heartbeats = MIN_HEARTBEATS
+        else:
+            self._n_heartbeats = self._n_heartbeats + 1 if is_same_process else 1
         self._is_history_known |= self._n_heartbeats >= PROVING_HEARTBEATS
         if was_draining or announcement.is_draining:
             self.state = UpstreamState.DRAINING
@@ -205,10 +227,12 @@
             start_ms = latest.start_ms if latest and is_known else int(wall_ms)
         process = UpstreamProcess(instance, start_ms)
         self._departures = merge_departures(self._departures, [process])
-        if latest is None or not self._is_departed(latest):
+        if latest is None:
             return False
-        self.state = UpstreamState.DRAINING
-        return True
+        if has_departed(_process_of(latest), [process]):
+            self.state = UpstreamState.DRAINING
+            return True
+        return self._is_departed(latest)
 
     def break_heartbeats(self) -> None:
         """Record that heartbeats have stopped coming: the next one is the first."""
@@ -225,7 +249,17 @@
     def _replaces(self, new: Announcement, latest: Announcement) -> bool:
         if _process_of(new) == _process_of(latest):
             return new.sequence > latest.sequence and new.service == latest.service
-        return new.start_ms >= latest.start_ms
+        return new.start_ms >= latest.start_ms and _process_of(new) != self._displaced
+
+    def _is_next_of_contender(self, announcement: Announcement) -> bool:
+        """Return whether an upstream has sent its second heartbeat in a row."""
+        earlier, self._contender = self._contender, announcement
+        return (
+            earlier is not None
+            and _process_of(earlier) == _process_of(announcement)
+            and earlier.service == announcement.service
+            and earlier.sequence < announcement.sequence
+        )
 
 
 def _process_of(announcement: Announcement) -> UpstreamProcess:
--- a/packages/policy/tests/test_upstream_tracker.py
+++ b/packages/policy/tests/test_upstream_tracker.py
@@ -1,4 +1,7 @@
+import pytest
+
 from ibisspoke_policy.upstream_tracker import (
+    MAX_DEPARTURES,
     PROVING_HEARTBEATS,
     Announcement,
     UpstreamProcess,
@@ -204,3 +207,57 @@
     assert new in merged
     assert old not in merged
     assert UpstreamProcess("i-2", 2_000) not in merged
+
+
+# Guards against a heartbeat of another writer that shuts out a live upstream.
+@pytest.mark.parametrize(
+    "odd",
+    [
+        heartbeat("i-odd", start_ms=2_000),
+        heartbeat("i-odd", start_ms=2**50),
+        heartbeat("i-odd", start_ms=2_000, draining=True),
+        heartbeat(sequence=10**9),
+    ],
+    ids=["later start", "ahead of the clock", "draining", "sequence"],
+)
+def test_a_live_upstream_returns_once_another_writer_is_in_doubt(odd):
+    upstream = upstream_without_history()
+    upstream.announce(heartbeat(sequence=1))
+    assert upstream.announce(odd)
+    assert not upstream.announce(heartbeat(sequence=2))
+    assert not upstream.announce(heartbeat(sequence=3), is_in_doubt=True)
+    assert upstream.announce(heartbeat(sequence=4), is_in_doubt=True)
+    assert upstream.latest == heartbeat(sequence=4)
+    assert upstream.state is UpstreamState.READY
+
+
+def test_an_upstream_that_lost_its_place_does_not_return_by_its_start():
+    upstream = upstream_without_history()
+    upstream.announce(heartbeat("i-odd", start_ms=2_000, sequence=1))
+    for sequence in (3, 4):
+        upstream.announce(heartbeat(sequence=sequence), is_in_doubt=True)
+    assert not upstream.announce(heartbeat("i-odd", start_ms=2_000, sequence=2))
+    assert upstream.announce(heartbeat("i-2", start_ms=3_000))
+
+
+def test_a_single_late_heartbeat_does_not_take_the_place_of_a_silent_upstream():
+    upstream = upstream_without_history()
+    upstream.announce(heartbeat("i-2", start_ms=2_000))
+    assert not upstream.announce(heartbeat("i-1", sequence=50), is_in_doubt=True)
+    assert not upstream.announce(heartbeat("i-1", sequence=50), is_in_doubt=True)
+    assert upstream.announce(heartbeat("i-2", start_ms=2_000, sequence=2))
+
+
+def test_departures_of_unknown_upstreams_do_not_displace_that_of_the_latest():
+    """Guards against a departure that is acknowledged and forgotten (DRAIN)."""
+    upstream = upstream_without_history()
+    upstream.announce(heartbeat(sequence=1))
+    for number in range(MAX_DEPARTURES):
+        upstream.record_departure(f"i-odd-{number}", None, WALL_MS)
+    assert upstream.record_departure("i-1", 1_000, WALL_MS)
+    assert upstream.state is UpstreamState.DRAINING
+    assert UpstreamProcess("i-1", 1_000) in upstream.departures
+    assert len(upstream.departures) == MAX_DEPARTURES
+    assert not upstream.announce(heartbeat("i-1", sequence=0))
+    upstream.announce(heartbeat(sequence=2))
+    assert upstream.state is UpstreamState.DRAINING
--- a/tests/fleet/test_odd_entries.py
+++ b/tests/fleet/test_odd_entries.py
@@ -116,6 +116,53 @@
     assert not upstream.executed_requests
 
 
+async def test_a_heartbeat_of_an_unknown_service_names_no_upstream(pair):
+    """Guards against another writer that shuts out a live upstream (RECOVER)."""
+    first, second = pair.vms
+    odd = json.loads(heartbeat(born=10**12))
+    for state in ("ready", "draining"):
+        odd["status"]["state"] = state
+        odd["details"]["service"] = "unknown"
+        target = "/api/Instances.Heartbeat/i-odd"
+        await first.upstream.call_control(target, json.dumps(odd).encode())
+        assert first.node.dispatcher.instance == first.upstream.instance
+        assert first.node.dispatcher.state == "ready"
+    assert first.node.dispatcher.service == "shop"
+    assert {(await vm.call()).status for vm in (first, second)} == {200}
+
+
+async def test_a_service_may_be_named_by_a_later_configuration(single):
+    vm = single.vms[0]
+    odd = json.loads(heartbeat(born=10**12))
+    odd["details"]["service"] = "depot"
+    target, body = "/api/Instances.Heartbeat/i-odd", json.dumps(odd).encode()
+    await vm.upstream.call_control(target, body)
+    assert vm.node.dispatcher.service == "shop"
+    depot = {"name": "depot", "healthCheckPath": "/health", "maxConnections": 9}
+    await single.configure(2, services=[depot])
+    await until(lambda: vm.node.config.table.version == 2)
+    await vm.upstream.call_control(target, body)
+    assert vm.node.dispatcher.service == "depot"
+
+
+@pytest.mark.parametrize("state", ["ready", "draining"])
+async def test_a_live_upstream_outlasts_a_heartbeat_of_another_writer(state):
+    """Guards against a later start that keeps the place for good (RECOVER)."""
+    async with running_fleet(1, heartbeat_ms=200.0) as fleet:
+        vm = fleet.vms[0]
+        odd = json.loads(heartbeat(born=10**12))
+        odd["status"]["state"] = state
+        target = "/api/Instances.Heartbeat/i-odd"
+        await vm.upstream.call_control(target, json.dumps(odd).encode())
+        assert vm.node.dispatcher.instance == "i-odd"
+        async with asyncio.timeout(3.0):
+            while vm.node.dispatcher.instance != vm.upstream.instance:
+                await asyncio.sleep(0.2)
+                assert await vm.upstream.announce() == 200
+        assert vm.node.dispatcher.state == "ready"
+        assert (await vm.call()).status == 200
+
+
 @pytest.mark.parametrize("body", [b'{"x":' + DEEP_JSON + b"}", heartbeat(born=LARGE)])
 async def test_an_odd_departure_is_refused(single, body):
     vm = single.vms[0]
