Keep a request at work until a second attempt has an answer

Cause: where upstreams report the pace of their VMs, the first attempt was cancelled as soon as another node could be named and the retry budget allowed it. That node may refuse the second attempt, lose its connection or pass on a 500.

Both attempts now run until one of them has a usable answer. A second attempt that is refused goes on to the next node, and the retry that was counted for it stays with the request if no node takes it. Only idempotent routes get one, as before; the arrivals are counted in the same budget.

--- a/packages/mesh/ibisspoke_mesh/_request_progress.py
+++ b/packages/mesh/ibisspoke_mesh/_request_progress.py
@@ -10,8 +10,10 @@
 
     :ivar is_urgent: whether it is of the most urgent rank.
     :ivar is_short_of_budget: whether only the budget kept it from being sent again.
-    :ivar is_replaced: whether its last attempt was given up for another one, for which
-        a retry is counted already.
+    :ivar n_sent: attempts that may have reached an upstream, including open ones.
+    :ivar n_possible_runs: the part of them that may have run.
+    :ivar has_unused_retry: whether a retry was counted for an attempt that all nodes
+        refused, so that another one may be made in its place.
     """
 
     def __init__(self) -> None:
@@ -19,10 +21,15 @@
         self.n_sent = 0
         self.best_outcome: Outcome | None = None
         self.retry_after_ms = 0.0
-        self.may_have_run = False
+        self.n_possible_runs = 0
         self.is_urgent = False
         self.is_short_of_budget = False
-        self.is_replaced = False
+        self.has_unused_retry = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt may have run."""
+        return self.n_possible_runs > 0
 
     @property
     def was_retryable(self) -> bool:
--- a/packages/mesh/ibisspoke_mesh/attempt_retries.py
+++ b/packages/mesh/ibisspoke_mesh/attempt_retries.py
@@ -73,9 +73,6 @@
             if not admitted.route.idempotent or outcome.has_starved:
                 return False
             progress.best_outcome = preferred_outcome(progress.best_outcome, outcome)
-        if progress.is_replaced:  # counted when it was given up
-            progress.is_replaced = False
-            return True
         is_last = progress.n_sent >= admitted.route.max_attempts
         if is_last or left_ms < MIN_RETRY_TIME_MS:
             return False
@@ -90,7 +87,7 @@
     def hedge_plan(
         self, admitted: AdmittedRequest, progress: RequestProgress, member: MemberRecord
     ) -> HedgePlan | None:
-        """Return when to give up the attempt about to be sent, or None for never."""
+        """Return when the next attempt gets a second one, or None for never."""
         route = admitted.route
         if not self._knows_calls or not route.idempotent:
             return None
@@ -107,23 +104,25 @@
             admitted.deadline_ms - RESPONSE_MARGIN_MS - self._clock.now_ms(),
         )
 
-    def try_replace(self, admitted: AdmittedRequest, progress: RequestProgress) -> bool:
-        """Return whether to give up an attempt without an answer for another one."""
-        if len(progress.tried_nodes) >= MAX_TRIED_NODES:
+    def may_hedge(self, admitted: AdmittedRequest, progress: RequestProgress) -> bool:
+        """Return whether to send a second attempt beside one without an answer."""
+        if self.choose(admitted, progress) is None:
             return False
-        route = admitted.route
-        other = self._fleet.choose(
+        return self._try_acquire(admitted, progress, "hedge")
+
+    def choose(
+        self, admitted: AdmittedRequest, progress: RequestProgress
+    ) -> MemberRecord | None:
+        """Return the node for the next attempt, or None if there is no other."""
+        if len(progress.tried_nodes) >= MAX_TRIED_NODES:
+            return None
+        return self._fleet.choose(
             admitted.service,
-            route.name,
-            route.objective_ms,
+            admitted.route.name,
+            admitted.route.objective_ms,
             progress.tried_nodes,
             admitted.regions,
         )
-        if other is None:
-            return False
-        is_allowed = self._try_acquire(admitted, progress, "hedge")
-        progress.is_replaced = is_allowed
-        return is_allowed
 
     def _try_acquire(
         self,
@@ -132,6 +131,9 @@
         kind: str,
     ) -> bool:
         """Count a retry, unless the budget does not allow it."""
+        if progress.has_unused_retry:
+            progress.has_unused_retry = False
+            return True
         service, has_run = admitted.service, kind != "resend"
         is_leaf = (
             self._knows_calls
--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -13,7 +13,7 @@
     has_starved,
     preferred_outcome,
 )
-from .attempt_retries import MAX_TRIED_NODES, RESPONSE_MARGIN_MS, AttemptRetries
+from .attempt_retries import RESPONSE_MARGIN_MS, AttemptRetries
 from .caller_messages import CallerRequest, CallerResponse
 from .decision_log import DecisionLog
 from .dialect import HOP_BY_HOP, Dialect
@@ -169,26 +169,10 @@
         progress.is_urgent = self._rank(admitted)[0] <= MOST_URGENT_RANK
         if progress.is_urgent:
             self._budget.count_urgent(admitted.service, self._clock.now_ms())
-        objective_ms = admitted.route.objective_ms
         reason = NO_UPSTREAM if admitted.regions is None else NO_UPSTREAM_IN_REGIONS
         outcome = Outcome(OutcomeKind.REFUSED, reason=reason)
-        while len(progress.tried_nodes) < MAX_TRIED_NODES:
-            member = self._fleet.choose(
-                admitted.service,
-                admitted.route.name,
-                objective_ms,
-                progress.tried_nodes,
-                admitted.regions,
-            )
-            if member is None:
-                break
-            progress.tried_nodes.add(member.node)
-            outcome = await self._send_attempt(
-                request, admitted, progress, member, head
-            )
-            progress.retry_after_ms = max(
-                progress.retry_after_ms, outcome.retry_after_ms
-            )
+        while (member := self.retries.choose(admitted, progress)) is not None:
+            outcome = await self._send_hedged(request, admitted, progress, member, head)
             if not self.retries.may_continue(admitted, progress, outcome):
                 break
             self._metrics.retries[(outcome.kind.name,)] += 1
@@ -203,6 +187,55 @@
             )
         return preferred_outcome(progress.best_outcome, outcome)
 
+    async def _send_hedged(
+        self,
+        request: CallerRequest,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        member: MemberRecord,
+        head: bytes,
+    ) -> Outcome:
+        """Send an attempt, and a second one beside it if its answer seems lost."""
+        hedge = self.retries.hedge_plan(admitted, progress, member)
+        sent = self._send_attempt(request, admitted, progress, member, head)
+        if hedge is None:
+            return await sent
+
+        def start_second() -> asyncio.Task[Outcome] | None:
+            if not self.retries.may_hedge(admitted, progress):
+                return None
+            second = self._send_second(request, admitted, progress, head)
+            return asyncio.ensure_future(second)
+
+        return await hedged(
+            sent, hedge, lambda: self._fleet.is_full(member.node), start_second
+        )
+
+    async def _send_second(
+        self,
+        request: CallerRequest,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        head: bytes,
+    ) -> Outcome:
+        """Send an attempt to the first other node that takes it."""
+        outcome = Outcome(OutcomeKind.REFUSED, reason=NO_UPSTREAM)
+        while outcome.kind is OutcomeKind.REFUSED:
+            member = self.retries.choose(admitted, progress)
+            if member is None:
+                progress.has_unused_retry = True
+                break
+            self._log.write(
+                "hedged",
+                request=admitted.id.decode("latin-1"),
+                peer=member.node,
+                left_ms=int(admitted.deadline_ms - self._clock.now_ms()),
+            )
+            outcome = await self._send_attempt(
+                request, admitted, progress, member, head
+            )
+        return outcome
+
     async def _send_attempt(
         self,
         request: CallerRequest,
@@ -226,29 +259,20 @@
             admitted.deadline_ms - now_ms - RESPONSE_MARGIN_MS,
             route.objective_ms,
         )
-        may_have_run, progress.may_have_run = progress.may_have_run, True
-        is_here = member.node == self.settings.host
-        if is_here:
-            sent = self._run_here(attempt, progress, may_have_run)
+        progress.tried_nodes.add(member.node)
+        progress.n_sent += 1
+        progress.n_possible_runs += 1
+        if member.node == self.settings.host:
+            outcome = await self._run_here(attempt, progress)
         else:
             link = self._fleet.peers_by_id[member.node].link
-            sent = link.call(next(self._stream_ids), attempt)
-        hedge = self.retries.hedge_plan(admitted, progress, member)
-        if hedge is None:
-            outcome = await sent
-        else:
-            outcome = await hedged(
-                sent,
-                hedge,
-                lambda: self._fleet.is_full(member.node),
-                lambda: self.retries.try_replace(admitted, progress),
-            )
-        if not is_here:
+            outcome = await link.call(next(self._stream_ids), attempt)
             self._metrics.link_times.add(self._clock.now_ms() - now_ms)
         if outcome.kind in (OutcomeKind.REFUSED, OutcomeKind.SHED):
-            progress.may_have_run = may_have_run
-        if outcome.kind is not OutcomeKind.REFUSED:
-            progress.n_sent += 1
+            progress.n_possible_runs -= 1
+        if outcome.kind is OutcomeKind.REFUSED:
+            progress.n_sent -= 1
+        progress.retry_after_ms = max(progress.retry_after_ms, outcome.retry_after_ms)
         self.retries.record_calls(admitted, outcome)
         is_answered = outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500
         if is_answered and outcome.running_ms:  # absent in replies of earlier versions
@@ -259,9 +283,7 @@
             )
         return outcome
 
-    async def _run_here(
-        self, attempt: Attempt, progress: RequestProgress, ran_before: bool
-    ) -> Outcome:
+    async def _run_here(self, attempt: Attempt, progress: RequestProgress) -> Outcome:
         ended: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         n_left_bytes = n_answer_bytes = 0
 
@@ -280,7 +302,7 @@
             return await ended
         except asyncio.CancelledError:
             may_have_run = self._dispatcher.cancel(number)
-            progress.may_have_run = ran_before or may_have_run
+            progress.n_possible_runs -= not may_have_run
             if may_have_run and not attempt.idempotent and ended.cancelled():
                 n_left_bytes = len(attempt.body)  # the upstream goes on with it
                 self._memory.add(Part.ATTEMPTS, n_left_bytes)
--- a/tests/fleet/test_lost_answers.py
+++ b/tests/fleet/test_lost_answers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -13,6 +14,8 @@
 from fleet_harness import Fleet, Vm, document, route, running_fleet, until
 
 from ibisspoke_adapter.configuration import CONFIG_KEY, CONFIG_TABLE
+from ibisspoke_mesh.frames import Outcome, OutcomeKind
+from ibisspoke_mesh.node import Node
 from ibisspoke_standins import fleet_upstream as upstreams
 from ibisspoke_standins.fleet_upstream import Behaviour, FleetUpstream, ReceivedRequest
 
@@ -206,3 +209,58 @@
             name = f"slow.{number}"
             await fleet.vms[0].call("/inner/", request_id=name, key=None)
         assert sum(len(vm.upstream.executed_requests) for vm in stock) == 20
+
+
+def slow_then(second: Behaviour) -> Behaviour:
+    """Answer the first attempt of a request after 0.4 s, and others as stated."""
+    seen: set[str] = set()
+
+    async def respond(
+        upstream: FleetUpstream, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        if request.id in seen:
+            return await second(upstream, request, writer)
+        seen.add(request.id)
+        upstream.execution_s = 0.4
+        return await upstreams.answer(upstream, request, writer)
+
+    return respond
+
+
+def refuse_second_attempts(nodes: list[Node]) -> None:
+    """Let the nodes refuse attempts of requests that one of them has taken."""
+    taken: set[bytes] = set()
+
+    def submit_once(submit, attempt, on_outcome):
+        if attempt.request_id in taken:
+            refusal = Outcome(OutcomeKind.REFUSED, reason="queue is full")
+            asyncio.get_running_loop().call_soon(on_outcome, refusal)
+            return 0
+        taken.add(attempt.request_id)
+        return submit(attempt, on_outcome)
+
+    for node in nodes:
+        submit = node.dispatcher.submit
+        node.dispatcher.submit = functools.partial(submit_once, submit)
+
+
+@pytest.mark.parametrize("second", ["refused", "fails", "ends"])
+async def test_a_read_is_not_given_up_for_a_second_attempt_that_fails(second):
+    """Guards against a 502 for a request whose upstream is at work (LOST)."""
+    async with searches() as fleet:
+        stock = fleet.vms[1::2]
+        await learn(fleet)
+        if second == "refused":
+            refuse_second_attempts([vm.node for vm in stock])
+        end = upstreams.lose_answer if second == "ends" else upstreams.fail
+        behaviour = slow_then(end)
+        for vm in stock:
+            vm.upstream.behaviour = behaviour
+            vm.upstream.executed_requests.clear()
+        decisions = fleet.vms[0].node.metrics.retry_decisions
+        n_made = decisions["hedge", "made"]
+        answer = await fleet.vms[0].call("/inner/", request_id="long.1", key=None)
+        assert answer.status == 200
+        assert decisions["hedge", "made"] == n_made + 1
+        n_runs = sum(len(vm.upstream.executed_requests) for vm in stock)
+        assert n_runs == (1 if second == "refused" else 2)
--- a/tests/fleet/test_odd_entries.py
+++ b/tests/fleet/test_odd_entries.py
@@ -163,6 +163,21 @@
         assert (await vm.call()).status == 200
 
 
+async def test_an_answer_of_another_upstream_puts_the_latest_in_doubt(single):
+    """Guards against a later start that keeps the place until it is silent."""
+    vm = single.vms[0]
+    target = "/api/Instances.Heartbeat/i-odd"
+    await vm.upstream.call_control(target, heartbeat(born=10**12))
+    for _ in range(2):
+        assert await vm.upstream.announce() == 200
+    assert vm.node.dispatcher.instance == "i-odd"
+    assert (await vm.call()).status == 503  # the upstream answered with 421
+    for _ in range(2):
+        assert await vm.upstream.announce() == 200
+    assert vm.node.dispatcher.instance == vm.upstream.instance
+    assert (await vm.call()).status == 200
+
+
 @pytest.mark.parametrize("body", [b'{"x":' + DEEP_JSON + b"}", heartbeat(born=LARGE)])
 async def test_an_odd_departure_is_refused(single, body):
     vm = single.vms[0]
