Prove by a private address that an upstream has not left

Cause: a process that cannot learn which departures the one before it acknowledged took two heartbeats in a row for a sign of life and eight for a proof. How many arrive tells nothing about when they were sent. For the same cause a process that lacked the history and was restarted alone was taken for one that had it.

Such a process now names a loopback address of its own in its answers to heartbeats. Only a heartbeat that comes there proves that the upstream has not left; one that comes elsewhere counts 7 intervals after the start (10.5 s), for upstreams that do not follow. Records tell whether their node lacks the history, and nodes do not vouch for it then.

Four tests stated that the second or eighth heartbeat counts. They are replaced by ones that want the proof: any number of late heartbeats leaves the upstream absent. The check at the end of test_one_heartbeat_is_enough_at_first_where_the_store_was_there moved to the upstream that has no proof.

--- a/packages/mesh/ibisspoke_mesh/member_record.py
+++ b/packages/mesh/ibisspoke_mesh/member_record.py
@@ -32,6 +32,8 @@
         restarts on this VM must not consider it ready.
     :param departures: the upstreams of this VM that have left, the latest ones. Other
         nodes may have added some that the node itself does not know.
+    :param lacks_history: whether the node does not know yet which departures earlier
+        processes on its VM have acknowledged.
     """
 
     node: str
@@ -48,6 +50,7 @@
     born_ms: UnixMs = 0
     is_leaving: bool = False
     departures: Departures = ()
+    lacks_history: bool = False
 
     def __post_init__(self) -> None:
         """Check that the node is named by its address.
--- a/packages/mesh/ibisspoke_mesh/node.py
+++ b/packages/mesh/ibisspoke_mesh/node.py
@@ -72,7 +72,8 @@
 
     :param config_table: table of the row that holds the configuration.
     :param announcements: returns the handler of the upstream's heartbeats and
-        departures, given the dispatcher and :meth:`Node.keep_departures`.
+        departures, given the dispatcher, :meth:`Node.keep_departures` and whether it
+        serves :attr:`UpstreamDispatcher.private_address`.
     :param evacuation_prefix: of the keys in the table of the configuration that name
         evacuated data centres; empty if the platform has no evacuations.
     """
@@ -83,7 +84,7 @@
     config_key: str
     decode_config: Decoder
     announcements: Callable[
-        [UpstreamDispatcher, Callable[[], Awaitable[bool]]], Handler
+        [UpstreamDispatcher, Callable[[], Awaitable[bool]], bool], Handler
     ]
     evacuation_prefix: str = ""
 
@@ -106,7 +107,7 @@
         self.metrics = metrics
         self.pipe = pipe
         rng = random.Random()
-        own = NodeIncarnation(settings.host, int(clock.wall_ms()))
+        own = self.process = NodeIncarnation(settings.host, int(clock.wall_ms()))
         self._incarnation = own.incarnation
         self._revision = 0
         self._stopping_ms: float | None = None
@@ -251,8 +252,9 @@
         )
         self.status_receiver.on_own_copy = self.copies.receive
         self._recall: asyncio.Task[None] | None = None
-        self.announcements = adapter.announcements(
-            self.dispatcher, self.keep_departures
+        self.announcements, self.private_announcements = (
+            adapter.announcements(self.dispatcher, self.keep_departures, is_private)
+            for is_private in (False, True)
         )
         self.traffic_log = TrafficLog(metrics, clock, self.log)
         self.servers: list[ServerState] = []
@@ -399,6 +401,12 @@
         self.request_handler.retries.by_calls = settings.retries_by_calls
         self._set_retry_budget()
 
+    def close(self) -> None:
+        """Close the links to other nodes, and stop asking them for departures."""
+        if self._recall is not None:
+            self._recall.cancel()
+        self.fleet.close()
+
     async def stop(self) -> None:
         """Stop gracefully, and let running requests finish."""
         started_ms = self._stopping_ms = self.clock.now_ms()
@@ -537,6 +545,7 @@
             process.start_ms,
             has_departed(process, departures),
             departures,
+            not upstream.is_history_known,
         )
         self._set_retry_budget()
         self.status.broadcast()
--- a/packages/mesh/ibisspoke_mesh/node_process.py
+++ b/packages/mesh/ibisspoke_mesh/node_process.py
@@ -1,6 +1,7 @@
 """Listeners and background tasks of a running node."""
 
 import asyncio
+import hashlib
 import logging
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -9,6 +10,7 @@
 from .allocator import trim_after_peaks
 from .caller_server import SOCKET_BUFFER_BYTES, CallerConnection
 from .node import TICK_MS, Node
+from .peer_link import NodeIncarnation
 from .peer_server import PeerConnection
 from .server_state import ServerState
 
@@ -28,6 +30,7 @@
         await _listen_http(
             stack, node.server(node.announcements), settings.announcements
         )
+        await _listen_privately(stack, node)
         metrics = node.server(node.serve_metrics)
         await _listen_http(stack, metrics, (host, settings.metrics_port))
         peers = await loop.create_server(
@@ -52,7 +55,7 @@
         for job in jobs:
             task = asyncio.ensure_future(_supervised(job))
             stack.callback(task.cancel)
-        stack.callback(node.fleet.close)
+        stack.callback(node.close)
         logger.info(
             "node started",
             extra={"service": settings.service, "memory_mb": settings.memory_mb},
@@ -72,6 +75,26 @@
     stack.callback(server.close)
 
 
+async def _listen_privately(stack: AsyncExitStack, node: Node) -> None:
+    """Listen for heartbeats at an address that no earlier process has named."""
+    host, port = private_host(node.process), node.settings.announcements[1]
+    try:
+        await _listen_http(stack, node.server(node.private_announcements), (host, port))
+    except OSError as error:
+        logger.warning("no private address", extra={"detail": str(error)})
+    else:
+        node.dispatcher.private_address = f"{host}:{port}"
+
+
+def private_host(process: NodeIncarnation) -> str:
+    """Return the loopback address of a process.
+
+    Of two processes on one VM, 1 in 16 million pairs have the same.
+    """
+    name = f"{process.node} {process.incarnation}".encode()
+    return ".".join(map(str, (127, *hashlib.blake2b(name, digest_size=3).digest())))
+
+
 def _listening_socket(address: tuple[str, int]) -> socket.socket:
     """Return a bound socket, whose buffer sizes its connections inherit."""
     host = address[0]
--- a/packages/mesh/ibisspoke_mesh/peer.py
+++ b/packages/mesh/ibisspoke_mesh/peer.py
@@ -19,7 +19,7 @@
     :ivar is_heard: whether a status of this process was received, from it or a relay;
         digests do not tell which process has sent them.
     :ivar earlier_incarnation: the last earlier process on its VM of which a status was
-        received; 0 if there is none.
+        received, and which knew all departures before it; 0 if there is none.
     """
 
     def __init__(
@@ -65,8 +65,9 @@
 
     @property
     def heard_incarnation(self) -> int:
-        """The last process on its VM of which a status was received, or 0."""
-        return self.record.incarnation if self.is_heard else self.earlier_incarnation
+        """The last process on its VM that was heard and knew all departures, or 0."""
+        knows_departures = self.is_heard and not self.record.lacks_history
+        return self.record.incarnation if knows_departures else self.earlier_incarnation
 
     def mark_seen(self, now_ms: float) -> None:
         """Record that a message of the node was received."""
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -12,7 +12,6 @@
 from ibisspoke_policy.offer import Offer
 from ibisspoke_policy.upstream_queue import Ending, Load, UpstreamQueue
 from ibisspoke_policy.upstream_tracker import (
-    MIN_HEARTBEATS,
     Announcement,
     UpstreamProcess,
     UpstreamState,
@@ -38,9 +37,9 @@
 from .upstream_pool import UpstreamPool
 
 MAX_MISSED_HEARTBEATS = 3.0  # intervals without heartbeat or response until absent
-# Intervals without heartbeat until absent, where earlier departures are not known. An
-# upstream that has left responds for a while, but sends no heartbeats.
-MAX_UNPROVEN_INTERVALS = 2.0
+# Intervals by which a heartbeat may be late. One that arrives later after the start was
+# sent after it.
+MAX_DELAY_INTERVALS = 7.0
 # Intervals after the start in which one heartbeat is enough, if the store was there at
 # the start. A process is not yet held to its guarantees in this time.
 FIRST_HEARTBEAT_INTERVALS = 1.7
@@ -64,6 +63,8 @@
     :param heartbeat_ms: interval of the upstream's heartbeats.
     :param drain_ms: how long a leaving upstream continues to serve.
     :ivar pace: limits the requests to an upstream that starts, recovers or is cold.
+    :ivar private_address: address for heartbeats that this process alone has named,
+        or empty. What arrives there was sent since its start.
     :ivar is_service_named: returns whether the configuration names a service; None
         while there is no configuration.
     """
@@ -84,6 +85,7 @@
         self.pace = UpstreamPace(clock, log)
         self.queue = UpstreamQueue(0, clock.now_ms())
         self.on_change: Callable[[], None] = lambda: None
+        self.private_address = ""
         self.is_service_named: Callable[[str], bool | None] = lambda service: True
         self.is_stopping = False
         self.blocked_reason = ""
@@ -163,12 +165,19 @@
         """Return how long work takes on this VM now; 0.0 if it is not known."""
         return self._load_reports.pace()
 
-    def announce(self, announcement: Announcement) -> None:
+    @property
+    def wanted_address(self) -> str:
+        """Address for the next heartbeats; empty if they may arrive anywhere."""
+        return "" if self.upstream.is_history_known else self.private_address
+
+    def announce(self, announcement: Announcement, is_private: bool = False) -> None:
         """Handle a heartbeat of the upstream.
 
         One that names a service which is neither that of the settings nor in the
         configuration names no upstream. A draining is recorded as long as there is no
         configuration to tell.
+
+        :param is_private: whether it came to :attr:`private_address`.
         """
         now_ms = self._clock.now_ms()
         is_named = self._names_service(announcement.service)
@@ -182,7 +191,12 @@
                 self.handle_departure(announcement.instance, announcement.start_ms)
             return
         previous, state = self.upstream.latest, self.upstream.state
-        if not self.upstream.announce(announcement, self._is_in_doubt(now_ms)):
+        was_history_known = self.upstream.is_history_known
+        running_ms = now_ms - self._started_ms
+        is_late = running_ms > MAX_DELAY_INTERVALS * self._heartbeat_ms
+        if not self.upstream.announce(
+            announcement, self._is_in_doubt(now_ms), is_private or is_late
+        ):
             if announcement.is_draining:  # final, whatever came before
                 self.handle_departure(announcement.instance, announcement.start_ms)
             return
@@ -212,6 +226,8 @@
                 n_slots=announcement.n_slots,
             )
             self.on_change()
+        elif self.upstream.is_history_known is not was_history_known:
+            self.on_change()
 
     def _names_service(self, service: str) -> bool | None:
         """Whether an upstream may be of a service; None if that is not known yet."""
@@ -246,15 +262,17 @@
         """Take the departures that are known for all of earlier processes."""
         if self.upstream.restore_departures([]):
             self._handle_recalled()
+        else:
+            self.on_change()
 
     def accept_first_heartbeat(self) -> None:
         """Let a single heartbeat make the upstream ready for a short time.
 
         All nodes have lost their processes, so that each would wait for a second one.
-        An upstream that sends none by then is absent.
+        An upstream that has not proved by then that it has not left is absent.
         """
         self._accepts_first_heartbeat = True
-        if self.upstream.require_heartbeats(1):
+        if self.upstream.accept_unproven(True):
             self._handle_recalled()
 
     def _handle_recalled(self) -> None:
@@ -382,13 +400,8 @@
         bound_ms = FIRST_HEARTBEAT_INTERVALS * self._heartbeat_ms
         if self._accepts_first_heartbeat and running_ms > bound_ms:
             self._accepts_first_heartbeat = False
-            if self.upstream.require_heartbeats(MIN_HEARTBEATS):
-                self._handle_absence("no second heartbeat", silent_ms)
-        silent_ms = now_ms - self._last_heartbeat_ms
-        if silent_ms > MAX_UNPROVEN_INTERVALS * self._heartbeat_ms:
-            self.upstream.break_heartbeats()
-            if ready:
-                self._mark_absent("heartbeats stopped after a restart", silent_ms)
+            if self.upstream.accept_unproven(False):
+                self._handle_absence("no heartbeat sent since the start", silent_ms)
 
     def _cut_off(self, number: int, now_ms: float) -> None:
         """End an attempt that the upstream neither answers nor stops."""
--- a/packages/policy/ibisspoke_policy/upstream_tracker.py
+++ b/packages/policy/ibisspoke_policy/upstream_tracker.py
@@ -8,10 +8,6 @@
 
 # Of the upstreams of one VM. Heartbeats of an earlier one are seconds late at most.
 MAX_DEPARTURES = 4
-# In a row, from an upstream that an earlier node process may have known to have left.
-# One may be delayed; an upstream that has left sends no further ones.
-MIN_HEARTBEATS = 2
-PROVING_HEARTBEATS = 8  # in a row; longer than any heartbeat is delayed
 
 
 class UpstreamState(StrEnum):
@@ -87,16 +83,16 @@
 
     A node that has just started does not know which departures its predecessor has
     acknowledged. A delayed heartbeat may come from an upstream that has left since.
-    Until :meth:`restore_departures` is called, a single heartbeat therefore does not
-    make an upstream ready, and one whose heartbeats stop is not ready any more.
+    Until :meth:`restore_departures` is called, an upstream is therefore ready only by a
+    heartbeat that it has sent since this node started: one that has left sends none.
+    How many heartbeats arrive tells nothing, as several may be delayed.
     """
 
     def __init__(self) -> None:
         self.latest: Announcement | None = None
         self.state = UpstreamState.ABSENT
         self._is_history_known = False
-        self._n_heartbeats = 0
-        self._n_required_heartbeats = MIN_HEARTBEATS
+        self._accepts_unproven = False
         self._departures: tuple[UpstreamProcess, ...] = ()
         self._contender: Announcement | None = None
         self._displaced: UpstreamProcess | None = None
@@ -149,15 +145,15 @@
             self.state = UpstreamState.READY
         return self.state is not state
 
-    def require_heartbeats(self, n_required: int) -> bool:
-        """Set how many heartbeats in a row make an upstream ready.
+    def accept_unproven(self, is_accepted: bool) -> bool:
+        """Set whether any heartbeat makes an upstream ready.
 
         It holds as long as the departures of earlier processes are not known.
 
         :returns: whether the state of the latest upstream changed.
         """
         state = self.state
-        self._n_required_heartbeats = n_required
+        self._accepts_unproven = is_accepted
         if state is UpstreamState.READY and not self._has_evidence:
             self.state = UpstreamState.ABSENT
         elif state is UpstreamState.ABSENT:
@@ -167,19 +163,24 @@
     @property
     def _has_evidence(self) -> bool:
         """Whether the upstream is known not to have left, as far as can be told."""
-        if self._is_history_known:
-            return True
-        return self._n_heartbeats >= self._n_required_heartbeats
+        return self._is_history_known or self._accepts_unproven
 
     def _update_readiness(self) -> None:
         if self.latest is not None and self._has_evidence:
             self.state = UpstreamState.READY
 
-    def announce(self, announcement: Announcement, is_in_doubt: bool = False) -> bool:
+    def announce(
+        self,
+        announcement: Announcement,
+        is_in_doubt: bool = False,
+        is_recent: bool = False,
+    ) -> bool:
         """Apply a heartbeat.
 
         :param is_in_doubt: whether the latest upstream has fallen silent, or has turned
             out not to be the one that answers.
+        :param is_recent: whether it was sent after this node started, so that no
+            earlier node process has known its upstream to have left.
         :returns: whether it was applied; False if it is outdated, or names another
             service than the same process did before, as only another writer would.
         """
@@ -200,11 +201,7 @@
         was_draining = is_same_process and self.state is UpstreamState.DRAINING
         self._departures = self.departures
         self.latest = announcement
-        if is_takeover:
-            self._n_heartbeats = MIN_HEARTBEATS
-        else:
-            self._n_heartbeats = self._n_heartbeats + 1 if is_same_process else 1
-        self._is_history_known |= self._n_heartbeats >= PROVING_HEARTBEATS
+        self._is_history_known |= is_recent
         if was_draining or announcement.is_draining:
             self.state = UpstreamState.DRAINING
         else:
@@ -234,10 +231,6 @@
             return True
         return self._is_departed(latest)
 
-    def break_heartbeats(self) -> None:
-        """Record that heartbeats have stopped coming: the next one is the first."""
-        self._n_heartbeats = 0
-
     def mark_absent(self) -> None:
         """Record that the upstream does not answer."""
         if self.state is UpstreamState.READY:
--- a/packages/policy/tests/test_upstream_tracker.py
+++ b/packages/policy/tests/test_upstream_tracker.py
@@ -2,7 +2,6 @@
 
 from ibisspoke_policy.upstream_tracker import (
     MAX_DEPARTURES,
-    PROVING_HEARTBEATS,
     Announcement,
     UpstreamProcess,
     UpstreamState,
@@ -93,50 +92,42 @@
     assert upstream.state is UpstreamState.READY
 
 
-def test_one_heartbeat_makes_nothing_ready_before_the_history_is_known():
+def test_no_number_of_late_heartbeats_makes_an_upstream_ready():
+    """Guards against heartbeats that were sent before a departure (DRAIN)."""
     upstream = UpstreamTracker()
-    upstream.announce(heartbeat(sequence=7))
-    assert upstream.state is UpstreamState.ABSENT
-    upstream.announce(heartbeat(sequence=8))
-    assert upstream.state is UpstreamState.READY
+    for sequence in range(20):
+        upstream.announce(heartbeat(sequence=sequence))
+        assert upstream.state is UpstreamState.ABSENT
+        assert not upstream.is_history_known
 
 
-def test_heartbeats_that_stopped_count_from_the_first_again():
-    """Guards against late heartbeats, far from each other, of one that has left."""
+def test_a_heartbeat_sent_since_the_start_proves_that_the_upstream_has_not_left():
     upstream = UpstreamTracker()
     upstream.announce(heartbeat(sequence=7))
-    upstream.break_heartbeats()
-    upstream.announce(heartbeat(sequence=8))
-    assert upstream.state is UpstreamState.ABSENT
-    upstream.announce(heartbeat(sequence=9))
-    assert upstream.state is UpstreamState.READY
-
-
-def test_heartbeats_that_keep_coming_prove_that_the_upstream_has_not_left():
-    upstream = UpstreamTracker()
-    for sequence in range(PROVING_HEARTBEATS):
-        assert not upstream.is_history_known
-        upstream.announce(heartbeat(sequence=sequence))
+    upstream.announce(heartbeat(sequence=8), is_recent=True)
     assert upstream.is_history_known
+    assert upstream.state is UpstreamState.READY
 
 
-def test_one_heartbeat_is_enough_only_while_one_is_required():
+def test_any_heartbeat_is_enough_only_while_that_is_accepted():
     upstream = UpstreamTracker()
     upstream.announce(heartbeat(sequence=7))
-    assert upstream.require_heartbeats(1)
+    assert upstream.accept_unproven(True)
     assert upstream.state is UpstreamState.READY
-    assert upstream.require_heartbeats(2)
+    assert upstream.accept_unproven(False)
     assert upstream.state is UpstreamState.ABSENT
     upstream.announce(heartbeat(sequence=8))
+    assert upstream.state is UpstreamState.ABSENT
+    upstream.announce(heartbeat(sequence=9), is_recent=True)
     assert upstream.state is UpstreamState.READY
-    assert not upstream.require_heartbeats(2)
+    assert not upstream.accept_unproven(False)
 
 
-def test_a_draining_upstream_needs_no_second_heartbeat():
+def test_a_draining_upstream_needs_no_proof():
     upstream = UpstreamTracker()
     upstream.announce(heartbeat(sequence=7, draining=True))
     assert upstream.state is UpstreamState.DRAINING
-    assert not upstream.require_heartbeats(1)
+    assert not upstream.accept_unproven(True)
 
 
 def test_a_departure_is_kept_after_the_process_that_acknowledged_it():
@@ -149,7 +140,8 @@
 def test_a_departure_recalled_late_ends_an_upstream_taken_for_ready():
     upstream = UpstreamTracker()
     upstream.announce(heartbeat(sequence=7))
-    upstream.announce(heartbeat(sequence=8))
+    upstream.accept_unproven(True)
+    assert upstream.state is UpstreamState.READY
     assert upstream.restore_departures([UpstreamProcess("i-1", 1_000)])
     assert upstream.state is UpstreamState.DRAINING
 
--- a/packages/standins/ibisspoke_standins/fleet_upstream.py
+++ b/packages/standins/ibisspoke_standins/fleet_upstream.py
@@ -283,6 +283,7 @@
         self.start_ms = 1_000
         self._sequence = 0
         self._control_client = HttpClient(*control)
+        self._named_client: HttpClient | None = None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -305,8 +306,17 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    async def announce(self, state: str = "ready", sequence: int | None = None) -> int:
-        """Send a heartbeat and return the response status."""
+    async def announce(
+        self,
+        state: str = "ready",
+        sequence: int | None = None,
+        follows_address: bool = False,
+    ) -> int:
+        """Send a heartbeat and return the response status.
+
+        :param follows_address: whether to send it to the address that the last answer
+            has named, if it named any.
+        """
         self._sequence += 1
         body = {
             "address": f"{self.address[0]}:{self.address[1]}",
@@ -323,9 +333,21 @@
             },
             "born": self.start_ms,
         }
-        return await self.call_control(
-            f"/api/Instances.Heartbeat/{self.instance}", json.dumps(body).encode()
-        )
+        target = f"/api/Instances.Heartbeat/{self.instance}"
+        client = self._named_client if follows_address else None
+        try:
+            response = await (client or self._control_client).request(
+                "POST", target, json.dumps(body).encode()
+            )
+        except HttpError:
+            return 0
+        if response.status == 200:
+            host, _, port = (
+                json.loads(response.body).get("heartbeatUrl", "").partition(":")
+            )
+            if port:
+                self._named_client = HttpClient(host, int(port))
+        return response.status
 
     async def leave(self) -> int:
         """Announce that the upstream leaves and return the response status."""
--- a/tests/fleet/test_restart.py
+++ b/tests/fleet/test_restart.py
@@ -129,13 +129,14 @@
     assert vm.node.dispatcher.upstream.state != "ready"
 
 
-async def test_a_restart_without_the_store_waits_for_a_second_heartbeat(vm, store):
+async def test_a_restart_without_the_store_waits_for_a_heartbeat_sent_since(vm, store):
     store.down = True
     await vm.kill()
     await vm.start()
-    assert await vm.upstream.announce() == 200
-    assert vm.node.dispatcher.upstream.state == "absent"
-    assert await vm.upstream.announce() == 200
+    for _ in range(3):
+        assert await vm.upstream.announce() == 200
+        assert vm.node.dispatcher.upstream.state == "absent"
+    assert await vm.upstream.announce(follows_address=True) == 200
     assert vm.node.dispatcher.upstream.state == "ready"
 
 
@@ -241,6 +242,41 @@
         assert other.node.fleet.choose("shop", "r", 1_000.0, excluded) is None
 
 
+async def _leave_and_lose_all(fleet, store) -> None:
+    """Let the first upstream leave while the store is away, then end all processes."""
+    store.silent = True
+    async with asyncio.timeout(1.0):
+        assert await fleet[0].upstream.leave() == 200
+    await _restart_all(fleet)
+    await asyncio.sleep(1.0)  # the store is late, by all that the new processes know
+    store.silent = False
+    await until(lambda: fleet[0].node.rows.previous_record_known.is_set())
+
+
+async def test_late_heartbeats_in_a_row_do_not_undo_a_departure(fleet, store):
+    """Guards against counting heartbeats, of which several may be late (DRAIN)."""
+    await _leave_and_lose_all(fleet, store)
+    for _ in range(10):
+        assert await fleet[0].upstream.announce() == 200
+        assert _state(fleet[0]) == "absent"
+
+
+async def test_a_process_that_lost_the_history_does_not_vouch_for_it(fleet, store):
+    """Guards against a restart alone after a loss of all processes (DRAIN)."""
+    vm, others = fleet[0], fleet[1:]
+    await _leave_and_lose_all(fleet, store)
+    assert await vm.upstream.announce() == 200
+    peers = [other.node.fleet.peers_by_id[vm.host] for other in others]
+    lost = vm.node.fleet.own.incarnation
+    await until(lambda: all(p.is_heard and p.record.incarnation == lost for p in peers))
+    await vm.kill()
+    await vm.start()
+    await until(lambda: vm.node.rows.previous_record_known.is_set())
+    await asyncio.sleep(0.5)  # others are asked for less
+    assert await vm.upstream.announce() == 200
+    assert not vm.node.dispatcher.upstream.is_history_known
+
+
 async def test_a_draining_without_the_store_outlasts_all_processes(fleet, store):
     vm = fleet[0]
     store.silent = True
@@ -263,8 +299,8 @@
     store.silent = True
     await _restart_all(fleet)
     for vm in fleet:
-        for _ in range(2):
-            assert await vm.upstream.announce() == 200
+        assert await vm.upstream.announce() == 200
+        assert await vm.upstream.announce(follows_address=True) == 200
     await asyncio.sleep(1.0)
     store.silent = False
     await until(lambda: all(vm.node.config.is_complete for vm in fleet))
@@ -290,7 +326,9 @@
     for vm in fleet:
         assert await vm.upstream.announce() == 200
     await until(lambda: all(_state(vm) == "ready" for vm in fleet))
-    assert await fleet[0].upstream.announce() == 200
+    assert await fleet[0].upstream.announce(follows_address=True) == 200
     await until(lambda: _state(fleet[1]) == "absent")
     assert _state(fleet[0]) == "ready"
-    assert not fleet[0].node.dispatcher.upstream.is_history_known
+    assert await fleet[1].upstream.announce() == 200
+    assert _state(fleet[1]) == "absent"
+    assert not fleet[1].node.dispatcher.upstream.is_history_known
