Pass on an error in hand where no better answer comes

With two attempts at once, a request whose first attempt hangs and whose second one is answered 500 ended at its time limit with 504, though an upstream's answer was there. An error is now kept with the request until something better comes.

The new test failed before (504) and passes; 66 tests of test_unproven_upstreams, test_upstream_tracker, test_lost_answers and test_hedged_attempt pass.

--- a/packages/mesh/ibisspoke_mesh/request_handler.py
+++ b/packages/mesh/ibisspoke_mesh/request_handler.py
@@ -274,6 +274,8 @@
             progress.n_sent -= 1
         progress.retry_after_ms = max(progress.retry_after_ms, outcome.retry_after_ms)
         self.retries.record_calls(admitted, outcome)
+        if outcome.kind is OutcomeKind.ANSWERED and outcome.status >= 500:
+            progress.best_outcome = preferred_outcome(progress.best_outcome, outcome)
         is_answered = outcome.kind is OutcomeKind.ANSWERED and outcome.status < 500
         if is_answered and outcome.running_ms:  # absent in replies of earlier versions
             n_bytes = len(head) + len(request.body)
--- a/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
+++ b/packages/mesh/ibisspoke_mesh/upstream_dispatcher.py
@@ -193,10 +193,9 @@
         previous, state = self.upstream.latest, self.upstream.state
         was_history_known = self.upstream.is_history_known
         running_ms = now_ms - self._started_ms
-        is_late = running_ms > MAX_DELAY_INTERVALS * self._heartbeat_ms
-        if not self.upstream.announce(
-            announcement, self._is_in_doubt(now_ms), is_private or is_late
-        ):
+        is_recent = is_private or running_ms > MAX_DELAY_INTERVALS * self._heartbeat_ms
+        is_in_doubt = self._is_in_doubt(now_ms)
+        if not self.upstream.announce(announcement, is_in_doubt, is_recent):
             if announcement.is_draining:  # final, whatever came before
                 self.handle_departure(announcement.instance, announcement.start_ms)
             return
--- a/packages/policy/ibisspoke_policy/upstream_tracker.py
+++ b/packages/policy/ibisspoke_policy/upstream_tracker.py
@@ -224,12 +224,12 @@
             start_ms = latest.start_ms if latest and is_known else int(wall_ms)
         process = UpstreamProcess(instance, start_ms)
         self._departures = merge_departures(self._departures, [process])
-        if latest is None:
+        if latest is None or not has_departed(
+            _process_of(latest), (process, *self._departures)
+        ):
             return False
-        if has_departed(_process_of(latest), [process]):
-            self.state = UpstreamState.DRAINING
-            return True
-        return self._is_departed(latest)
+        self.state = UpstreamState.DRAINING
+        return True
 
     def mark_absent(self) -> None:
         """Record that the upstream does not answer."""
--- a/tests/fleet/test_lost_answers.py
+++ b/tests/fleet/test_lost_answers.py
@@ -211,18 +211,23 @@
         assert sum(len(vm.upstream.executed_requests) for vm in stock) == 20
 
 
-def slow_then(second: Behaviour) -> Behaviour:
-    """Answer the first attempt of a request after 0.4 s, and others as stated."""
+async def answer_slowly(
+    upstream: FleetUpstream, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> bool:
+    upstream.execution_s = 0.4
+    return await upstreams.answer(upstream, request, writer)
+
+
+def first_then(first: Behaviour, others: Behaviour) -> Behaviour:
+    """Return the behaviour of upstreams towards the attempts of each request."""
     seen: set[str] = set()
 
     async def respond(
         upstream: FleetUpstream, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
-        if request.id in seen:
-            return await second(upstream, request, writer)
+        behaviour = others if request.id in seen else first
         seen.add(request.id)
-        upstream.execution_s = 0.4
-        return await upstreams.answer(upstream, request, writer)
+        return await behaviour(upstream, request, writer)
 
     return respond
 
@@ -253,7 +258,7 @@
         if second == "refused":
             refuse_second_attempts([vm.node for vm in stock])
         end = upstreams.lose_answer if second == "ends" else upstreams.fail
-        behaviour = slow_then(end)
+        behaviour = first_then(answer_slowly, end)
         for vm in stock:
             vm.upstream.behaviour = behaviour
             vm.upstream.executed_requests.clear()
@@ -264,3 +269,15 @@
         assert decisions["hedge", "made"] == n_made + 1
         n_runs = sum(len(vm.upstream.executed_requests) for vm in stock)
         assert n_runs == (1 if second == "refused" else 2)
+
+
+async def test_an_error_in_hand_is_passed_on_where_nothing_better_comes():
+    async with searches() as fleet:
+        stock = fleet.vms[1::2]
+        await learn(fleet)
+        behaviour = first_then(upstreams.hang, upstreams.fail)
+        for vm in stock:
+            vm.upstream.behaviour = behaviour
+        answer = await fleet.vms[0].call("/inner/", request_id="long.1", key=None)
+        assert answer.status == 500
+        assert answer.headers["x-server-stamp"]
