--- a/tests/fleet/test_evacuation.py
+++ b/tests/fleet/test_evacuation.py
@@ -325,7 +325,9 @@
             await vm.start()
         await asyncio.sleep(1.5)
         for vm in vms:
-            assert await vm.upstream.announce() == 200  # makes the upstream ready
+            assert (
+                await vm.upstream.announce(follows_address=True) == 200
+            )  # makes the upstream ready
             assert vm.node.dispatcher.upstream.state is UpstreamState.READY
             assert vm.node.dispatcher.state is UpstreamState.ABSENT
             assert vm.node.dispatcher.blocked_reason == "evacuations_unknown"
