Take no copy of the store for proven at a start

A process that knows nothing of an earlier era now believes a restored store once the era is settled, by its own reads or another node's report, or once another node states a proof or has a configuration of an earlier era.

--- a/packages/mesh/ibisspoke_mesh/config_state.py
+++ b/packages/mesh/ibisspoke_mesh/config_state.py
@@ -59,6 +59,7 @@
         self._document = b""
         self._reply: ConfigReply | None = None
         self._is_proven = False
+        self._knows_earlier_eras = False
         self._adopted_ms = 0.0
 
     def __repr__(self) -> str:
@@ -69,6 +70,16 @@
         """Whether both the configuration and the evacuations are known."""
         return self.table is not None and self.evacuations.is_known
 
+    @property
+    def can_be_proven(self) -> bool:
+        """Whether the store can prove that the configuration is current.
+
+        It cannot towards a process that knows nothing of the time before it was
+        restored from a copy, until the operator has had the time to write again what
+        the copy lacks.
+        """
+        return self._may_believe(self.row_position.era)
+
     @property
     def known(self) -> tuple[int, EvacuationPosition]:
         """What nodes compare to find out which of them is behind."""
@@ -91,7 +102,8 @@
 
         Only a snapshot of the whole table proves that the configuration is current: a
         watch may miss changes for a while. A snapshot of a store that was restored from
-        a copy proves nothing before the version in force was seen in it.
+        a copy proves nothing before the version in force was seen in it, and nothing
+        to a process that has started since, as long as :attr:`can_be_proven` is false.
         """
         self.evacuations.apply_changes(changes, is_snapshot, started_ms)
         is_read = True
@@ -100,7 +112,8 @@
                 position = StorePosition(changes.era, row.version)
                 is_read = self._adopt(row.value, position, "store")
         is_of_era = self.row_position.era == changes.era
-        if is_read and is_snapshot and is_of_era and self.version:
+        is_believed = self._may_believe(changes.era)
+        if is_read and is_snapshot and is_of_era and is_believed and self.version:
             self.freshness.record_read(self.version, started_ms)
 
     def apply_reply(self, reply: ConfigReply) -> None:
@@ -112,7 +125,9 @@
             self._apply_document(reply, position)
         elif reply.version == self.version:
             self._follow_row(position)
+        self._knows_earlier_eras |= position.era < self.evacuations.era
         if reply.echo and reply.proof_age_ms is not None:
+            self._knows_earlier_eras = True
             self.freshness.record_relayed(
                 reply.version, reply.echo, max(0, reply.proof_age_ms)
             )
@@ -159,7 +174,8 @@
 
     def record_proof(self, version: int, started_ms: float) -> None:
         """Record that ``version`` was the newest one at ``started_ms``."""
-        self.freshness.record_read(version, started_ms)
+        if self.can_be_proven:
+            self.freshness.record_read(version, started_ms)
 
     def proof_age_ms(self) -> float:
         """Return the age of the proof that the configuration is current."""
@@ -211,6 +227,12 @@
             self._on_adopted(table)
         return True
 
+    def _may_believe(self, era: int) -> bool:
+        """Whether the store in an era lacks nothing that this process may not know."""
+        if era == 0 or (era == self.evacuations.era and self.evacuations.is_settled):
+            self._knows_earlier_eras = True
+        return self._knows_earlier_eras
+
     def _follow_row(self, position: StorePosition) -> None:
         """Follow the row that holds the version in force to a later position."""
         if position <= self.row_position:
--- a/packages/mesh/ibisspoke_mesh/config_verifier.py
+++ b/packages/mesh/ibisspoke_mesh/config_verifier.py
@@ -78,6 +78,8 @@
         return min(MAX_PAUSE_MS, max(POLL_INTERVAL_MS, left_ms))
 
     def _is_due(self) -> bool:
+        if not self._config.can_be_proven:
+            return False
         rank = min(self._ranks.verify_rank, MAX_RANK)
         delay_ms = rank * RANK_DELAY_MS + self._rng.random() * JITTER_MS
         if self._config.proof_age_ms() < CHECK_AGE_MS + delay_ms:
--- a/packages/mesh/ibisspoke_mesh/evacuation_state.py
+++ b/packages/mesh/ibisspoke_mesh/evacuation_state.py
@@ -60,6 +60,16 @@
         """Whether the evacuations are known, or there can be none."""
         return not self._prefix or self._evacuations.is_known
 
+    @property
+    def era(self) -> int:
+        """The highest known era of the store."""
+        return self._evacuations.era
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the operator has had the time to write again what a copy lacks."""
+        return not self._prefix or self._evacuations.is_settled
+
     @property
     def in_force(self) -> frozenset[str]:
         """The evacuated data centres."""
--- a/packages/mesh/tests/test_config_state.py
+++ b/packages/mesh/tests/test_config_state.py
@@ -1,14 +1,19 @@
 import logging
+import math
 import zlib
 
+import msgspec
 from result import Err, Ok
 
 from ibisspoke_mesh.config_state import ConfigState
 from ibisspoke_mesh.decision_log import DecisionLog
+from ibisspoke_mesh.evacuation_state import EvacuationState
 from ibisspoke_mesh.frames import ConfigReply
 from ibisspoke_mesh.store import Changes
 from ibisspoke_policy.clock import ManualClock
+from ibisspoke_policy.evacuations import SETTLE_MS
 from ibisspoke_policy.route_table import CallerLimits, RouteTable
+from ibisspoke_policy.store_position import StoreEra
 from ibisspoke_storage.store import TableRow
 
 LIMITS = CallerLimits(1, 1, 1.0, 1.0)
@@ -26,9 +31,21 @@
     return ConfigState("config", decode, clock, log, adopted.append), adopted
 
 
-def changes(document):
+def changes(document, era=0):
     rows = [TableRow("config", 1, document)] if document else []
-    return Changes(rows, [], 1)
+    return Changes(rows, [], 1, era)
+
+
+def started_in_era(clock, era):
+    """Return the state of a process that knows the store only since it was restored."""
+    store_era = StoreEra()
+    log = DecisionLog(clock)
+    evacuations = EvacuationState("evacuated/", clock, log, store_era)
+    state = ConfigState(
+        "config", decode, clock, log, lambda table: None, evacuations=evacuations
+    )
+    store_era.observe(era)
+    return state
 
 
 def test_a_snapshot_is_a_proof_and_an_empty_watch_result_is_not():
@@ -40,6 +57,48 @@
     assert state.proof_age_ms() == 3_000.0
 
 
+def test_a_copy_proves_nothing_to_a_process_that_knows_no_earlier_era():
+    """Guards against a withdrawn key that works again after a restart (CONFIG)."""
+    clock = ManualClock(10_000.0)
+    state = started_in_era(clock, 1)
+    state.apply_changes(changes(b"3", era=1), True, clock.boot_ms())
+    state.record_proof(3, clock.boot_ms())
+    assert state.version == 3
+    assert state.proof_age_ms() == math.inf
+    clock.advance(SETTLE_MS)
+    assert not state.can_be_proven
+    state.apply_changes(changes(b"", era=1), True, clock.boot_ms())
+    assert state.can_be_proven
+    assert state.proof_age_ms() == 0.0
+
+
+def test_what_another_node_knows_of_an_earlier_era_makes_the_store_believed():
+    clock = ManualClock(10_000.0)
+    state = started_in_era(clock, 1)
+    state.apply_reply(ConfigReply(5, 9, zlib.compress(b"5"), row_era=0))
+    state.apply_changes(changes(b"3", era=1), True, clock.boot_ms())
+    assert state.proof_age_ms() == math.inf
+    state.apply_changes(changes(b"5", era=1), True, clock.boot_ms())
+    assert state.proof_age_ms() == 0.0
+
+
+def test_a_node_that_knows_no_earlier_era_makes_nothing_believed():
+    clock = ManualClock(10_000.0)
+    state = started_in_era(clock, 1)
+    state.apply_reply(ConfigReply(3, 9, zlib.compress(b"3"), row_era=1))
+    state.apply_changes(changes(b"3", era=1), True, clock.boot_ms())
+    assert state.proof_age_ms() == math.inf
+
+
+def test_the_proof_of_another_node_makes_the_store_believed():
+    clock = ManualClock(10_000.0)
+    state = started_in_era(clock, 1)
+    reply = ConfigReply(3, 9, zlib.compress(b"3"), row_era=1)
+    state.apply_reply(msgspec.structs.replace(reply, echo=9_000, proof_age_ms=100))
+    assert state.proof_age_ms() == 1_100.0
+    assert state.can_be_proven
+
+
 def test_a_suspension_ages_a_proof_and_a_clock_step_does_not():
     clock = ManualClock(10_000.0)
     state, _ = make_state(clock)
