Show two gaps in the proof of a restored store

Found by reading once more. A reply of a node that lags behind the copy counts as knowledge of an earlier era, so that a withdrawn key may work again after a drill, a start and a lagging node together. And ConfigState.can_be_proven changes what it tells: read before any configuration is known, it makes the store believed (the verifier, its only caller outside, asks for a configuration first).

--- a/packages/mesh/tests/test_config_state.py
+++ b/packages/mesh/tests/test_config_state.py
@@ -90,6 +90,25 @@
     assert state.proof_age_ms() == math.inf
 
 
+def test_a_node_that_lags_behind_the_copy_makes_nothing_believed():
+    """Guards against a key whose withdrawal neither that node nor the copy knows."""
+    clock = ManualClock(10_000.0)
+    state = started_in_era(clock, 1)
+    state.apply_changes(changes(b"4", era=1), True, clock.boot_ms())
+    state.apply_reply(ConfigReply(3, 9, zlib.compress(b"3"), row_era=0))
+    state.apply_changes(changes(b"4", era=1), True, clock.boot_ms())
+    assert state.proof_age_ms() == math.inf
+
+
+def test_asking_whether_a_proof_is_possible_makes_nothing_believed():
+    """Guards against a property that changes what it tells."""
+    clock = ManualClock(10_000.0)
+    state = started_in_era(clock, 1)
+    assert not state.can_be_proven
+    state.apply_changes(changes(b"4", era=1), True, clock.boot_ms())
+    assert state.proof_age_ms() == math.inf
+
+
 def test_the_proof_of_another_node_makes_the_store_believed():
     clock = ManualClock(10_000.0)
     state = started_in_era(clock, 1)
